--- /dev/null
+++ b/hallhitch/__init__.py
@@ -0,0 +1,5 @@
+"""hallhitch: the decisions of a gateway that keeps each customer of a shared back end to its plan."""
+
+from hallhitch.policy import Gateway
+
+__all__ = ["Gateway"]
--- a/lynxtack/adapter.py
+++ b/hallhitch/adapter.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from lynxtack import api
-from lynxtack.policy import Gateway
+from hallhitch import api
+from hallhitch.policy import Gateway
 
 EFFECTS = {"pure": api.SAFE, "token": api.KEYED, "side_effect": api.UNSAFE}
 OUTCOMES = {
@@ -230,7 +230,7 @@
         try:
             reply = host.batch(line)
         except WireError as error:
-            print(f"lynxtack: {error}", file=sys.stderr)
+            print(f"hallhitch: {error}", file=sys.stderr)
             return 2
         sys.stdout.write(json.dumps(reply, separators=(",", ":")) + "\n")
         sys.stdout.flush()
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from lynxtack import Gateway, adapter, api
+from hallhitch import Gateway, adapter, api
 
 PROFILE: dict[str, Any] = {
     "balancers": 2, "index": 0, "unheard-of": [1],
