Add the real gateway: core, HTTP ingress, hops, counter client, route table

Seen: the module had only the simulator's adapter.

The core (hallhitch/core) holds the module's actor, the table of open exchanges and the one sorted structure of deadlines; it knows no wire. hallhitch/net is the platform's front. Reading of the settings object moved from adapter.py to settings.py, shared by both.

Given up in the open: calls to the counter are written with a plain non-blocking send, as the order of calls and whether one was written whole must be known at once; a call is about 100 bytes. Everything else uses sock_recv_into/sock_sendall.

--- /dev/null
+++ b/hallhitch/net/__init__.py
@@ -0,0 +1,1 @@
+"""The platform front: HTTP to clients, hops, discovery and the counter."""
--- /dev/null
+++ b/hallhitch/net/counter.py
@@ -0,0 +1,191 @@
+"""The counter client: pipelined calls over few connections, answers in call order, each within its time."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+from hallhitch.core.actor import Actor
+from hallhitch.core.deadlines import Deadlines, Scheduler
+from hallhitch.core.invariants import COUNTS
+from hallhitch.net.http import AnswerReader
+from hallhitch.net.sockets import connect, cut
+
+LANES = 2  # connections; a name always takes the same one, so that its answers come in call order
+IDLE_MOST = 3000.0  # ms after which an idle connection is not used again; the counter closes at 10 s or less
+SILENT_MOST = 1000.0  # ms without a byte while calls wait for an answer: the connection is replaced
+PIPE_MOST = 256  # calls written and unanswered on one connection, those given up included
+
+Counted = Callable[[int, str, float, float], None]
+
+
+class CounterCodec(Protocol):
+    """Writes calls and reads answers; one codec serves one connection."""
+
+    def call(self, name: int, units: float, lifetime: float) -> bytes: ...
+
+    def feed(self, data: memoryview) -> list[tuple[str, float]]: ...
+
+
+class HttpCounterCodec:
+    """The platform's counter."""
+
+    def __init__(self, host: str) -> None:
+        self._host, self._reader = host.encode(), AnswerReader()
+
+    def call(self, name: int, units: float, lifetime: float) -> bytes:
+        """One call as bytes."""
+        return b"POST /tally/%d?n=%s&keep_ms=%d HTTP/1.1\r\nHost: %s\r\nContent-Length: 0\r\n\r\n" % (
+            name, f"{units:.7g}".encode(), max(1, round(lifetime)), self._host)
+
+    def feed(self, data: memoryview) -> list[tuple[str, float]]:
+        """The answers that have come whole, as outcome and total."""
+        return [("ok", float(m.body)) if m.status == 200 else ("full", 0.0) for m in self._reader.feed(data)]
+
+
+@dataclass(slots=True, eq=False)
+class Call:
+    """One call; `told` once the core has had its answer."""
+
+    name: int
+    units: float
+    lifetime: float
+    begun: float
+    written: bool = False
+    told: bool = False
+
+
+class Lane(Actor[Call]):
+    """One connection to the counter and the calls on it, oldest first."""
+
+    def __init__(self, counter: CounterClient, number: int, scheduler: Scheduler) -> None:
+        super().__init__(f"counter {number}", scheduler)
+        self._client, self._deadlines = counter, counter.deadlines
+        self._calls: deque[Call] = deque()  # answers not come yet, those told 'timeout' included
+        self._sock: socket.socket | None = None
+        self._codec = counter.codec()
+        self._heard = 0.0
+        self._task: asyncio.Task[None] | None = None
+
+    def take(self, call: Call) -> None:
+        """Take a call; it has its answer within the time-out whatever happens."""
+        self._deadlines.after(self._client.timeout, lambda: self._overdue(call))
+        if not self.post(call):
+            self._tell(call, "unreachable")
+
+    def receive(self, message: Call) -> None:
+        """Write a call, or begin to connect for it."""
+        if message.told:
+            return
+        now = self._deadlines.clock()
+        if self._sock is not None and not self._calls and now - self._heard > IDLE_MOST:
+            self._drop()
+        if len(self._calls) >= PIPE_MOST:
+            self._lost()  # a new connection, and all answers still in call order
+        if not self._calls:
+            self._heard = now
+        self._calls.append(message)
+        if self._task is None:
+            self._task = asyncio.get_running_loop().create_task(self._serve())
+        elif self._sock is not None:
+            self._write([message])
+
+    def spoilt(self, message: Call) -> None:
+        """A call that could not be written never reached the counter."""
+        self._lost()
+
+    def _write(self, calls: list[Call]) -> None:
+        assert self._sock is not None
+        data = b"".join(self._codec.call(c.name, c.units, c.lifetime) for c in calls)
+        try:
+            sent = self._sock.send(data)
+        except OSError:
+            sent = 0
+        for call in calls:
+            call.written = sent == len(data) or len(calls) > 1 and sent > 0
+        if sent != len(data):  # a full buffer means a counter that reads no more
+            self._lost()
+
+    async def _serve(self) -> None:
+        """Connect, write what waits, and read answers until the connection ends."""
+        loop, buffer = asyncio.get_running_loop(), bytearray(8192)
+        view, mine = memoryview(buffer), asyncio.current_task()
+        try:
+            sock = await connect(self._client.address, self._deadlines, self._client.timeout)
+            self._sock, self._codec, self._heard = sock, self._client.codec(), self._deadlines.clock()
+            try:
+                while self._calls and self._calls[0].told:
+                    self._calls.popleft()  # given up before it was written
+                waiting = [c for c in self._calls if not c.told]
+                self._calls = deque(waiting)
+                if waiting:
+                    self._write(waiting)
+                while self._task is mine:
+                    size = await loop.sock_recv_into(sock, buffer)
+                    if not size:
+                        break
+                    self._heard = self._deadlines.clock()
+                    for outcome, total in self._codec.feed(view[:size]):
+                        call = self._calls.popleft()
+                        self._tell(call, outcome, total)
+            finally:
+                cut(sock)
+                sock.close()
+        except asyncio.CancelledError:
+            pass
+        except Exception as error:
+            if not isinstance(error, OSError):
+                self.crashed(error)
+        if self._task is mine:
+            self._lost()
+
+    def _drop(self) -> None:
+        """Let go of the connection; the next call opens another."""
+        if self._sock is not None:
+            cut(self._sock)
+        task, self._task, self._sock = self._task, None, None
+        if task is not None:
+            task.cancel()
+
+    def _lost(self) -> None:
+        """The connection is gone: every call on it ends, in order."""
+        self._drop()
+        calls, self._calls = self._calls, deque()
+        for call in calls:
+            self._tell(call, "timeout" if call.written else "unreachable")
+
+    def _overdue(self, call: Call) -> None:
+        if call.told:
+            return
+        self._tell(call, "timeout" if call.written else "unreachable")
+        now = self._deadlines.clock()
+        if self._sock is not None and now - self._heard > SILENT_MOST:
+            COUNTS["counter_replaced"] += 1
+            self._lost()
+
+    def _tell(self, call: Call, outcome: str, total: float = 0.0) -> None:
+        if call.told:
+            COUNTS["counter_late"] += 1
+            return
+        call.told = True
+        self._client.told(call.name, outcome, total, self._deadlines.clock() - call.begun)
+
+
+class CounterClient:
+    """The core's port to the counter."""
+
+    def __init__(
+        self, address: tuple[str, int], codec: Callable[[], CounterCodec], told: Counted,
+        deadlines: Deadlines, scheduler: Scheduler, timeout: float,
+    ) -> None:
+        self.address, self.codec, self.told = address, codec, told
+        self.deadlines, self.timeout = deadlines, timeout
+        self._lanes = [Lane(self, number, scheduler) for number in range(LANES)]
+
+    def add(self, name: int, units: float, lifetime: float) -> None:
+        """Add units to a name; the total comes back through `told`."""
+        self._lanes[name % LANES].take(Call(name, units, lifetime, self.deadlines.clock()))
--- /dev/null
+++ b/hallhitch/net/hops.py
@@ -0,0 +1,241 @@
+"""Hops: attempts carried to servers, an actor and a pool of connections for each."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import deque
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from hallhitch.core.actor import Actor
+from hallhitch.core.deadlines import Deadlines, Entry, Scheduler
+from hallhitch.core.invariants import COUNTS
+from hallhitch.core.ports import Attempt
+from hallhitch.net.http import AnswerReader, Malformed, Message
+from hallhitch.net.sockets import alive, connect, cut
+
+IDLE_SHARE = 0.4  # of the servers' keep-alive: connections idle for longer are dropped here first
+BUFFER = 16_384
+
+
+class Routes(Protocol):
+    """What hops ask of the route table."""
+
+    dials: dict[str, tuple[str, int]]
+
+    def up(self, server: str) -> bool: ...
+
+
+class Told(Protocol):
+    """Where an attempt's end is reported."""
+
+    def ended(
+        self, a: Attempt, outcome: str, payload: object = None, report: dict[str, float] | None = None
+    ) -> None: ...
+
+
+@dataclass(slots=True, eq=False)
+class Connection:
+    """One connection to a server; it carries one attempt at a time."""
+
+    sock: socket.socket
+    reader: AnswerReader = field(default_factory=AnswerReader)
+    idle_since: float = 0.0
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """An attempt under way: over as soon as its end has been reported."""
+
+    attempt: Attempt
+    connection: Connection | None = None
+    written: bool = False
+    over: bool = False
+    task: asyncio.Task[None] | None = None
+    limit: Entry | None = None
+
+
+class Hop(Actor[Job]):
+    """One server: its mailbox holds attempts to begin."""
+
+    def __init__(self, hops: Hops, server: str, scheduler: Scheduler) -> None:
+        super().__init__(f"hop {server}", scheduler)
+        self._hops, self.server = hops, server
+        self.idle: deque[Connection] = deque()  # newest last
+
+    def receive(self, message: Job) -> None:
+        """Begin an attempt."""
+        if not message.over:
+            message.task = asyncio.get_running_loop().create_task(self._carry(message))
+
+    def spoilt(self, message: Job) -> None:
+        """An attempt that could not even begin never ran."""
+        self._hops.end(message, "unreachable")
+
+    async def _carry(self, job: Job) -> None:
+        """Run one attempt to its end; whatever goes wrong is an outcome."""
+        try:
+            outcome, answer = await self._attempt(job)
+        except asyncio.CancelledError:
+            outcome, answer = "cancelled", None  # reported already by whoever cancelled
+        except Exception as error:
+            if not isinstance(error, OSError | Malformed):
+                self.crashed(error)
+            outcome, answer = "reset" if job.written else "unreachable", None
+        connection, job.connection = job.connection, None
+        keep = answer is not None and answer.keep and not job.over
+        if connection is not None and not (keep and self._keep(connection)):
+            self._hops.close(connection)
+        self._hops.end(job, outcome, answer)
+
+    async def _attempt(self, job: Job) -> tuple[str, Message | None]:
+        a, loop = job.attempt, asyncio.get_running_loop()
+        job.connection = connection = self._reuse() or await self._open()
+        # The connecting took time: all that the decision rested on is looked at once more.
+        left = a.ends - self._hops.deadlines.clock()
+        if not a.wanted or left < 1 or not self._hops.routes.up(self.server):
+            return "void", None
+        request = a.payload
+        assert isinstance(request, Message)
+        await loop.sock_sendall(connection.sock, self._head(request, left))
+        job.written = True
+        buffer = bytearray(BUFFER)
+        view = memoryview(buffer)
+        while True:
+            size = await loop.sock_recv_into(connection.sock, buffer)
+            if not size:
+                return "reset", None
+            answers = connection.reader.feed(view[:size])
+            if answers:
+                answer = answers[0]
+                answer.keep = answer.keep and len(answers) == 1 and not connection.reader.partial
+                return outcome_of(answer), answer
+
+    def _head(self, request: Message, left: float) -> bytes:
+        """The request as it goes to the server, body included."""
+        lines = [b"%s %s HTTP/1.1\r\nHost: service.internal" % (request.method, request.target)]
+        for name in (b"req-id", b"idempotency-key", b"content-type"):
+            if name in request.headers:
+                lines.append(name.title() + b": " + request.headers[name])
+        lines.append(b"Req-Deadline-Ms: %d" % left)
+        if request.body or request.method not in (b"GET", b"HEAD"):
+            lines.append(b"Content-Length: %d" % len(request.body))
+        return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+
+    # Connections.
+
+    def _reuse(self) -> Connection | None:
+        while self.idle:
+            connection = self.idle.pop()
+            if alive(connection.sock):
+                return connection
+            self._hops.close(connection)
+        return None
+
+    async def _open(self) -> Connection:
+        if not self._hops.room():
+            raise OSError("no descriptor left for a hop")
+        self._hops.connections += 1
+        try:
+            dial = self._hops.routes.dials[self.server]
+            return Connection(await connect(dial, self._hops.deadlines, self._hops.connect_timeout))
+        except KeyError:
+            raise OSError("the server is not listed any more") from None
+        finally:
+            self._hops.connections -= 1
+            COUNTS["hop_connects"] += 1
+
+    def _keep(self, connection: Connection) -> bool:
+        if not self._hops.routes.up(self.server):
+            return False
+        connection.idle_since = self._hops.deadlines.clock()
+        self.idle.append(connection)
+        return True
+
+
+class Hops:
+    """All hops: the port through which the core sends and cancels."""
+
+    def __init__(
+        self, routes: Routes, told: Told, deadlines: Deadlines, scheduler: Scheduler,
+        connect_timeout: float, keepalive: float, most: int,
+    ) -> None:
+        self.routes, self._told, self.deadlines, self._scheduler = routes, told, deadlines, scheduler
+        self.connect_timeout, self._idle_most, self._most = connect_timeout, keepalive * IDLE_SHARE, most
+        self.connections = 0  # open ones and those being opened
+        self._hops: dict[str, Hop] = {}
+        self._jobs: dict[tuple[int, int], Job] = {}
+        self._prune()
+
+    def start(self, attempt: Attempt) -> None:
+        """Begin an attempt."""
+        job = Job(attempt)
+        self._jobs[attempt.exchange, attempt.number] = job
+        job.limit = self.deadlines.at(attempt.ends, lambda: self.stop(job, "timeout"))
+        hop = self._hops.get(attempt.server)
+        if hop is None:
+            hop = self._hops[attempt.server] = Hop(self, attempt.server, self._scheduler)
+        if not hop.post(job):
+            self.end(job, "unreachable")
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Give up an attempt: its connection is closed before anything else is written."""
+        job = self._jobs.get((attempt.exchange, attempt.number))
+        if job is not None:
+            self.stop(job, "cancelled")
+
+    def stop(self, job: Job, outcome: str) -> None:
+        """End an attempt from this side."""
+        if job.connection is not None:
+            cut(job.connection.sock)
+        self.end(job, outcome)
+        if job.task is not None:
+            job.task.cancel()
+
+    def end(self, job: Job, outcome: str, answer: Message | None = None) -> None:
+        """Report an attempt's end, once."""
+        if job.over:
+            return
+        job.over = True
+        self.deadlines.drop(job.limit)
+        del self._jobs[job.attempt.exchange, job.attempt.number]
+        self._told.ended(job.attempt, outcome, answer)
+
+    def close(self, connection: Connection) -> None:
+        """Close one connection."""
+        cut(connection.sock)
+        connection.sock.close()
+
+    def room(self) -> bool:
+        """Whether one more connection may be opened; the longest idle one makes room if need be."""
+        held = self.connections + len(self._jobs) + sum(len(h.idle) for h in self._hops.values())
+        if held < self._most:
+            return True
+        idle = (h for h in self._hops.values() if h.idle)
+        oldest = min(idle, key=lambda h: h.idle[0].idle_since, default=None)
+        if oldest is not None:
+            COUNTS["hop_idle_shed"] += 1
+            self.close(oldest.idle.popleft())
+        return oldest is not None
+
+    def _prune(self) -> None:
+        """Drop connections idle for too long, and all idle ones to servers that want nothing new."""
+        old = self.deadlines.clock() - self._idle_most
+        for server, hop in list(self._hops.items()):
+            up = self.routes.up(server)
+            while hop.idle and (not up or hop.idle[0].idle_since < old):
+                self.close(hop.idle.popleft())
+            if not up and server not in self.routes.dials and not any(
+                    j.attempt.server == server for j in self._jobs.values()):
+                del self._hops[server]
+        self.deadlines.after(1000.0, self._prune)
+
+
+def outcome_of(answer: Message) -> str:
+    """The outcome that an answer's status stands for."""
+    if answer.status == 200:
+        return "ok"
+    if answer.status in (503, 504) and answer.headers.get(b"srv-declined") == b"1":
+        return "full"
+    return "error"
--- /dev/null
+++ b/hallhitch/net/routes.py
@@ -0,0 +1,125 @@
+"""The route table: discovery's list, watched all the time, told to the module and to the hops."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+import structlog
+
+from hallhitch import api
+from hallhitch.core.actor import Actor
+from hallhitch.core.deadlines import Deadlines, Scheduler
+from hallhitch.core.invariants import COUNTS
+from hallhitch.net.http import AnswerReader, Malformed
+from hallhitch.net.sockets import Within, address_of, connect, cut, pause
+from hallhitch.settings import WireError, need, number, word
+
+HOLD = 20_000.0  # ms a watch waits at discovery
+GRACE = 2000.0  # ms past that at which a silent watch is given up
+AGAIN = 100.0  # ms before the next try after one that failed
+STATES = {"active": "up", "leaving": "drain", "left": "gone"}
+log = structlog.get_logger()
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """What discovery told: the module's form, and where each server listens."""
+
+    seq: int
+    list: api.ServerList
+    dials: dict[str, tuple[str, int]]
+
+
+def news_of(m: Any, zones: list[str], saved: bool = False) -> News:
+    """Read a list or changes of it."""
+    entries, dials = [], {}
+    for e in need(m, "hosts", list):
+        host, site = need(e, "host", str), e.get("site")
+        zone = zones.index(site) if site in zones else 0
+        try:
+            dials[host] = address_of(need(e, "dial", str))
+        except ValueError as error:
+            raise WireError(f"field 'dial' {error}") from error
+        entries.append(api.ServerEntry(
+            host, word(e, "health", STATES), zone, int(number(e, "block")), number(e, "born_ms"),
+            number(e, "share", 1.0)))
+    mode = "saved" if saved else "full" if m.get("whole") else "changes"
+    return News(need(m, "seq", int), api.ServerList(mode, tuple(entries)), dials)
+
+
+class RouteTable(Actor[News]):
+    """Holds the list as last told; `told` passes every change on."""
+
+    def __init__(
+        self, scheduler: Scheduler, deadlines: Deadlines, zones: list[str],
+        told: Callable[[api.ServerList], object],
+    ) -> None:
+        super().__init__("route table", scheduler)
+        self._deadlines, self._zones, self._told = deadlines, zones, told
+        self.seq = 0
+        self.entries: dict[str, api.ServerEntry] = {}
+        self.dials: dict[str, tuple[str, int]] = {}
+
+    def receive(self, message: News) -> None:
+        """Apply what was told."""
+        self.seq = message.seq
+        if message.list.mode != "changes":
+            self.entries, self.dials = {}, {}
+        for entry in message.list.entries:
+            self.entries[entry.server] = entry
+            self.dials[entry.server] = message.dials[entry.server]
+            if entry.state == "gone":
+                del self.entries[entry.server], self.dials[entry.server]
+        self._told(message.list)
+
+    def up(self, server: str) -> bool:
+        """Whether a server is listed and wants new work."""
+        entry = self.entries.get(server)
+        return entry is not None and entry.state == "up"
+
+    async def watch(self, address: tuple[str, int]) -> None:
+        """Ask discovery for changes, for ever."""
+        asked = self.seq
+        while True:
+            try:
+                sock = await connect(address, self._deadlines, GRACE)
+            except OSError:  # a time-out among them
+                await pause(self._deadlines, AGAIN)
+                continue
+            try:
+                reader = AnswerReader()
+                while True:
+                    asked = await self._ask(sock, reader, address, asked)
+            except (OSError, Malformed, WireError, ValueError) as error:
+                COUNTS["watch_failed"] += 1
+                log.warning("watch failed", error=f"{type(error).__name__}: {error}")
+            finally:
+                cut(sock)
+                sock.close()
+            await pause(self._deadlines, AGAIN)
+
+    async def _ask(
+        self, sock: Any, reader: AnswerReader, address: tuple[str, int], after: int
+    ) -> int:
+        loop = asyncio.get_running_loop()
+        head = f"GET /catalog/members?from={after}&hold_ms={HOLD:.0f} HTTP/1.1\r\nHost: {address[0]}\r\n\r\n"
+        await loop.sock_sendall(sock, head.encode())
+        buffer = bytearray(65536)
+        async with Within(self._deadlines, HOLD + GRACE):
+            while True:
+                size = await loop.sock_recv_into(sock, buffer)
+                if not size:
+                    raise ConnectionError("discovery closed the watch")
+                for m in reader.feed(memoryview(buffer)[:size]):
+                    if m.status != 200:
+                        raise WireError(f"discovery answered {m.status}")
+                    news = news_of(json.loads(m.body), self._zones)
+                    if news.list.entries or news.list.mode == "full":
+                        self.post(news)
+                    if not m.keep:
+                        raise ConnectionError("discovery ended the connection")
+                    return news.seq
--- /dev/null
+++ b/hallhitch/net/sockets.py
@@ -0,0 +1,93 @@
+"""Sockets as every part of the program opens and closes them, and the budget of descriptors."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+
+from hallhitch.core.deadlines import Deadlines
+
+
+def address_of(text: str) -> tuple[str, int]:
+    """Host and port of `host:port`."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not port.isdigit() or not 0 <= int(port) < 65536:
+        raise ValueError(f"'{text}' is no host:port")
+    return host.strip("[]"), int(port)
+
+
+def tune(sock: socket.socket) -> socket.socket:
+    """Settings of every connection."""
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
+def listen(address: tuple[str, int]) -> socket.socket:
+    """A listening socket on this address only."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setblocking(False)
+    sock.bind(address)
+    sock.listen(1024)
+    return sock
+
+
+class Within:
+    """Ends what runs inside it with TimeoutError after some milliseconds, by the one deadline structure."""
+
+    def __init__(self, deadlines: Deadlines, delay: float) -> None:
+        self._deadlines, self._delay, self._hit = deadlines, delay, False
+
+    async def __aenter__(self) -> None:
+        self._task = asyncio.current_task()
+        self._entry = self._deadlines.after(self._delay, self._cancel)
+
+    def _cancel(self) -> None:
+        self._hit = True
+        if self._task is not None:
+            self._task.cancel()
+
+    async def __aexit__(self, kind: type[BaseException] | None, *_: object) -> None:
+        self._deadlines.drop(self._entry)
+        if self._hit and self._task is not None and self._task.uncancel() == 0:
+            raise TimeoutError
+
+
+async def pause(deadlines: Deadlines, delay: float) -> None:
+    """Wait some milliseconds."""
+    with contextlib.suppress(TimeoutError):
+        async with Within(deadlines, delay):
+            await asyncio.get_running_loop().create_future()
+
+
+async def connect(address: tuple[str, int], deadlines: Deadlines, timeout: float) -> socket.socket:
+    """A new connection, within a time-out in milliseconds; raises OSError."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    sock = tune(socket.socket(family, socket.SOCK_STREAM))
+    try:
+        async with Within(deadlines, timeout):
+            await asyncio.get_running_loop().sock_connect(sock, address)
+    except BaseException:
+        sock.close()
+        raise
+    return sock
+
+
+def cut(sock: socket.socket) -> None:
+    """End a connection now, also where a read of it still hangs in the loop."""
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR)
+
+
+def alive(sock: socket.socket) -> bool:
+    """Whether an idle connection is still open and silent, as it must be."""
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        return False
+    return False
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -10,6 +10,7 @@
 import pytest
 
 from hallhitch import Gateway, adapter, api
+from hallhitch.settings import settings_of
 
 PROFILE: dict[str, Any] = {
     "balancers": 2, "index": 0, "unheard-of": [1],
@@ -111,5 +112,5 @@
 
 def test_the_keep_alive_time_is_read() -> None:
     limits = {"keepalive": 7000.0, "connect-timeout": 90.0}
-    assert adapter.settings_of(PROFILE | {"limits": limits}).keepalive == 7000.0
-    assert adapter.settings_of(PROFILE).keepalive > 0
+    assert settings_of(PROFILE | {"limits": limits}).keepalive == 7000.0
+    assert settings_of(PROFILE).keepalive > 0
