Add the RESP front: a limit server, a RESP counter client, and tests on sockets

resp/server.py answers TAKE, PING, ECHO, HELLO, CLIENT and QUIT; its module is a second core on the same counter names, whose only server is a local grant. A grant is reported with the time the module assumes before it has learned any, and one event at a time, so that a pipeline is not shed for crowding a server of no cost. resp/counter.py is the counter over MULTI, SET PX NX, INCRBYFLOAT and EXEC, on the same pipelined client as the HTTP counter. Both fronts share net/acceptor.py.

hiredis makes room for as many elements as an array's head promises, and its reader cannot be told a bound: heads over 64 are cut off before it sees them.

--- a/hallhitch/__main__.py
+++ b/hallhitch/__main__.py
@@ -2,60 +2,115 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import gc
 import logging
 import signal
+import socket
 import sys
+from collections.abc import Callable
+from functools import partial
 
 import structlog
 import uvloop
 
 from hallhitch.core.deadlines import Clock, Deadlines
+from hallhitch.core.grants import ROUTE, GrantHop
 from hallhitch.core.invariants import COUNTS
 from hallhitch.core.module import Core
 from hallhitch.net import config
-from hallhitch.net.counter import CounterClient, HttpCounterCodec
+from hallhitch.net.acceptor import SPARE, Acceptor
+from hallhitch.net.counter import CounterClient, CounterCodec, HttpCounterCodec
 from hallhitch.net.hops import Hops
 from hallhitch.net.ingress import Ingress
 from hallhitch.net.routes import RouteTable
 from hallhitch.net.sockets import listen
 from hallhitch.policy import Gateway
+from hallhitch.resp import config as resp_config
+from hallhitch.resp.config import RespConfig
+from hallhitch.resp.counter import RespCounterCodec
+from hallhitch.resp.server import LimitServer
 from hallhitch.settings import WireError
 
+KEPT = 32  # descriptors for the counter, discovery, listeners and the process itself
 log = structlog.get_logger()
 
 
-async def serve(told: config.Config) -> None:
+async def serve(told: config.Config, resp: RespConfig | None) -> None:
     """Wire the parts together and run until SIGTERM."""
     loop = asyncio.get_running_loop()
     deadlines = Deadlines(Clock(), loop)
     settings = told.settings
-    core = Core(Gateway(settings, told.seed), deadlines, loop)
+
+    def counter_for(core: Core) -> CounterClient | None:
+        codec: Callable[[], CounterCodec]
+        if resp is not None and resp.counter is not None:
+            address, codec = resp.counter, RespCounterCodec
+        elif told.counter is not None:
+            address, codec = told.counter, partial(HttpCounterCodec, told.counter[0])
+        else:
+            return None
+        return CounterClient(address, codec, core.counted, deadlines, loop, settings.counter_timeout)
+
+    def core_for(name: str, seed: int, batch: int = 0) -> Core:
+        core = Core(Gateway(settings, seed), deadlines, loop, name, batch)
+        counter = counter_for(core)
+        if counter is not None:  # without one, the settings keep the module from calling
+            core.counter = counter
+        return core
+
+    core = core_for("module", told.seed)
     routes = RouteTable(loop, deadlines, told.zones, core.post)
-    third = (told.sockets - 32) // 3
+    # A third of the descriptors is for hops, the rest for clients, with room for the counter, discovery,
+    # connections past the budget that are only turned away, and the process itself.
+    third = (told.sockets - KEPT) // 3
+    clients = told.sockets - KEPT - third - SPARE
     core.hop = Hops(routes, core, deadlines, loop, settings.connect_timeout, settings.keepalive, third)
-    if told.counter is not None:
-        host, _ = address = told.counter
-        core.counter = CounterClient(
-            address, lambda: HttpCounterCodec(host), core.counted, deadlines, loop, settings.counter_timeout)
     if told.known is not None:
         routes.post(told.known)
-    ingress = Ingress(listen(told.listen), core, settings, deadlines, loop, 2 * third - 64)
-    loop.add_signal_handler(signal.SIGTERM, ingress.close)
-    loop.add_signal_handler(signal.SIGINT, ingress.close)
-    tasks = [loop.create_task(routes.watch(told.discovery)), loop.create_task(ingress.accept())]
+    fronts: list[Acceptor] = []
+    if resp is not None:
+        limits = core_for("limits", told.seed + 1, batch=1)
+        limits.hop = GrantHop(limits, settings)
+        limits.post(ROUTE)
+        most = min(resp.connections, clients // 2)
+        clients -= most + SPARE
+        listener = bound("listen (RESP)", resp.listen)
+        fronts.append(LimitServer(listener, limits, settings, deadlines, loop, most))
+    fronts.append(Ingress(bound("listen", told.listen), core, settings, deadlines, loop, clients))
+
+    def close() -> None:
+        for front in fronts:
+            front.close()
+
+    loop.add_signal_handler(signal.SIGTERM, close)
+    loop.add_signal_handler(signal.SIGINT, close)
+    tasks = [loop.create_task(front.accept()) for front in fronts]
+    tasks.append(loop.create_task(routes.watch(told.discovery)))
     log.info("serving", gateway=told.name, listen=f"{told.listen[0]}:{told.listen[1]}")
     gc.collect()
     gc.freeze()
-    await ingress.closed()
+    for front in fronts:
+        await front.closed()
     for task in tasks:
         task.cancel()
     log.info("ended", counts=dict(COUNTS))
 
 
+def bound(field: str, address: tuple[str, int]) -> socket.socket:
+    """A listener, or a word on why there is none."""
+    try:
+        return listen(address)
+    except OSError as error:
+        raise WireError(f"field '{field}': {error}") from error
+
+
 def main() -> int:
     """Start; a bad configuration is one line and exit code 2."""
+    parser = argparse.ArgumentParser(prog="hallhitch", description="One gateway, configured by EDGE_CONFIG.")
+    parser.add_argument("--resp", metavar="FILE", help="also answer RESP commands for limits, as FILE says")
+    arguments = parser.parse_args()
     structlog.configure(
         processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso"),
                     structlog.processors.format_exc_info, structlog.processors.JSONRenderer()],
@@ -64,14 +119,11 @@
     )
     try:
         told = config.read()
+        resp = resp_config.read(arguments.resp) if arguments.resp else None
+        uvloop.run(serve(told, resp))
     except WireError as error:
         print(f"hallhitch: {error}", file=sys.stderr)
         return 2
-    try:
-        uvloop.run(serve(told))
-    except OSError as error:
-        print(f"hallhitch: field 'listen': {error}", file=sys.stderr)
-        return 2
     return 0
 
 
--- a/hallhitch/core/actor.py
+++ b/hallhitch/core/actor.py
@@ -35,7 +35,8 @@
     def _run(self) -> None:
         self._awake = False
         mail, self._mail = self._mail, []
-        self.turn(mail)
+        if mail:
+            self.turn(mail)
 
     def turn(self, mail: list[M]) -> None:
         """Take what has come; a failure costs its own message only."""
--- a/hallhitch/core/module.py
+++ b/hallhitch/core/module.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -15,9 +16,15 @@
 from hallhitch.policy import Gateway
 
 BACKUP = 3.0  # ms past an exchange's end at which the sweep answers for a module that has not
+HEX = re.compile("[0-9a-fA-F]{16}")  # how the platform writes customers
 log = structlog.get_logger()
 
 
+def spelled(customer: str) -> str:
+    """One spelling of a customer at every gateway and front: the names of its windows are hashed from it."""
+    return customer.lower() if HEX.fullmatch(customer) else customer
+
+
 @dataclass(slots=True, eq=False)
 class Exchange:
     """A request that is owed its one final answer."""
@@ -56,7 +63,7 @@
         """Take a request; its one final answer goes to `answer` by the end of its patience."""
         self._last += 1
         x = Exchange(self._last, self.clock() + patience, answer, payload)
-        ask = api.Request(x.id, customer, plan, klass, units, patience, spread, write, repeat)
+        ask = api.Request(x.id, spelled(customer), plan, klass, units, patience, spread, write, repeat)
         if not self.post(ask):
             answer.refused(1000.0)
             return x.id
@@ -70,16 +77,16 @@
             self.post(api.RequestGone(exchange))
 
     def ended(
-        self, a: Attempt, outcome: str, payload: object = None, report: dict[str, float] | None = None
+        self, a: Attempt, outcome: str, payload: object = None, lag: float | None = None
     ) -> None:
-        """An attempt's end; the first good one is the final answer."""
+        """An attempt's end, after `lag` or the time since its send; the first good one is the answer."""
         if self._out.pop((a.exchange, a.number), None) is None:
             COUNTS["late_outcome"] += 1
             return
         x = self._close(a.exchange) if outcome == "ok" else None
         done = x is not None or a.exchange not in self.open
-        lag = self.clock() - a.sent
-        event = api.AttemptEnded(a.exchange, a.number, a.server, outcome, lag, done, report=report or {})
+        lag = self.clock() - a.sent if lag is None else lag
+        event = api.AttemptEnded(a.exchange, a.number, a.server, outcome, lag, done)
         self.post(event)
         if x is not None:
             self._answer(lambda: x.answer.served(payload))
--- /dev/null
+++ b/hallhitch/net/acceptor.py
@@ -0,0 +1,215 @@
+"""Listening: connections within the budget of descriptors, and what every client's connection does."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import structlog
+
+from hallhitch.core.actor import Actor
+from hallhitch.core.deadlines import Deadlines, Entry, Scheduler
+from hallhitch.core.invariants import COUNTS
+from hallhitch.net.sockets import cut, pause, tune
+
+BUFFER = 8192
+SPARE = 32  # connections past the budget that are still accepted, to be turned away in words
+WRITE_MOST = 10_000.0  # ms for a client to take an answer
+LINGER = 1000.0  # ms to go on reading after an answer that ends a connection, so that it arrives
+ACCEPT_AFTER_TERM = 500.0  # ms to go on accepting after SIGTERM
+log = structlog.get_logger()
+
+
+class Peer(Actor[bytes]):
+    """One client's connection; its mailbox holds what is to be written, in order."""
+
+    def __init__(
+        self, acceptor: Acceptor, sock: socket.socket, deadlines: Deadlines, scheduler: Scheduler
+    ) -> None:
+        super().__init__("client", scheduler)
+        self._acceptor, self._sock, self._deadlines = acceptor, sock, deadlines
+        self.ending = False  # nothing more is read; the connection ends once nothing is owed
+        self.ended = False
+        self._limit: Entry | None = None
+        self._writer: asyncio.Task[None] | None = None
+        self._unsent: list[bytes] = []
+        self._paused: asyncio.Future[None] | None = None
+
+    @property
+    def owes(self) -> bool:
+        """Whether an answer is owed."""
+        raise NotImplementedError
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is owed and nothing half read."""
+        raise NotImplementedError
+
+    def take(self, data: memoryview) -> None:
+        """Act on what was read."""
+        raise NotImplementedError
+
+    def left(self) -> None:
+        """The client has gone: nothing more is owed."""
+        raise NotImplementedError
+
+    def wrote(self, count: int) -> None:
+        """So many messages of the mailbox have been written whole."""
+
+    @property
+    def full(self) -> bool:
+        """Whether so much is owed that no more is read."""
+        return False
+
+    def proceed(self) -> None:
+        """Go on reading, if there is room again."""
+        if self._paused is not None and not self.full and not self._paused.done():
+            self._paused.set_result(None)
+
+    async def run(self) -> None:
+        """Read until the client leaves or the connection is ended here."""
+        loop, buffer = asyncio.get_running_loop(), bytearray(BUFFER)
+        view = memoryview(buffer)
+        try:
+            while size := await loop.sock_recv_into(self._sock, buffer):
+                if not self.ending:  # else lingering: what still comes is dropped
+                    self.take(view[:size])
+                while self.full:
+                    self._paused = loop.create_future()
+                    await self._paused
+        except (OSError, asyncio.CancelledError):
+            pass
+        except Exception as error:
+            self.crashed(error)
+        finally:
+            self.ended = True
+            self._deadlines.drop(self._limit)
+            if self._writer is not None:
+                self._writer.cancel()
+            self.left()
+            cut(self._sock)
+            self._sock.close()
+            self._acceptor.left(self)
+
+    def receive(self, message: bytes) -> None:
+        """Write a message, behind those that wait."""
+        if self.ended:
+            return
+        self._unsent.append(message)
+        if self._writer is None:
+            self._limit = self._deadlines.after(WRITE_MOST, self.end)
+            self._writer = asyncio.get_running_loop().create_task(self._write())
+
+    async def _write(self) -> None:
+        try:
+            while self._unsent:
+                messages, self._unsent = self._unsent, []
+                await asyncio.get_running_loop().sock_sendall(self._sock, b"".join(messages))
+                self.wrote(len(messages))
+        except OSError:
+            return self.end()
+        self._writer = None
+        self._deadlines.drop(self._limit)
+        if self.ending and not self.owes:
+            self._limit = self._deadlines.after(LINGER, self.end)
+            try:
+                self._sock.shutdown(socket.SHUT_WR)
+            except OSError:
+                self.end()
+
+    def end(self) -> None:
+        """End the connection; the reader then cleans up."""
+        cut(self._sock)
+        if self._paused is not None:
+            self._paused.cancel()
+
+
+class Acceptor:
+    """Accepts clients; at the limit the longest idle connection makes room."""
+
+    def __init__(
+        self, listener: socket.socket, deadlines: Deadlines, scheduler: Scheduler, most: int
+    ) -> None:
+        self._listener, self.deadlines, self.scheduler, self._most = listener, deadlines, scheduler, most
+        self._peers: dict[Peer, asyncio.Task[None]] = {}
+        self._idle: dict[Peer, None] = {}  # longest idle first
+        self.closing = False
+        self._closed = asyncio.Event()
+
+    def peer(self, sock: socket.socket, spare: bool) -> Peer:
+        """A new connection's actor; a spare one is past the budget and only turned away."""
+        raise NotImplementedError
+
+    async def accept(self) -> None:
+        """Accept clients for as long as the listener is open."""
+        loop = asyncio.get_running_loop()
+        while True:
+            try:
+                sock, _ = await loop.sock_accept(self._listener)
+            except asyncio.CancelledError:
+                return
+            except OSError as error:
+                COUNTS["accept_failed"] += 1
+                log.warning("accept failed", error=str(error))
+                await pause(self.deadlines, 10.0)
+                continue
+            self.admit(sock)
+
+    def admit(self, sock: socket.socket) -> None:
+        """Take in a connection."""
+        if len(self._peers) >= self._most and self._idle:
+            COUNTS["idle_shed"] += 1
+            longest = next(iter(self._idle))
+            del self._idle[longest]
+            longest.end()
+        if len(self._peers) >= self._most + SPARE:
+            COUNTS["clients_full"] += 1
+            sock.close()
+            return
+        peer = self.peer(tune(sock), len(self._peers) > self._most)
+        self._peers[peer] = asyncio.get_running_loop().create_task(peer.run())
+        self._idle[peer] = None
+
+    def used(self, peer: Peer) -> None:
+        """A connection has something open."""
+        self._idle.pop(peer, None)
+
+    def rests(self, peer: Peer) -> None:
+        """A connection has nothing open any more."""
+        if peer in self._peers:
+            self._idle[peer] = None
+
+    def left(self, peer: Peer) -> None:
+        """A connection has ended."""
+        self._peers.pop(peer, None)
+        self._idle.pop(peer, None)
+        if self.closing and not self._peers:
+            self._closed.set()
+
+    def close(self) -> None:
+        """Begin to end: go on accepting for a while, then finish what is open."""
+        if not self.closing:
+            self.closing = True
+            self.deadlines.after(ACCEPT_AFTER_TERM, self._stop)
+
+    def _stop(self) -> None:
+        while True:  # what the machine accepted meanwhile has been taken too
+            try:
+                self.admit(self._listener.accept()[0])
+            except OSError:
+                break
+        cut(self._listener)
+        self._listener.close()
+        if not self._peers:
+            self._closed.set()
+        self._end_idle()
+
+    def _end_idle(self) -> None:
+        for peer in [p for p in self._peers if p.idle]:
+            peer.end()
+        if self._peers:
+            self.deadlines.after(50.0, self._end_idle)
+
+    async def closed(self) -> None:
+        """Wait until the last client has its answer."""
+        await self._closed.wait()
--- a/hallhitch/net/counter.py
+++ b/hallhitch/net/counter.py
@@ -12,7 +12,7 @@
 from hallhitch.core.actor import Actor
 from hallhitch.core.deadlines import Deadlines, Scheduler
 from hallhitch.core.invariants import COUNTS
-from hallhitch.net.http import AnswerReader
+from hallhitch.net.http import AnswerReader, Malformed
 from hallhitch.net.sockets import connect, cut
 
 LANES = 2  # connections; a name always takes the same one, so that its answers come in call order
@@ -44,7 +44,11 @@
 
     def feed(self, data: memoryview) -> list[tuple[str, float]]:
         """The answers that have come whole, as outcome and total."""
-        return [("ok", float(m.body)) if m.status == 200 else ("full", 0.0) for m in self._reader.feed(data)]
+        try:
+            return [("ok", float(m.body)) if m.status == 200 else ("full", 0.0)
+                    for m in self._reader.feed(data)]
+        except ValueError:
+            raise Malformed(400) from None
 
 
 @dataclass(slots=True, eq=False)
@@ -138,7 +142,7 @@
         except asyncio.CancelledError:
             pass
         except Exception as error:
-            if not isinstance(error, OSError):
+            if not isinstance(error, OSError | Malformed):
                 self.crashed(error)
         if self._task is mine:
             self._lost()
--- a/hallhitch/net/hops.py
+++ b/hallhitch/net/hops.py
@@ -30,9 +30,7 @@
 class Told(Protocol):
     """Where an attempt's end is reported."""
 
-    def ended(
-        self, a: Attempt, outcome: str, payload: object = None, report: dict[str, float] | None = None
-    ) -> None: ...
+    def ended(self, a: Attempt, outcome: str, payload: object = None) -> None: ...
 
 
 @dataclass(slots=True, eq=False)
--- a/hallhitch/net/http.py
+++ b/hallhitch/net/http.py
@@ -38,7 +38,8 @@
     def __init__(self) -> None:
         self._message = Message()
         self._parts: list[bytes] = []
-        self._size = self._head = 0
+        self._size = 0
+        self._head = self._fields = 0  # bytes read while in the head; bytes of the fields that came whole
         self._in_head = True
         self._done: list[Message] = []
         self._refused: Malformed | None = None
@@ -65,12 +66,13 @@
         self.partial = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        self._fields += len(name) + len(value) + 4
+        if self._fields > HEAD_MOST:
+            self._refuse(431)
         self._message.headers[name.lower()] = value
 
     def on_headers_complete(self) -> None:
         self._in_head = False
-        if self._head > HEAD_MOST + BODY_MOST:
-            self._refuse(431)
         length = self._message.headers.get(b"content-length", b"0")
         if len(length) > 18 or length.isdigit() and int(length) > BODY_MOST:
             self._refuse(413)
@@ -87,7 +89,7 @@
         m.keep = self.parser.should_keep_alive()
         self._finish(m)
         self._done.append(m)
-        self.partial, self._in_head, self._head = False, True, 0
+        self.partial, self._in_head, self._head, self._fields = False, True, 0, 0
 
     def _finish(self, message: Message) -> None:
         """Fill in the first line."""
--- a/hallhitch/net/ingress.py
+++ b/hallhitch/net/ingress.py
@@ -2,30 +2,20 @@
 
 from __future__ import annotations
 
-import asyncio
 import re
 import socket
 from collections import deque
 
-import structlog
-
 from hallhitch import api
-from hallhitch.core.actor import Actor
-from hallhitch.core.deadlines import Deadlines, Entry, Scheduler
+from hallhitch.core.deadlines import Deadlines, Scheduler
 from hallhitch.core.invariants import COUNTS, invariant
 from hallhitch.core.module import Core
+from hallhitch.net.acceptor import Acceptor, Peer
 from hallhitch.net.http import Malformed, Message, RequestReader, answer
-from hallhitch.net.sockets import cut, pause, tune
 
-BUFFER = 8192
 MARGIN = 5.0  # ms kept back of a client's patience: its clock began at its send, and the answer must arrive
 QUEUE_MOST = 8  # requests read ahead on one connection
-SPARE = 32  # connections past the budget that are still accepted, to be answered 503
-WRITE_MOST = 10_000.0  # ms for a client to take an answer
-LINGER = 1000.0  # ms to go on reading after an answer that ends a connection, so that it arrives
-ACCEPT_AFTER_TERM = 500.0  # ms to go on accepting after SIGTERM
 CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
-log = structlog.get_logger()
 
 
 class Unacceptable(Exception):
@@ -43,71 +33,51 @@
     return int(value)
 
 
-class Client(Actor[bytes]):
-    """One client's connection; its mailbox holds answers to write."""
+class Client(Peer):
+    """One client's connection, and the answer port of the exchange that is open on it."""
 
-    def __init__(self, ingress: Ingress, sock: socket.socket, scheduler: Scheduler, spare: bool) -> None:
-        super().__init__("client", scheduler)
-        self._ingress, self._sock, self._spare = ingress, sock, spare
+    def __init__(self, ingress: Ingress, sock: socket.socket, spare: bool) -> None:
+        super().__init__(ingress, sock, ingress.deadlines, ingress.scheduler)
+        self._ingress, self._spare = ingress, spare
         self._reader = RequestReader()
         self._waiting: deque[Message] = deque()
         self._exchange = 0
         self._busy: Message | None = None  # the request that is owed an answer
-        self._ending = self._ended = False
-        self._limit: Entry | None = None
-        self._writer: asyncio.Task[None] | None = None
+
+    @property
+    def owes(self) -> bool:
+        """Whether an answer is owed."""
+        return self._busy is not None or bool(self._waiting)
 
     @property
     def idle(self) -> bool:
         """Whether nothing is owed and nothing half read."""
-        return self._busy is None and not self._waiting and not self._reader.partial
+        return not self.owes and not self._reader.partial
 
-    async def run(self) -> None:
-        """Read until the client leaves or the connection is ended here."""
-        loop, buffer = asyncio.get_running_loop(), bytearray(BUFFER)
-        view = memoryview(buffer)
+    def take(self, data: memoryview) -> None:
+        """Read requests; what cannot be read is answered and ends the connection."""
         try:
-            while True:
-                size = await loop.sock_recv_into(self._sock, buffer)
-                if not size:
-                    break
-                if self._ending:
-                    continue  # lingering: what still comes is not read
-                try:
-                    self._waiting.extend(self._reader.feed(view[:size]))
-                except Malformed as error:
-                    COUNTS["malformed"] += 1
-                    self._ending = True
-                    if self._busy is None:
-                        self.post(answer(error.status, close=True))
-                    continue
-                if len(self._waiting) > QUEUE_MOST:
-                    break
-                self._next()
-        except (OSError, asyncio.CancelledError):
-            pass
-        except Exception as error:
-            self.crashed(error)
-        finally:
-            self._gone()
+            self._waiting.extend(self._reader.feed(data))
+        except Malformed as error:
+            COUNTS["malformed"] += 1
+            self.ending = True
+            if not self.owes:
+                self.post(answer(error.status, close=True))
+            return
+        if len(self._waiting) > QUEUE_MOST:
+            self.end()
+        self._next()
 
-    def _gone(self) -> None:
-        self._ended = True
-        self._ingress.deadlines.drop(self._limit)
-        if self._writer is not None:
-            self._writer.cancel()
-        if self._exchange and self._busy is not None:
+    def left(self) -> None:
+        """The client has gone: nothing more is owed."""
+        if self._exchange:
             self._ingress.core.leave(self._exchange)
-        cut(self._sock)
-        self._sock.close()
-        self._ingress.left(self)
 
     def _next(self) -> None:
         """Begin with the next request, if none is open."""
         if self._busy is not None or not self._waiting:
             return
         request = self._busy = self._waiting.popleft()
-        self._exchange = 0
         self._ingress.used(self)
         path = request.target.partition(b"?")[0]
         if path == b"/_health":
@@ -137,58 +107,40 @@
         self._give(502)
 
     def _give(self, status: int, body: bytes = b"", headers: bytes = b"") -> None:
-        if self._ended or not invariant(self._busy is not None, "an answer for an open request"):
+        busy = self._busy
+        if self.ended or not invariant(busy is not None, "an answer for an open request") or busy is None:
             return
-        assert self._busy is not None
-        close = self._ending or self._spare or not self._busy.keep
+        close = self.ending or self._spare or not busy.keep
         close = close or self._ingress.closing and not self._waiting
-        self._ending = close
+        self.ending, self._exchange = close, 0
         self.post(answer(status, body, headers=headers, close=close))
 
-    def receive(self, message: bytes) -> None:
-        """Write an answer."""
-        if self._ended:
-            return
-        self._limit = self._ingress.deadlines.after(WRITE_MOST, self.end)
-        self._writer = asyncio.get_running_loop().create_task(self._write(message))
-
-    async def _write(self, data: bytes) -> None:
-        try:
-            await asyncio.get_running_loop().sock_sendall(self._sock, data)
-        except OSError:
-            return self.end()
-        self._ingress.deadlines.drop(self._limit)
-        self._busy, self._exchange, self._writer = None, 0, None
-        if self._ending:
-            self._sock.shutdown(socket.SHUT_WR)
-            self._limit = self._ingress.deadlines.after(LINGER, self.end)
+    def wrote(self, count: int) -> None:
+        """The answer has left: the next request may begin."""
+        self._busy = None
+        if self.ending:
+            self._waiting.clear()
         else:
             self._ingress.rests(self)
             self._next()
 
-    def end(self) -> None:
-        """End the connection; the reader then cleans up."""
-        cut(self._sock)
-
 
-class Ingress:
-    """Accepts clients within the budget of descriptors and turns their requests into exchanges."""
+class Ingress(Acceptor):
+    """Turns clients' requests into exchanges."""
 
     def __init__(
         self, listener: socket.socket, core: Core, settings: api.Settings, deadlines: Deadlines,
         scheduler: Scheduler, most: int,
     ) -> None:
-        self._listener, self.core, self.deadlines, self._scheduler = listener, core, deadlines, scheduler
-        self._most = most
+        super().__init__(listener, deadlines, scheduler, most)
+        self.core = core
         self._classes = {c.name.encode(): n for n, c in enumerate(settings.classes)}
         self._writes = [c.effect != api.SAFE for c in settings.classes]
         self._plans = {p.name.encode(): n for n, p in enumerate(settings.plans)}
-        self._clients: dict[Client, asyncio.Task[None]] = {}
-        self._idle: dict[Client, None] = {}  # longest idle first
-        self.closing = False
-        self._closed = asyncio.Event()
 
-    # Requests.
+    def peer(self, sock: socket.socket, spare: bool) -> Peer:
+        """A new connection's actor."""
+        return Client(self, sock, spare)
 
     def begin(self, request: Message, path: bytes, client: Client) -> int:
         """Open an exchange for a request."""
@@ -212,87 +164,7 @@
         spread = whole(metering.get(b"spread", b"1"), "X-Metering spread")
         if not patience or not units or not spread:
             raise Unacceptable(400, "a deadline, units and a spread are at least 1")
-        # One spelling of a customer on every gateway: the names of its windows are hashed from it.
-        customer = parts[-1].lower().decode()
         return self.core.begin(
-            customer, plan, klass, max(1.0, patience - MARGIN), client, request,
+            parts[-1].decode(), plan, klass, max(1.0, patience - MARGIN), client, request,
             units=float(units), spread=float(spread), write=self._writes[klass],
             repeat=head.get(b"req-retry") == b"1")
-
-    # Connections.
-
-    async def accept(self) -> None:
-        """Accept clients for as long as the listener is open."""
-        loop = asyncio.get_running_loop()
-        while True:
-            try:
-                sock, _ = await loop.sock_accept(self._listener)
-            except asyncio.CancelledError:
-                return
-            except OSError as error:
-                COUNTS["accept_failed"] += 1
-                log.warning("accept failed", error=str(error))
-                await pause(self.deadlines, 10.0)
-                continue
-            self.admit(sock)
-
-    def admit(self, sock: socket.socket) -> None:
-        """Take in a connection; at the limit the longest idle one goes first."""
-        if len(self._clients) >= self._most and self._idle:
-            COUNTS["ingress_idle_shed"] += 1
-            next(iter(self._idle)).end()
-        if len(self._clients) >= self._most + SPARE:
-            COUNTS["ingress_full"] += 1
-            sock.close()
-            return
-        client = Client(self, tune(sock), self._scheduler, len(self._clients) >= self._most + 1)
-        self._clients[client] = asyncio.get_running_loop().create_task(client.run())
-        self._idle[client] = None
-
-    def used(self, client: Client) -> None:
-        """A client's connection has a request."""
-        self._idle.pop(client, None)
-
-    def rests(self, client: Client) -> None:
-        """A client's connection has none any more."""
-        if client in self._clients:
-            self._idle[client] = None
-
-    def left(self, client: Client) -> None:
-        """A client's connection has ended."""
-        self._clients.pop(client, None)
-        self._idle.pop(client, None)
-        if self.closing and not self._clients:
-            self._closed.set()
-
-    # The end.
-
-    def close(self) -> None:
-        """Begin to end: go on accepting for a while, then finish what is open."""
-        if not self.closing:
-            self.closing = True
-            self.deadlines.after(ACCEPT_AFTER_TERM, self._stop)
-
-    def _stop(self) -> None:
-        while True:  # what the machine accepted meanwhile has been taken too
-            try:
-                self.admit(self._listener.accept()[0])
-            except OSError:
-                break
-        cut(self._listener)
-        self._listener.close()
-        if not self._clients:
-            self._closed.set()
-        self._end_idle()
-
-    def _end_idle(self) -> None:
-        for client in [c for c in self._clients if c.idle]:
-            client.end()
-        if self._clients:
-            self.deadlines.after(50.0, self._end_idle)
-
-    async def closed(self) -> None:
-        """Wait until the last client has its answer."""
-        await self._closed.wait()
-
-
--- /dev/null
+++ b/tests/stand_ins.py
@@ -0,0 +1,336 @@
+"""The one helper of the socket tests: the real program as a process, and stand-ins for all it talks to.
+
+Nothing here sleeps: tests wait for what they expect to happen, and a guard ends a test that waits in vain.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+import time
+import unittest
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any, TypeVar
+
+T = TypeVar("T")
+ROOT = Path(__file__).parent.parent
+GUARD = 20.0  # seconds: not a measure of anything, only the end of a wait in vain
+CLASSES = [
+    {"name": "inspect", "aim": 1200.0, "deadline": 4000.0, "repeat": "pure", "group": "all", "worth": 1.0},
+    {"name": "reject", "aim": 600.0, "deadline": 1500.0, "repeat": "token", "group": "cell", "worth": 5.0,
+     "window": 1500.0},
+]
+PLANS = [
+    {"name": "small-shop", "per-second": 1.0, "peak-units": 3.0, "worth-factor": 1.1, "overrun-cost": 0.8},
+    {"name": "full-plant", "per-second": 10.0, "peak-units": 20.0, "worth-factor": 1.8, "overrun-cost": 0.8},
+]
+CUSTOMER = "00000000b4d65521"
+Reader = asyncio.StreamReader
+Writer = asyncio.StreamWriter
+
+
+async def soon(what: Awaitable[T]) -> T:
+    """Wait for what must happen."""
+    return await asyncio.wait_for(what, GUARD)
+
+
+async def read_http(reader: Reader) -> tuple[str, dict[str, str], bytes]:
+    """One message: first line, headers in lower case, body."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    headers = {n.strip().lower(): v.strip() for n, _, v in (line.partition(":") for line in head[1:] if line)}
+    return head[0], headers, await reader.readexactly(int(headers.get("content-length", "0")))
+
+
+def http(status: int, body: bytes = b"", **headers: str) -> bytes:
+    """One answer."""
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}"]
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class StandIn:
+    """A server of the tests' own: counts connections, hands what comes to `serve`."""
+
+    def __init__(self) -> None:
+        self.connections = 0
+        self.writers: dict[Writer, None] = {}  # those open, oldest first
+        self.came: asyncio.Queue[Any] = asyncio.Queue()
+        self.ended: asyncio.Queue[int] = asyncio.Queue()  # numbers of connections that have ended
+        self.address = ""
+
+    async def start(self) -> None:
+        """Listen on a free port of loopback."""
+        self._server = await asyncio.start_server(self._connected, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def stop(self) -> None:
+        """Refuse connections from now on and reset those that are open."""
+        self._server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def _connected(self, reader: Reader, writer: Writer) -> None:
+        self.connections += 1
+        number = self.connections
+        self.writers[writer] = None
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            await self.serve(number, reader, writer)
+        self.writers.pop(writer, None)
+        writer.close()
+        self.ended.put_nowait(number)
+
+    async def serve(self, number: int, reader: Reader, writer: Writer) -> None:
+        """Serve one connection."""
+        raise NotImplementedError
+
+
+class Backend(StandIn):
+    """A check node; `reply` makes its answers: bytes, None to say nothing, or b"" to break the connection."""
+
+    def __init__(self, name: str, reply: Callable[[int], bytes | None] | None = None) -> None:
+        super().__init__()
+        self.name, self.reply = name, reply or (lambda n: http(200, b"scored"))
+        self.health, self.block, self.taken = "active", 0, 0
+
+    async def serve(self, number: int, reader: Reader, writer: Writer) -> None:
+        """Answer requests as `reply` says."""
+        while True:
+            first, headers, body = await read_http(reader)
+            self.taken += 1
+            self.came.put_nowait((number, first, headers, body))
+            answer = self.reply(self.taken)
+            if answer == b"":
+                return writer.transport.abort()
+            writer.write(answer or b"")
+
+    def entry(self) -> dict[str, Any]:
+        """Its line in discovery's list."""
+        return {"host": self.name, "dial": self.address, "site": "hall-a", "class": "c2-small",
+                "block": self.block, "health": self.health, "share": 1.0, "born_ms": 0}
+
+
+class Discovery(StandIn):
+    """Answers each watch with what `tell` was given, and holds it until then."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.news: asyncio.Queue[bytes] = asyncio.Queue()
+
+    def tell(self, seq: int, whole: bool, *backends: Backend) -> None:
+        """Something to tell."""
+        body = json.dumps({"seq": seq, "whole": whole, "hosts": [b.entry() for b in backends]}).encode()
+        self.news.put_nowait(http(200, body))
+
+    async def serve(self, number: int, reader: Reader, writer: Writer) -> None:
+        """Hold watches."""
+        while True:
+            self.came.put_nowait((await read_http(reader))[0])
+            writer.write(await self.news.get())
+
+
+class Counter(StandIn):
+    """The quota counter over HTTP; it says nothing while `open` is unset, then answers all in order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.totals: dict[str, float] = {}
+        self.open = asyncio.Event()
+        self.open.set()
+        self.refusing = False
+        self._later: set[asyncio.Task[None]] = set()
+
+    def add(self, name: str, amount: float) -> float:
+        """Add and read."""
+        self.totals[name] = self.totals.get(name, 0.0) + amount
+        return self.totals[name]
+
+    def say(self, writer: Writer, data: bytes) -> None:
+        """Answer, while `open` is set or once it is; what was said first goes first."""
+
+        async def write() -> None:
+            await self.open.wait()
+            writer.write(data)
+
+        task = asyncio.create_task(write())
+        self._later.add(task)
+        task.add_done_callback(self._later.discard)
+
+    async def serve(self, number: int, reader: Reader, writer: Writer) -> None:
+        """Answer calls in order."""
+        while True:
+            first, _, _ = await read_http(reader)
+            self.came.put_nowait(first)
+            name, _, query = first.split()[1].removeprefix("/tally/").partition("?")
+            amount = float(query.split("&")[0].removeprefix("n="))
+            self.say(writer, http(503) if self.refusing else http(200, b"%.7g" % self.add(name, amount)))
+
+
+class RespCounter(Counter):
+    """The quota counter over RESP: it knows MULTI, SET NX PX, INCRBYFLOAT and EXEC."""
+
+    async def serve(self, number: int, reader: Reader, writer: Writer) -> None:
+        """Answer transactions in order."""
+        queued: list[list[bytes]] = []
+        while True:
+            command = await read_command(reader)
+            self.came.put_nowait(command)
+            if command == [b"MULTI"]:
+                queued = []
+                self.say(writer, b"+OK\r\n")
+            elif command != [b"EXEC"]:
+                queued.append(command)
+                self.say(writer, b"+QUEUED\r\n")
+            else:
+                self.say(writer, self.execute(queued))
+
+    def execute(self, queued: list[list[bytes]]) -> bytes:
+        """Carry a transaction out."""
+        if self.refusing:
+            return b"-EXECABORT Transaction discarded because of previous errors.\r\n"
+        (verb, name, zero, px, _, nx), (incr, same, amount) = queued
+        assert (verb, zero, px, nx, incr, same) == (b"SET", b"0", b"PX", b"NX", b"INCRBYFLOAT", name)
+        fresh = name.decode() not in self.totals
+        total = b"%.7g" % self.add(name.decode(), float(amount))
+        return b"*2\r\n" + (b"+OK\r\n" if fresh else b"$-1\r\n") + b"$%d\r\n%s\r\n" % (len(total), total)
+
+
+async def read_command(reader: Reader) -> list[bytes]:
+    """One command: an array of bulk strings."""
+    words = []
+    for _ in range(int((await reader.readuntil(b"\r\n"))[1:])):
+        size = int((await reader.readuntil(b"\r\n"))[1:])
+        words.append((await reader.readexactly(size + 2))[:-2])
+    return words
+
+
+def command(*words: str) -> bytes:
+    """A command's bytes."""
+    return f"*{len(words)}\r\n".encode() + b"".join(b"$%d\r\n%s\r\n" % (len(w), w.encode()) for w in words)
+
+
+async def read_reply(reader: Reader) -> Any:
+    """One RESP2 reply."""
+    line = (await reader.readuntil(b"\r\n"))[:-2]
+    kind, rest = line[:1], line[1:]
+    if kind == b"*":
+        return [await read_reply(reader) for _ in range(int(rest))]
+    if kind == b"$":
+        return None if rest == b"-1" else (await reader.readexactly(int(rest) + 2))[:-2]
+    return int(rest) if kind == b":" else line.decode()
+
+
+class Program:
+    """The real program, started as the platform starts it."""
+
+    process: asyncio.subprocess.Process
+
+    def __init__(self, folder: str, discovery: str, counter: str, known: list[Backend]) -> None:
+        port = free_port()
+        self.listen, self._folder = f"127.0.0.1:{port}", folder
+        family = {"shared-counter": True, "counter-timeout": 50.0, "units-top": 1}
+        limits = {"connect-timeout": 250.0, "keepalive": 30000.0, "send-cap": 5, "retry-after": True,
+                  "max-retry-after": 1000.0, "cancel": True}
+        settings = {"balancers": 2, "index": 0, "classes": CLASSES, "tiers-of-service": PLANS,
+                    "zones": ["hall-a", "hall-b"], "discovery": "push", "family-info": family,
+                    "limits": limits}
+        self.config: dict[str, Any] = {
+            "name": "n0", "listen": self.listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
+            "counter": counter, "limits": {"sockets": 1024}, "settings": settings,
+            "known": {"seq": 1, "whole": True, "hosts": [b.entry() for b in known]}}
+
+    async def start(self, *arguments: str) -> None:
+        """Start it; `ready` or `failed` wait for what comes of it."""
+        path = Path(self._folder) / "config.json"
+        path.write_text(json.dumps(self.config))
+        environ = {k: v for k, v in os.environ.items() if not k.startswith("EDGE_")}
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "hallhitch", *arguments, cwd=ROOT, env=environ | {"EDGE_CONFIG": str(path)},
+            stderr=asyncio.subprocess.PIPE)
+
+    async def ready(self) -> None:
+        """Wait until it says that it serves."""
+        assert self.process.stderr is not None
+        while b'"serving"' not in (line := await soon(self.process.stderr.readline())):
+            assert line, "the program ended before it served"
+
+    async def connect(self, address: str = "") -> tuple[Reader, Writer]:
+        """A connection to it."""
+        host, port = (address or self.listen).split(":")
+        return await asyncio.open_connection(host, int(port))
+
+    async def stop(self) -> tuple[int | None, str]:
+        """End it as a planned restart does; its exit code and the rest of its log."""
+        if self.process.returncode is None:
+            self.process.send_signal(signal.SIGTERM)
+        _, errors = await soon(self.process.communicate())
+        return self.process.returncode, errors.decode()
+
+
+def free_port() -> int:
+    """A port of loopback that nobody listens on."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+class GatewayCase(unittest.IsolatedAsyncioTestCase):
+    """Starts the program with stand-ins round it, and ends it as a planned restart does."""
+
+    counter_kind: type[Counter] = Counter
+    backends = 1
+    resp = ""  # lines of the file for --resp
+
+    async def asyncSetUp(self) -> None:
+        self.counter, self.discovery = self.counter_kind(), Discovery()
+        self.nodes = [Backend(f"b{n}") for n in range(self.backends)]
+        for stand_in in (self.counter, self.discovery, *self.nodes):
+            await stand_in.start()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.program = Program(folder.name, self.discovery.address, self.counter.address, self.nodes)
+        arguments = []
+        if self.resp:
+            self.resp_address = f"127.0.0.1:{free_port()}"
+            path = Path(folder.name) / "resp.toml"
+            lines = self.resp.format(counter=self.counter.address)
+            path.write_text(f'listen = "{self.resp_address}"\n{lines}')
+            arguments = ["--resp", str(path)]
+        await self.program.start(*arguments)
+        await self.program.ready()
+
+    async def asyncTearDown(self) -> None:
+        code, errors = await self.program.stop()
+        for stand_in in (self.counter, self.discovery, *self.nodes):
+            await stand_in.stop()
+        self.assertEqual(code, 0, errors)
+        for bad in ("actor failed", "broken:"):
+            self.assertNotIn(bad, errors)
+
+    def request(
+        self, kind: str = "inspect", deadline: int = 4000, customer: str = CUSTOMER, **headers: str
+    ) -> bytes:
+        """A client's request."""
+        method, body = ("GET", b"") if kind == "inspect" else ("POST", b"part")
+        fields = {"Host": "service.internal", "Req-Id": f"{time.monotonic_ns():016x}",
+                  "X-Contract": "full-plant", "Req-Deadline-Ms": str(deadline),
+                  "X-Metering": "units=1,spread=2,first=0"}
+        fields |= {name.replace("_", "-"): value for name, value in headers.items()}
+        if body:
+            fields = {"Idempotency-Key": "5c0f6e1a", "Content-Length": str(len(body))} | fields
+        lines = [f"{method} /{kind}/{customer}?part=7 HTTP/1.1", *(f"{k}: {v}" for k, v in fields.items())]
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+    async def ask(self, data: bytes) -> tuple[str, dict[str, str], bytes]:
+        """Send on a connection of its own; the answer."""
+        reader, writer = await self.program.connect()
+        writer.write(data)
+        answer = await soon(read_http(reader))
+        writer.close()
+        return answer
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,195 @@
+"""The platform's front, by the real program: a client, nodes, a counter and discovery round it."""
+
+from __future__ import annotations
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from tests.stand_ins import ROOT, GatewayCase, Program, http, read_http, soon
+
+
+class OneNode(GatewayCase):
+    """What a client sees."""
+
+    async def test_a_request_is_counted_sent_on_and_its_answer_passed_unchanged(self) -> None:
+        """Guards against a head or body altered on its way, in either direction."""
+        self.nodes[0].reply = lambda n: http(200, bytes(range(256)) * 200, Content_Type="image/x-score")
+        line, headers, body = await self.ask(self.request("reject", 1500, Req_Id="9b1f03aa5c7e2d41"))
+        self.assertIn(" 200 ", line)
+        self.assertEqual((headers["content-type"], body), ("image/x-score", bytes(range(256)) * 200))
+        _, first, sent, part = self.nodes[0].came.get_nowait()
+        self.assertEqual((first, part), (f"POST /reject/{'00000000b4d65521'}?part=7 HTTP/1.1", b"part"))
+        self.assertEqual((sent["req-id"], sent["idempotency-key"]), ("9b1f03aa5c7e2d41", "5c0f6e1a"))
+        self.assertTrue(0 < int(sent["req-deadline-ms"]) <= 1500)
+        self.assertEqual(list(self.counter.totals.values()), [1.0])
+
+    async def test_past_the_quota_a_refusal_says_when_to_come_back(self) -> None:
+        """Guards against quotas that do not bind, and against refusals without advice."""
+        lines = [await self.ask(self.request(X_Contract="small-shop")) for _ in range(6)]
+        refused = [headers for line, headers, _ in lines if " 429 " in line]
+        self.assertTrue(2 <= len(refused) <= 5)
+        self.assertTrue(all(0 < float(h["retry-after"]) <= 1 for h in refused))
+
+    async def test_one_spelling_of_a_customer(self) -> None:
+        """Guards against a quota doubled by the case of its customer's hexadecimal digits."""
+        for customer in ("00000000b4d65521", "00000000B4D65521"):
+            self.assertIn(" 200 ", (await self.ask(self.request(customer=customer)))[0])
+        self.assertEqual(list(self.counter.totals.values()), [2.0])
+
+    async def test_what_cannot_be_read_is_told_so(self) -> None:
+        """Guards against malformed, oversized or unknown requests taking the connection down unanswered."""
+        cases = [
+            (b"NONSENSE\r\n\r\n", 400), (self.request(Content_Length="70000"), 413),
+            (self.request(X_Long="x" * 20_000), 431), (self.request("unknown"), 404),
+            (self.request(customer="me"), 404), (self.request(X_Contract="gold"), 400),
+            (self.request(Req_Deadline_Ms="soon"), 400), (self.request(X_Metering="units=x"), 400),
+            (b"GET /_health HTTP/1.1\r\n\r\n", 200),
+        ]
+        for data, status in cases:
+            with self.subTest(status=status, data=data[:40]):
+                self.assertIn(f" {status} ", (await self.ask(data))[0])
+        self.assertEqual(self.nodes[0].taken, 0)
+
+    async def test_a_client_that_leaves_ends_its_attempt(self) -> None:
+        """Guards against work going on for clients that are gone."""
+        self.nodes[0].reply = lambda n: None
+        _, writer = await self.program.connect()
+        writer.write(self.request())
+        number, *_ = await soon(self.nodes[0].came.get())
+        writer.close()
+        self.assertEqual(await soon(self.nodes[0].ended.get()), number)
+
+    async def test_a_mute_node_costs_no_more_than_the_deadline(self) -> None:
+        """Guards against requests that are held without a final answer."""
+        self.nodes[0].reply = lambda n: None
+        self.assertRegex((await self.ask(self.request(deadline=300)))[0], " (429|502) ")
+
+    async def test_connections_are_kept_on_both_sides(self) -> None:
+        """Guards against a connection for each request."""
+        reader, writer = await self.program.connect()
+        for _ in range(5):
+            writer.write(self.request())
+            self.assertIn(" 200 ", (await soon(read_http(reader)))[0])
+        writer.close()
+        self.assertEqual((self.nodes[0].connections, self.nodes[0].taken), (1, 5))
+
+    async def test_term_finishes_what_is_open(self) -> None:
+        """Guards against requests lost to a planned restart, those in the last moment before it included."""
+        self.nodes[0].reply = lambda n: None
+        reader, writer = await self.program.connect()
+        writer.write(self.request())
+        await soon(self.nodes[0].came.get())
+        self.program.process.terminate()
+        self.nodes[0].reply = lambda n: http(200, b"late")
+        line, headers, _ = await self.ask(self.request(customer="0000000000000002"))
+        self.assertEqual((line.split()[1], headers["connection"]), ("200", "close"))
+        next(iter(self.nodes[0].writers)).write(http(200, b"first"))
+        line, headers, body = await soon(read_http(reader))
+        self.assertEqual((headers["connection"], body), ("close", b"first"))
+        writer.close()
+        self.assertEqual(await soon(self.program.process.wait()), 0)
+
+
+class TwoNodes(GatewayCase):
+    """Repeats, and the list."""
+
+    backends = 2
+
+    async def test_a_repeat_waits_for_the_end_of_the_first(self) -> None:
+        """Guards against two attempts out at once: the first connection ends before the second begins."""
+        for node in self.nodes:
+            node.reply = lambda n: b"" if sum(o.taken for o in self.nodes) == 1 else http(200, b"again")
+        self.assertEqual((await self.ask(self.request()))[2], b"again")
+        self.assertEqual(sum(node.taken for node in self.nodes), 2)
+
+    async def test_a_refused_connection_goes_elsewhere(self) -> None:
+        """Guards against a dead node costing its requests."""
+        await self.nodes[0].stop()
+        for _ in range(6):
+            self.assertIn(" 200 ", (await self.ask(self.request()))[0])
+        self.assertEqual(self.nodes[1].taken, 6)
+
+    async def test_a_declined_request_goes_elsewhere_and_only_then(self) -> None:
+        """Guards against taking any 503 for proof that nothing ran: a keyed repeat must stay in its cell."""
+        self.nodes[1].block = 1
+        self.discovery.tell(2, True, *self.nodes)
+        await soon(self.discovery.came.get())
+        await soon(self.discovery.came.get())
+        for node in self.nodes:
+            node.reply = lambda n: http(503, Srv_Declined="1") if self.first() else http(200, b"again")
+        self.assertEqual((await self.ask(self.request("reject", 1500)))[2], b"again")
+        before = [node.taken for node in self.nodes]
+        for node in self.nodes:
+            node.reply = lambda n: http(503)
+        self.assertRegex((await self.ask(self.request("reject", 1500)))[0], " 502 ")
+        grown = [node.taken - b for node, b in zip(self.nodes, before, strict=True)]
+        self.assertIn(0, grown, "both cells were tried")
+
+    def first(self) -> bool:
+        """Whether this is the first request that any node has taken."""
+        return sum(node.taken for node in self.nodes) == 1
+
+    async def test_a_draining_node_gets_nothing_new(self) -> None:
+        """Guards against sends after discovery has told of a drain; the next watch follows at once."""
+        self.assertIn("from=1&", await soon(self.discovery.came.get()))
+        self.nodes[0].health = "leaving"
+        self.discovery.tell(2, False, self.nodes[0])
+        self.assertIn("from=2&", await soon(self.discovery.came.get()))
+        for _ in range(6):
+            self.assertIn(" 200 ", (await self.ask(self.request()))[0])
+        self.assertEqual(self.nodes[0].taken, 0)
+
+
+class CounterTrouble(GatewayCase):
+    """Passage is open while the counter is silent."""
+
+    async def test_a_stalled_counter_holds_nobody_for_long_and_late_answers_stay_in_order(self) -> None:
+        """Guards against waiting for the counter, and late totals taken for those of later calls."""
+        self.counter.open.clear()
+        self.assertIn(" 200 ", (await self.ask(self.request("reject", 1500)))[0])
+        self.counter.open.set()
+        for _ in range(4):
+            self.assertIn(" 200 ", (await self.ask(self.request()))[0])
+        (total,) = self.counter.totals.values()
+        self.assertTrue(4.0 <= total < 7.0, total)  # once each; those that ask speak for some that do not
+
+    async def test_a_counter_that_refuses_and_returns_empty(self) -> None:
+        """Guards against outages of the counter that refuse or crash anything."""
+        self.assertIn(" 200 ", (await self.ask(self.request()))[0])
+        await self.counter.stop()
+        self.assertIn(" 200 ", (await self.ask(self.request()))[0])
+        self.counter.totals.clear()
+        self.counter.refusing = True
+        self.assertIn(" 200 ", (await self.ask(self.request()))[0])
+
+
+class Configuration(unittest.TestCase):
+    """Bad configuration is one line that names the field, and exit code 2."""
+
+    def test_the_field_is_named(self) -> None:
+        """Guards against a start that half works, and against tracebacks where a word would do."""
+        with tempfile.TemporaryDirectory() as folder:
+            good = Program(folder, "127.0.0.1:1", "127.0.0.1:2", []).config
+            cases: list[tuple[object, str]] = [
+                (None, "EDGE_CONFIG"), (good | {"listen": "here"}, "listen"), (good | {"seed": "x"}, "seed"),
+                (good | {"settings": {}}, "classes"), (good | {"counter": 5}, "counter"), ([], "settings"),
+                (good | {"known": {"seq": 1, "hosts": [{"host": "a"}]}}, "dial"),
+                (good | {"limits": {"sockets": 10}}, "sockets"),
+            ]
+            path = Path(folder) / "c.json"
+            for config, field in cases:
+                path.write_text("{" if config is None else json.dumps(config))
+                environ = {k: v for k, v in os.environ.items() if "EDGE_" not in k}
+                run = subprocess.run(
+                    [sys.executable, "-m", "hallhitch"], cwd=ROOT, capture_output=True, text=True, timeout=20,
+                    env=environ | {"EDGE_CONFIG": str(path)})
+                with self.subTest(field=field):
+                    self.assertEqual((run.returncode, len(run.stderr.splitlines())), (2, 1), run.stderr)
+                    self.assertIn(field, run.stderr)
+
+
