Never answer Retry-After 0: a refusal without advice says 100 ms

Seen: test_past_the_quota failed once with Retry-After 0.000.

Core now tells 100 ms where the module gives no time (module.py, SOON), for both fronts. A test with no node to send to shows it.

Also: tests for the RESP file's fields, and for SIGTERM with commands open.

--- a/hallhitch/core/module.py
+++ b/hallhitch/core/module.py
@@ -19,6 +19,7 @@
 # answer must still arrive, and a processor that gateways share may stand still for a while.
 MARGIN, MARGIN_SHARE = 20.0, 0.1
 BACKUP = 3.0  # ms past an exchange's end at which the sweep answers for a module that has not
+SOON = 100.0  # ms after which to come back, where the module refuses for want of room and gives no time
 HEX = re.compile("[0-9a-fA-F]{16}")  # how the platform writes customers
 log = structlog.get_logger()
 
@@ -139,7 +140,7 @@
                 if attempt is not None:
                     self.hop.cancel(attempt)
             case api.Refuse(id=i, advice=advice):
-                self._final(i, lambda x: x.answer.refused(advice))
+                self._final(i, lambda x: x.answer.refused(advice or SOON))
             case api.Fail(id=i):
                 self._final(i, lambda x: x.answer.failed())
             case api.Count(name=name, units=units, lifetime=lifetime):
--- a/hallhitch/net/ingress.py
+++ b/hallhitch/net/ingress.py
@@ -114,7 +114,7 @@
 
     def refused(self, advice: float, status: int = 429) -> None:
         """Tell the client to come back later."""
-        self._give(status, headers=b"Retry-After: %.3f\r\n" % (advice / 1000))
+        self._give(status, headers=b"Retry-After: %.3f\r\n" % max(0.001, advice / 1000))
 
     def failed(self) -> None:
         """Tell the client that nothing is known."""
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -11,6 +11,7 @@
 import os
 import signal
 import socket
+import subprocess
 import sys
 import tempfile
 import time
@@ -351,6 +352,20 @@
         return answer
 
 
+def assert_refused(case: unittest.TestCase, config: str, field: str, *arguments: str) -> None:
+    """Check that the program does not start, and names the field in one line."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "config.json"
+        path.write_text(config)
+        environ = {k: v for k, v in os.environ.items() if not k.startswith("EDGE_")}
+        run = subprocess.run(
+            [sys.executable, "-m", "hallhitch", *arguments], cwd=ROOT, capture_output=True, text=True,
+            timeout=GUARD, env=environ | {"EDGE_CONFIG": str(path)})
+    with case.subTest(field=field):
+        case.assertEqual((run.returncode, len(run.stderr.splitlines())), (2, 1), run.stderr)
+        case.assertIn(field, run.stderr)
+
+
 def assert_one_customer(case: unittest.TestCase, names: list[Any]) -> None:
     """Check calls made in turn for two spellings: one name until its window ends, none come back to."""
     runs = [name for name, _ in groupby(names)]
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -4,14 +4,19 @@
 
 import asyncio
 import json
-import os
-import subprocess
-import sys
 import tempfile
 import unittest
-from pathlib import Path
 
-from tests.stand_ins import GUARD, ROOT, GatewayCase, Program, assert_one_customer, http, read_http, soon
+from tests.stand_ins import (
+    GUARD,
+    GatewayCase,
+    Program,
+    assert_one_customer,
+    assert_refused,
+    http,
+    read_http,
+    soon,
+)
 
 
 class OneNode(GatewayCase):
@@ -105,6 +110,18 @@
         self.assertEqual(await soon(self.program.process.wait()), 0)
 
 
+class NoNode(GatewayCase):
+    """Nothing to send to."""
+
+    backends = 0
+
+    async def test_a_refusal_for_want_of_room_says_when_to_come_back(self) -> None:
+        """Guards against `Retry-After: 0`, which asks a client that honours it to come back at once."""
+        line, headers, _ = await self.ask(self.request())
+        self.assertIn(" 429 ", line)
+        self.assertEqual(float(headers["retry-after"]), 0.1)
+
+
 class TwoNodes(GatewayCase):
     """Repeats, and the list."""
 
@@ -236,15 +253,5 @@
                 (good | {"known": {"seq": 1, "hosts": [{"host": "a"}]}}, "dial"),
                 (good | {"limits": {"sockets": 10}}, "sockets"),
             ]
-            path = Path(folder) / "c.json"
             for config, field in cases:
-                path.write_text("{" if config is None else json.dumps(config))
-                environ = {k: v for k, v in os.environ.items() if "EDGE_" not in k}
-                run = subprocess.run(
-                    [sys.executable, "-m", "hallhitch"], cwd=ROOT, capture_output=True, text=True, timeout=20,
-                    env=environ | {"EDGE_CONFIG": str(path)})
-                with self.subTest(field=field):
-                    self.assertEqual((run.returncode, len(run.stderr.splitlines())), (2, 1), run.stderr)
-                    self.assertIn(field, run.stderr)
-
-
+                assert_refused(self, "{" if config is None else json.dumps(config), field)
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -2,7 +2,24 @@
 
 from __future__ import annotations
 
-from tests.stand_ins import GatewayCase, RespCounter, assert_one_customer, command, read_reply, soon
+import json
+import socket
+import tempfile
+import unittest
+from pathlib import Path
+
+from hallhitch.resp import config
+from tests.stand_ins import (
+    ROOT,
+    GatewayCase,
+    Program,
+    RespCounter,
+    assert_one_customer,
+    assert_refused,
+    command,
+    read_reply,
+    soon,
+)
 
 
 def take(customer: str = "shop-1", kind: str = "reject", plan: str = "full-plant", units: str = "1",
@@ -169,6 +186,43 @@
         writer.close()
 
 
+class Restart(RespCase):
+    """A planned restart."""
+
+    give_up = 50.0
+
+    async def test_term_answers_what_is_open_then_ends(self) -> None:
+        """Guards against commands lost to a planned restart while the counter stalls."""
+        self.counter.open.clear()
+        self.writer.write(take("a") + take("b"))
+        await soon(self.counter.came.get())
+        self.program.process.terminate()
+        self.assertEqual([await soon(read_reply(self.reader)) for _ in range(2)], [[1, 0], [1, 0]])
+        self.assertEqual(await soon(self.reader.read()), b"")
+        self.assertEqual(await soon(self.program.process.wait()), 0)
+
+
+class Configuration(unittest.TestCase):
+    """The file that turns the front on."""
+
+    def test_the_file_under_deploy_is_read(self) -> None:
+        """Guards against a file that nobody can start with."""
+        told = config.read(str(ROOT / "deploy" / "resp.toml"))
+        self.assertEqual((told.listen, told.counter), (("127.0.0.1", 6380), None))
+
+    def test_the_field_is_named(self) -> None:
+        """Guards against a wrong file that is passed over in silence."""
+        with tempfile.TemporaryDirectory() as folder, socket.create_server(("127.0.0.1", 0)) as taken:
+            path, busy = Path(folder) / "resp.toml", f'listen = "127.0.0.1:{taken.getsockname()[1]}"'
+            good = Program(folder, "127.0.0.1:1", "127.0.0.1:2", []).config
+            cases = [("", "listen"), ('listen = "x"', "listen"), (busy, "listen (RESP)"),
+                     ("listen", "--resp"), (busy + "\ncounter = 1", "counter"), (busy + "\nport = 1", "port"),
+                     (busy + "\nconnections = 0", "connections")]
+            for text, field in cases:
+                path.write_text(text)
+                assert_refused(self, json.dumps(good), field, "--resp", str(path))
+
+
 class PlatformCounter(GatewayCase):
     """With no RESP counter named, the limit server counts where HTTP traffic does."""
 
