Move the decision module into hallhitch/decision

Need: the parts that come next (hosting, control plane) import the module's types and checks; packages are to import only what stands below them, and four modules of the decision stood beside everything else.

No line of a decision changed.

--- a/hallhitch/__init__.py
+++ b/hallhitch/__init__.py
@@ -1,6 +1,3 @@
-"""hallhitch: the decisions of a gateway that keeps each customer of a shared back end to its plan."""
-
-from hallhitch.policy import Gateway
+"""hallhitch: a gateway that keeps each customer of a shared back end to its plan, over all gateways."""
 
 __version__ = "0.1.0"
-__all__ = ["Gateway"]
--- a/hallhitch/__main__.py
+++ b/hallhitch/__main__.py
@@ -20,6 +20,8 @@
 from hallhitch.core.grants import ROUTE, GrantHop
 from hallhitch.core.invariants import COUNTS
 from hallhitch.core.module import Core
+from hallhitch.decision.policy import Gateway
+from hallhitch.decision.settings import WireError
 from hallhitch.net import config
 from hallhitch.net.acceptor import SPARE, Acceptor
 from hallhitch.net.counter import CounterClient, CounterCodec, HttpCounterCodec
@@ -27,12 +29,10 @@
 from hallhitch.net.ingress import Ingress
 from hallhitch.net.routes import RouteTable
 from hallhitch.net.sockets import listen
-from hallhitch.policy import Gateway
 from hallhitch.resp import config as resp_config
 from hallhitch.resp.config import RespConfig
 from hallhitch.resp.counter import RespCounterCodec
 from hallhitch.resp.server import LimitServer
-from hallhitch.settings import WireError
 
 KEPT = 32  # descriptors for the counter, discovery, listeners and the process itself
 MOVES = {"discovery", "counter", "known", "seed"}  # what SIGHUP changes, and what matters at a start alone
--- a/hallhitch/adapter.py
+++ b/hallhitch/adapter.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from hallhitch import api
-from hallhitch.policy import Gateway
-from hallhitch.settings import WireError, need, number, section, settings_of, word
+from hallhitch.decision import api
+from hallhitch.decision.policy import Gateway
+from hallhitch.decision.settings import WireError, need, number, section, settings_of, word
 
 OUTCOMES = {
     "success": "ok", "failure": "error", "overloaded": "full", "timed_out": "timeout",
--- a/hallhitch/core/grants.py
+++ b/hallhitch/core/grants.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from hallhitch import api
 from hallhitch.core.module import Core
 from hallhitch.core.ports import Attempt
-from hallhitch.policy import STALL
+from hallhitch.decision import api
+from hallhitch.decision.policy import STALL
 
 LOCAL = "local"
 ROUTE = api.ServerList("full", (api.ServerEntry(LOCAL, "up"),))
--- a/hallhitch/core/module.py
+++ b/hallhitch/core/module.py
@@ -8,12 +8,12 @@
 
 import structlog
 
-from hallhitch import api
 from hallhitch.core.actor import Actor
 from hallhitch.core.deadlines import Deadlines, Entry, Scheduler
 from hallhitch.core.invariants import COUNTS, invariant
 from hallhitch.core.ports import AnswerPort, Attempt, CounterPort, HopPort
-from hallhitch.policy import Gateway
+from hallhitch.decision import api
+from hallhitch.decision.policy import Gateway
 
 # Kept back of a deadline, in ms and at most as a share of it: the client's clock began at its send, the
 # answer must still arrive, and a processor that gateways share may stand still for a while.
--- a/hallhitch/policy.py
+++ b/hallhitch/decision/policy.py
@@ -1,4 +1,4 @@
-"""The decisions of one gateway; settings, events and actions: hallhitch/api.py; records: state.py.
+"""The decisions of one gateway; settings, events and actions: api.py; records: state.py.
 
 Read top to bottom: quota (a request is counted on its customer's window name, held until the total is
 read, then sent or refused), counter health, server choice and health, attempts.
@@ -13,8 +13,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from hallhitch import api
-from hallhitch.state import Attempt, Customer, Name, Open, Server
+from hallhitch.decision import api
+from hallhitch.decision.state import Attempt, Customer, Name, Open, Server
 
 COUNT_LIFE = 60_000.0  # the counter forgets a name after this (wire page): the longest window there is
 ASK_DOWN, ASK_UP = 0.8, 0.05  # a failed call cuts the share that asks by a fifth, a quick one adds to it
--- a/hallhitch/settings.py
+++ b/hallhitch/decision/settings.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from hallhitch import api
+from hallhitch.decision import api
 
 EFFECTS = {"pure": api.SAFE, "token": api.KEYED, "side_effect": api.UNSAFE}
 
--- a/hallhitch/state.py
+++ b/hallhitch/decision/state.py
@@ -5,7 +5,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from hallhitch import api
+from hallhitch.decision import api
 
 
 @dataclass(slots=True)
--- a/hallhitch/net/config.py
+++ b/hallhitch/net/config.py
@@ -7,10 +7,10 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from hallhitch import api
+from hallhitch.decision import api
+from hallhitch.decision.settings import WireError, need, number, section, settings_of
 from hallhitch.net.routes import News, news_of
 from hallhitch.net.sockets import address_of
-from hallhitch.settings import WireError, need, number, section, settings_of
 
 SOCKETS_LEAST = 256  # descriptors that leave some for everybody
 
--- a/hallhitch/net/ingress.py
+++ b/hallhitch/net/ingress.py
@@ -7,10 +7,10 @@
 from collections import deque
 from functools import lru_cache
 
-from hallhitch import api
 from hallhitch.core.deadlines import Deadlines, Scheduler
 from hallhitch.core.invariants import COUNTS, invariant
 from hallhitch.core.module import Core
+from hallhitch.decision import api
 from hallhitch.net.acceptor import Acceptor, Peer
 from hallhitch.net.http import Malformed, Message, RequestReader, answer
 
--- a/hallhitch/net/routes.py
+++ b/hallhitch/net/routes.py
@@ -10,13 +10,13 @@
 
 import structlog
 
-from hallhitch import api
 from hallhitch.core.actor import Actor
 from hallhitch.core.deadlines import Deadlines, Scheduler
 from hallhitch.core.invariants import COUNTS
+from hallhitch.decision import api
+from hallhitch.decision.settings import WireError, need, number, word
 from hallhitch.net.http import AnswerReader
 from hallhitch.net.sockets import Within, address_of, connect, cut, pause
-from hallhitch.settings import WireError, need, number, word
 
 HOLD = 1000.0  # ms a watch waits at discovery: a connection that is dead without a word is noticed after that
 GRACE = 500.0  # ms past that at which a silent watch is given up
--- a/hallhitch/resp/config.py
+++ b/hallhitch/resp/config.py
@@ -5,8 +5,8 @@
 import tomllib
 from dataclasses import dataclass
 
+from hallhitch.decision.settings import WireError, need
 from hallhitch.net.sockets import address_of
-from hallhitch.settings import WireError, need
 
 FIELDS = {"listen", "counter", "connections"}
 CONNECTIONS = 128
--- a/hallhitch/resp/server.py
+++ b/hallhitch/resp/server.py
@@ -20,10 +20,11 @@
 from dataclasses import dataclass
 from itertools import count
 
-from hallhitch import __version__, api
+from hallhitch import __version__
 from hallhitch.core.deadlines import Deadlines, Scheduler
 from hallhitch.core.invariants import COUNTS
 from hallhitch.core.module import Core
+from hallhitch.decision import api
 from hallhitch.net.acceptor import Acceptor, Peer
 from hallhitch.resp import codec
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -9,8 +9,9 @@
 
 import pytest
 
-from hallhitch import Gateway, adapter, api
-from hallhitch.settings import settings_of
+from hallhitch import adapter
+from hallhitch.decision import Gateway, api
+from hallhitch.decision.settings import settings_of
 
 PROFILE: dict[str, Any] = {
     "balancers": 2, "index": 0, "unheard-of": [1],
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from hallhitch import Gateway, api
+from hallhitch.decision import Gateway, api
 
 A = TypeVar("A")
 SEED = 7
@@ -719,7 +719,7 @@
 
 
 def test_module_stays_short() -> None:
-    text = (Path(__file__).parent.parent / "hallhitch" / "policy.py").read_text()
+    text = (Path(__file__).parent.parent / "hallhitch" / "decision" / "policy.py").read_text()
     lines = [line for line in text.splitlines() if line.strip()]
     assert len(lines) < 560 and max(map(len, lines)) <= 110
 
