Add hosting: an immutable catalogue of tenants, with changes, diffs and access as values

Tenants, their plans, clients, host names and credentials need one owner that decides about them without I/O, so that store, API and gateways cannot differ.

Change: hallhitch/hosting. Changes are values that give the next dense version or a named refusal; checks look at what a whole change leaves. Every version is a diff too: the log, followers and tests use one form. Each row has a hash, and their sum is the catalogue's checksum whatever the order. decision/api.Plan.faults holds the checks of a plan, which Settings and the catalogue share. Persistent maps by immutables (a change copies a path, not 200,000 clients), bytes by msgspec, hashes by xxhash. Tests run on four workers.

--- a/Makefile
+++ b/Makefile
@@ -8,16 +8,16 @@
 
 $(VENV)/done: requirements.txt pyproject.toml
 	python3 -m venv $(VENV)
-	$(VENV)/bin/pip -q install -r requirements.txt '.[dev]'
-	$(VENV)/bin/pip -q uninstall -y hallhitch
+	$(VENV)/bin/pip -q install -r requirements.txt -e '.[hosted,dev]'
 	touch $@
 
 test: build
-	$(PY) -m pytest
+	$(PY) -m pytest -n 4
 
 lint: build
 	$(VENV)/bin/ruff check hallhitch tests
 	$(VENV)/bin/mypy
+	$(VENV)/bin/lint-imports
 
 run: build
 	$(PY) -O -m hallhitch
--- a/hallhitch/decision/api.py
+++ b/hallhitch/decision/api.py
@@ -37,6 +37,15 @@
     ceiling_rate: float = 0.0
     ceiling_burst: float = 0.0
 
+    def faults(self) -> list[str]:
+        """The fields that no quota could be kept by, or that contradict another; empty where there are none."""
+        checks = [
+            ("rate", self.rate >= 0),
+            ("burst", self.burst > 0 or self.rate == 0),
+            ("ceiling_burst", self.ceiling_burst > 0 or self.ceiling_rate == 0),
+        ]
+        return [name for name, good in checks if not good]
+
 
 @dataclass(frozen=True, slots=True)
 class Settings:
@@ -80,10 +89,7 @@
             checks.append((f"classes[{kind.name}].effect", kind.effect in (SAFE, KEYED, UNSAFE)))
             checks.append((f"classes[{kind.name}].group", kind.group in ("all", "zone", "cell")))
         for plan in self.plans:
-            checks.append((f"plans[{plan.name}].rate", plan.rate >= 0))
-            checks.append((f"plans[{plan.name}].burst", plan.burst > 0 or plan.rate == 0))
-            has_burst = plan.ceiling_burst > 0 or plan.ceiling_rate == 0
-            checks.append((f"plans[{plan.name}].ceiling_burst", has_burst))
+            checks += [(f"plans[{plan.name}].{field}", False) for field in plan.faults()]
         for name, good in checks:
             if not good:
                 raise ValueError(f"setting {name} is missing, out of range or contradicts another")
--- /dev/null
+++ b/hallhitch/hosting/changes.py
@@ -0,0 +1,153 @@
+"""Changes: values that, applied to a catalogue, give the next version or a named refusal. Pure and repeatable.
+
+Checks look at what a whole change leaves behind, not at its steps: in one change, clients may move to a plan that
+comes with it and leave one that goes with it.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from msgspec import Struct
+
+from hallhitch.hosting import names
+from hallhitch.hosting.draft import Draft
+from hallhitch.hosting.history import Diff, delta
+from hallhitch.hosting.model import (
+    Catalogue,
+    Credential,
+    Host,
+    Kind,
+    Plan,
+    Scope,
+    Tenant,
+)
+from hallhitch.hosting.rows import Row, canonical
+
+MOST_EDITS = 1_000  # of one change: what a gateway and a store take in one piece
+
+
+class Refused(Exception):
+    """Why a change is not made; nothing of it is. `code` is stable, `field` a path into the change."""
+
+    CODES = ("not-found", "stale", "invalid", "over-limit", "in-use", "taken")
+
+    def __init__(self, code: str, field: str, detail: str) -> None:
+        super().__init__(f"{field}: {detail}")
+        self.code, self.field, self.detail = code, field, detail
+
+
+class Edit(Struct, frozen=True):
+    """Put a value under a name, or (value None) drop it, if it stands at the expected version.
+
+    `expect`: None asks nothing, 0 that nothing is there, n that version n last changed it.
+    """
+
+    kind: Kind
+    name: str
+    value: Any = None
+    expect: int | None = None
+
+
+class Change(Struct, frozen=True):
+    """Edits of one tenant's part ("" for the operators'), made all or none."""
+
+    tenant: str
+    edits: tuple[Edit, ...]
+
+
+class Applied(Struct, frozen=True):
+    """What a change made: the next catalogue, and the diff that leads to it."""
+
+    catalogue: Catalogue
+    diff: Diff
+
+
+def apply(catalogue: Catalogue, change: Change) -> Applied:
+    """Apply a change; the catalogue given stays as it is. Refused names the first edit at fault."""
+    if not 1 <= len(change.edits) <= MOST_EDITS:
+        raise Refused("invalid", "edits", f"1 to {MOST_EDITS} edits make a change, not {len(change.edits)}")
+    version = catalogue.version + 1
+    draft = Draft(catalogue)
+    for number, edit in enumerate(change.edits):
+        _one(draft, change.tenant, edit, f"edits[{number}]", version)
+    made = draft.done(catalogue.epoch, version)
+    part = made.tenants.get(change.tenant)
+    if part is not None:
+        _check_whole(part)
+    if change.tenant == names.OPERATORS and not made.operators and catalogue.operators:
+        raise Refused("in-use", "edits", "this would leave no operator's credential")
+    return Applied(made, delta(made, catalogue.version, draft.touched))
+
+
+def _one(draft: Draft, tenant: str, edit: Edit, at: str, version: int) -> None:
+    """One edit, with the checks that need no other."""
+    was = draft.get(tenant, edit.kind, edit.name)
+    if draft.get(tenant, Kind.TENANT, tenant) is None and edit.kind is not Kind.TENANT and tenant:
+        raise Refused("not-found", at, "there is no such tenant")
+    if edit.expect is not None and edit.expect != (was.version if was is not None else 0):
+        raise Refused("stale", at, "this was changed meanwhile" if was else "there is no such thing"
+                      if edit.expect else "there is one already")
+    if edit.value is None:
+        if was is None:
+            raise Refused("not-found", at, f"there is no {edit.kind.value} of this name")
+        draft.drop(tenant, edit.kind, edit.name)
+        return
+    _check_name(tenant, edit, at)
+    try:
+        value = canonical(edit.kind, edit.value)
+    except ValueError as error:
+        raise Refused("invalid", f"{at}.value", str(error)) from error
+    _check_value(draft, tenant, edit, value, at)
+    draft.put(Row(tenant, edit.kind, edit.name, version, value))
+
+
+def _check_name(tenant: str, edit: Edit, at: str) -> None:
+    good = {
+        Kind.TENANT: lambda: edit.name == tenant and names.is_tenant(tenant),
+        Kind.PLAN: lambda: names.is_plan(edit.name),
+        Kind.CLIENT: lambda: names.is_client(edit.name),
+        Kind.HOST: lambda: names.is_host(edit.name),
+        Kind.CREDENTIAL: lambda: names.is_credential(edit.name),
+    }[edit.kind]()
+    if not good or (tenant == names.OPERATORS and edit.kind is not Kind.CREDENTIAL):
+        raise Refused("invalid", f"{at}.name", f"this cannot name a {edit.kind.value}")
+
+
+def _check_value(draft: Draft, tenant: str, edit: Edit, value: Any, at: str) -> None:
+    """What a value's own types do not say. A client's plan is looked for once the whole change stands."""
+    if isinstance(value, Plan):
+        for field in value.decided(edit.name).faults():
+            raise Refused("invalid", f"{at}.value.{field}", "out of range, or contradicts another field")
+    elif isinstance(value, Credential):
+        if (value.scope is Scope.OPERATOR) != (tenant == names.OPERATORS):
+            raise Refused("invalid", f"{at}.value.scope", "only the operators' part holds operators")
+        if (value.scope is Scope.CLIENT) != (value.client is not None):
+            raise Refused("invalid", f"{at}.value.client", "this goes with the scope 'client', and only with it")
+        if not value.verifiers and value.certificate is None:
+            raise Refused("invalid", f"{at}.value.verifiers", "nothing to check a caller against")
+    elif isinstance(value, Host):
+        holder = draft.host(edit.name)
+        if holder is not None and holder != tenant:
+            raise Refused("taken", f"{at}.name", "this host name is in use")
+
+
+def _check_whole(part: Tenant) -> None:
+    """What must hold between the things of one tenant."""
+    limits = part.head.value.limits
+    for kind, field in part.KINDS.items():
+        most = getattr(limits, field)
+        if len(part.of(kind)) > most:
+            raise Refused("over-limit", f"limits.{field}", f"the tenant may have {most} {field}")
+    for plan, count in sorted(part.members.items()):
+        if plan not in part.plans:
+            raise Refused("in-use", "plan", f"{count} clients are on the plan '{plan}', which there is not")
+    for client in part.keys:
+        if client not in part.clients:
+            raise Refused("not-found", "client", f"a credential names the client '{client}', which there is not")
+    rate = part.rate
+    if rate > limits.rate * (1 + 1e-9):
+        raise Refused("over-limit", "limits.rate",
+                      f"the clients that are on would have {rate:g} units a second together; "
+                      f"the tenant may hand out {limits.rate:g}")
+
--- /dev/null
+++ b/hallhitch/hosting/draft.py
@@ -0,0 +1,193 @@
+"""A catalogue being changed: the indexes and the checksum follow each put and drop. It refuses nothing.
+
+`changes.apply` checks what comes out of it; `build` and `history.patch` use it on rows that were checked before.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from immutables import Map, MapMutation
+
+from hallhitch.hosting.model import Catalogue, Client, Credential, Kept, Kind, Tenant
+from hallhitch.hosting.rows import WRAP, Row, rows_of_tenant, sum_of
+
+
+class _Part:
+    """One tenant's part, open for changes."""
+
+    def __init__(self, tenant: Tenant) -> None:
+        self.was = tenant
+        self.head = tenant.head
+        self.things = {kind: tenant.of(kind).mutate() for kind in Tenant.KINDS}
+        self.members = tenant.members.mutate()
+        self.active = tenant.active.mutate()
+        self.keys = tenant.keys.mutate()
+
+    def count(self, client: Client, by: int) -> None:
+        """Keep the numbers of clients by plan."""
+        _add(self.members, client.plan, by)
+        if client.on:
+            _add(self.active, client.plan, by)
+
+    def closed(self, version: int) -> Tenant:
+        """The part as it stands now."""
+        done = {Tenant.KINDS[kind]: things.finish() for kind, things in self.things.items()}
+        return Tenant(self.was.born, version, self.head, members=self.members.finish(),
+                      active=self.active.finish(), keys=self.keys.finish(), **done)
+
+
+def _add(counts: MapMutation[str, int], name: str, by: int) -> None:
+    total = counts.get(name, 0) + by
+    if total:
+        counts[name] = total
+    else:
+        del counts[name]
+
+
+class Draft:
+    """Puts and drops on a catalogue; `done` gives the next one and leaves the first as it was."""
+
+    def __init__(self, catalogue: Catalogue) -> None:
+        self.was = catalogue
+        self.touched: dict[tuple[str, Kind, str], None] = {}  # in order
+        self._parts: dict[str, _Part] = {}
+        self._tenants = catalogue.tenants.mutate()
+        self._operators = catalogue.operators.mutate()
+        self._hosts = catalogue.hosts.mutate()
+        self._sum = catalogue.sum
+
+    def get(self, tenant: str, kind: Kind, name: str) -> Kept | None:
+        """What stands in the draft now."""
+        if tenant == "":
+            return self._operators.get(name) if kind is Kind.CREDENTIAL else None
+        part = self._part(tenant)
+        if part is None:
+            return None
+        return part.head if kind is Kind.TENANT else part.things[kind].get(name)
+
+    def host(self, name: str) -> str | None:
+        """Which tenant a host name leads to now."""
+        return self._hosts.get(name)
+
+    def put(self, row: Row) -> None:
+        """Put one thing; its tenant is there already, or is what is put."""
+        was = self.get(row.tenant, row.kind, row.name)
+        kept = Kept(row.value, row.version)
+        self._weigh(row.tenant, row.kind, row.name, was, kept)
+        if row.tenant == "":
+            self._operators[row.name] = kept
+            return
+        part = self._part(row.tenant)
+        if row.kind is Kind.TENANT:
+            if part is None:
+                self._parts[row.tenant] = _Part(Tenant(row.version, row.version, kept))
+            else:
+                part.head = kept
+            return
+        if part is None:
+            raise KeyError(row.tenant)
+        part.things[row.kind][row.name] = kept
+        if row.kind is Kind.HOST:
+            self._hosts[row.name] = row.tenant
+        self._index(part, row.name, was, kept)
+
+    def drop(self, tenant: str, kind: Kind, name: str) -> None:
+        """Take one thing out, and what hangs on it: a client's credentials, all that a tenant has."""
+        was = self.get(tenant, kind, name)
+        if was is None:
+            return
+        if kind is Kind.TENANT:
+            return self._drop_tenant(tenant)
+        self._weigh(tenant, kind, name, was, None)
+        if tenant == "":
+            del self._operators[name]
+            return
+        part = self._part(tenant)
+        if part is None:
+            raise KeyError(tenant)
+        del part.things[kind][name]
+        if kind is Kind.HOST:
+            del self._hosts[name]
+        if kind is Kind.CLIENT:
+            for id in sorted(part.keys.get(name, ())):
+                self.drop(tenant, Kind.CREDENTIAL, id)
+        self._index(part, name, was, None)
+
+    def done(self, epoch: int, version: int) -> Catalogue:
+        """The catalogue that has come of it."""
+        changed = {tenant for tenant, _, _ in self.touched}
+        for name, part in self._parts.items():
+            if name in changed:  # others were opened only to be read
+                self._tenants[name] = part.closed(version)
+        return Catalogue(epoch, version, self._tenants.finish(), self._operators.finish(),
+                         self._hosts.finish(), self._sum)
+
+    def _part(self, tenant: str) -> _Part | None:
+        part = self._parts.get(tenant)
+        if part is None:
+            whole = self._tenants.get(tenant)
+            if whole is None:
+                return None
+            part = self._parts[tenant] = _Part(whole)
+        return part
+
+    def _weigh(self, tenant: str, kind: Kind, name: str, was: Kept | None, now: Kept | None) -> None:
+        self.touched[tenant, kind, name] = None
+        if was is not None:
+            self._sum -= sum_of(tenant, kind, name, was)
+        if now is not None:
+            self._sum += sum_of(tenant, kind, name, now)
+        self._sum %= WRAP
+
+    def _index(self, part: _Part, name: str, was: Kept | None, now: Kept | None) -> None:
+        for kept, by in ((was, -1), (now, 1)):
+            if kept is None:
+                continue
+            value = kept.value
+            if isinstance(value, Client):
+                part.count(value, by)
+            elif isinstance(value, Credential) and value.client is not None:
+                ids = part.keys.get(value.client, frozenset())
+                ids = ids | {name} if by > 0 else ids - {name}
+                if ids:
+                    part.keys[value.client] = ids
+                else:
+                    del part.keys[value.client]
+
+    def _drop_tenant(self, tenant: str) -> None:
+        open_part = self._part(tenant)
+        if open_part is None:
+            return
+        part = open_part.closed(0)
+        whole = Catalogue(tenants=Map({tenant: part}))
+        for row in rows_of_tenant(whole, tenant):
+            self._sum -= sum_of(tenant, row.kind, row.name, Kept(row.value, row.version))
+        self._sum %= WRAP
+        for host in part.hosts:
+            del self._hosts[host]
+        self.touched = {key: None for key in self.touched if key[0] != tenant}
+        self.touched[tenant, Kind.TENANT, tenant] = None
+        self._parts.pop(tenant, None)
+        if tenant in self._tenants:
+            del self._tenants[tenant]
+
+
+def build(epoch: int, version: int, rows: Iterable[Row], parts: dict[str, tuple[int, int]]) -> Catalogue:
+    """A catalogue from rows, each tenant's own first; `parts` has each tenant's `born` and `version`."""
+    draft = Draft(Catalogue())
+    for row in rows:
+        draft.put(row)
+    made = draft.done(epoch, version)
+    return set_parts(made, parts)
+
+
+def set_parts(catalogue: Catalogue, parts: dict[str, tuple[int, int]]) -> Catalogue:
+    """The same catalogue with the `born` and `version` of tenants as told."""
+    tenants = catalogue.tenants.mutate()
+    for name, (born, version) in parts.items():
+        was = tenants[name]
+        tenants[name] = Tenant(born, version, was.head, was.plans, was.clients, was.hosts, was.credentials,
+                               was.members, was.active, was.keys)
+    return Catalogue(catalogue.epoch, catalogue.version, tenants.finish(), catalogue.operators,
+                     catalogue.hosts, catalogue.sum)
