Add the control plane: durable store, one writer, administration API over TLS

Need: tenants must see and change their part while the service runs, and no acknowledged change may be lost.

Change: hallhitch/control. One writer decides in order and shares a transaction among all who wait. The API is Litestar on uvicorn with h11, whose bounded heads need no code of ours; its OpenAPI 3.1 description comes from the msgspec types that the catalogue uses. Settings files are read by settings_file, typed by msgspec.

--- /dev/null
+++ b/hallhitch/control/api/calls.py
@@ -0,0 +1,224 @@
+"""From a request to a change and its answer: conditions (RFC 9110), merge patches, pages.
+
+Everything that must be true when the change is made is looked at in the writer, on the catalogue of that moment.
+"""
+
+from __future__ import annotations
+
+import heapq
+import re
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+from litestar import Request, Response
+from msgspec import Struct
+
+from hallhitch.control.api import views
+from hallhitch.control.api.bodies import merge, strict
+from hallhitch.control.api.problems import ProblemError, hidden, refused
+from hallhitch.control.writer import Call, Halted, KeyReused, NoLonger, Overloaded, Planned, Reply, Writer
+from hallhitch.hosting.access import Principal
+from hallhitch.hosting.changes import Change, Edit, Refused
+from hallhitch.hosting.model import TYPES, Catalogue, Kept, Kind
+
+JSON = "application/json"
+TAGS = re.compile(r'\s*"(\d{1,15})\.(\d{1,15})"\s*')
+TAG = re.compile(r'\s*(?:W/)?"[^"]*"\s*')
+MOST = 500  # things on a page
+Conn = Request[Any, Any, Any]
+_encode = msgspec.json.Encoder().encode
+
+
+class Target(Struct, frozen=True):
+    """What a call is about."""
+
+    tenant: str
+    kind: Kind
+    name: str
+
+
+class Condition(Struct, frozen=True):
+    """What the headers ask of the thing as it stands: `tags` are the versions that If-Match allows."""
+
+    match_any: bool = False
+    tags: frozenset[tuple[int, int]] | None = None
+    absent: bool = False
+
+    def check(self, catalogue: Catalogue, kept: Kept | None, replaces: bool) -> None:
+        """Refused where the thing is not as the caller took it to be."""
+        if self.absent and kept is not None:
+            raise Refused("stale", "If-None-Match", "there is one already")
+        if (self.match_any or self.tags is not None) and kept is None:
+            raise Refused("stale", "If-Match", "there is nothing of this name")
+        if self.tags is not None and kept is not None and (catalogue.epoch, kept.version) not in self.tags:
+            raise Refused("stale", "If-Match", "this was changed meanwhile")
+        if replaces and kept is not None and not self.match_any and self.tags is None:
+            raise Refused("unconditional", "If-Match", "a replace needs the version that it replaces")
+
+
+def condition_of(request: Conn) -> Condition:
+    """The conditions in the headers; 400 where they cannot be read."""
+    match, none = request.headers.get("if-match"), request.headers.get("if-none-match")
+    if none is not None and none.strip() != "*":
+        raise ProblemError(400, "malformed", "If-None-Match takes '*' only.", "If-None-Match")
+    if match is None:
+        return Condition(absent=none is not None)
+    if match.strip() == "*":
+        return Condition(match_any=True, absent=none is not None)
+    tags = set()
+    for part in match.split(","):
+        if not TAG.fullmatch(part):
+            raise ProblemError(400, "malformed", "If-Match takes '*' or entity tags.", "If-Match")
+        strong = TAGS.fullmatch(part)
+        if strong:  # a weak tag, or one of another making, never matches
+            tags.add((int(strong[1]), int(strong[2])))
+    return Condition(tags=frozenset(tags), absent=none is not None)
+
+
+@dataclass(slots=True)
+class Service:
+    """What handlers reach for."""
+
+    writer: Writer
+
+    @property
+    def catalogue(self) -> Catalogue:
+        """The newest catalogue that is on disk."""
+        return self.writer.catalogue
+
+
+def caller_of(request: Conn) -> Principal:
+    """Who calls, as the guard found."""
+    caller: Principal = request.scope["state"]["caller"]
+    return caller
+
+
+def service_of(request: Conn) -> Service:
+    """What handlers reach for."""
+    service: Service = request.app.state.service
+    return service
+
+
+async def submit(
+    request: Conn, tenant: str, plan: Callable[[Catalogue, int], Planned],
+) -> Response[Any]:
+    """Hand a call to the writer; its reply, or the error that stands for what went wrong."""
+    state = request.scope["state"]
+    call = Call(caller_of(request), state["key"], state["asked"], tenant,
+                f"{request.method} {request.url.path}"[:400], plan, _refusal)
+    try:
+        reply = await service_of(request).writer.submit(call)
+    except KeyReused as error:
+        raise ProblemError(422, "key-reused", "This key was used for another call.", "Idempotency-Key") from error
+    except NoLonger as error:
+        raise ProblemError(401, "unauthenticated", "This needs a credential that counts.") from error
+    except Overloaded as error:
+        raise ProblemError(503, "busy", "Too many changes wait.", wait=1.0) from error
+    except Halted as error:
+        raise ProblemError(503, "halted", "Nothing can be changed now; reads go on.", wait=10.0) from error
+    except Exception as error:
+        raise ProblemError(503, "not-written", "The store could not be written and nothing was changed, as far as "
+                           "is known. Repeat the call with the same key.", wait=2.0) from error
+    return Response(reply.body, status_code=reply.status, headers=reply.headers,
+                    media_type=reply.headers["content-type"])
+
+
+def _refusal(refusal: Refused) -> Reply:
+    problem = refused(refusal)
+    return Reply(problem.status, problem.headers(), problem.body())
+
+
+def shown(catalogue: Catalogue, target: Target, status: int, token: str | None = None) -> Reply:
+    """A thing as an answer, with its entity tag."""
+    kept = catalogue.get(target.tenant, target.kind, target.name)
+    if kept is None:
+        raise Refused("not-found", "", "there is nothing of this name")
+    headers = {"content-type": JSON, "etag": f'"{views.stamp(catalogue.epoch, kept.version)}"',
+               "cache-control": "no-store"}
+    return Reply(status, headers, _encode(views.view(catalogue, target.kind, target.name, kept, token)))
+
+
+def read(request: Conn, target: Target) -> Response[Any]:
+    """Answer a GET of one thing."""
+    try:
+        reply = shown(service_of(request).catalogue, target, 200)
+    except Refused as error:
+        raise hidden() from error
+    return Response(reply.body, status_code=200, headers=reply.headers, media_type=JSON)
+
+
+async def put(request: Conn, target: Target, value: Any, token: str | None = None) -> Response[Any]:
+    """Create or replace; with `token`, the answer holds a secret."""
+    condition = condition_of(request)
+
+    def plan(catalogue: Catalogue, now: int) -> Planned:
+        was = _there(catalogue, target)
+        condition.check(catalogue, was, replaces=True)
+        status = 200 if was is not None else 201
+        return Planned(Change(target.tenant, (Edit(target.kind, target.name, value),)),
+                       lambda made: shown(made, target, status, token), token is not None)
+
+    return await submit(request, target.tenant, plan)
+
+
+async def patch(request: Conn, target: Target, fold: Callable[[Any, Any], Any] | None = None) -> Response[Any]:
+    """Merge the body into what is there; `fold` makes the value where it is not the body's own form."""
+    condition = condition_of(request)
+    body = strict(request.scope["state"]["raw"])
+    if not isinstance(body, dict):
+        raise ProblemError(422, "invalid", "A merge patch of a thing is an object.")
+
+    def plan(catalogue: Catalogue, now: int) -> Planned:
+        was = _there(catalogue, target)
+        if was is None:
+            raise Refused("not-found", "", "there is nothing of this name")
+        condition.check(catalogue, was, replaces=False)
+        if fold is not None:
+            value = fold(was.value, body)
+        else:
+            value = typed(merge(msgspec.to_builtins(was.value), body), TYPES[target.kind])
+        return Planned(Change(target.tenant, (Edit(target.kind, target.name, value),)),
+                       lambda made: shown(made, target, 200))
+
+    return await submit(request, target.tenant, plan)
+
+
+async def delete(request: Conn, target: Target) -> Response[Any]:
+    """Drop a thing."""
+    condition = condition_of(request)
+
+    def plan(catalogue: Catalogue, now: int) -> Planned:
+        was = _there(catalogue, target)
+        if was is None:
+            raise Refused("not-found", "", "there is nothing of this name")
+        condition.check(catalogue, was, replaces=False)
+        return Planned(Change(target.tenant, (Edit(target.kind, target.name),)),
+                       lambda made: Reply(204, {"content-type": JSON}, b""))
+
+    return await submit(request, target.tenant, plan)
+
+
+def typed(value: Any, form: type[Any]) -> Any:
+    """A value of this form; Refused names the field."""
+    try:
+        return msgspec.convert(value, form, strict=True)
+    except msgspec.ValidationError as error:
+        what, _, place = str(error).partition(" - at `$")
+        raise Refused("invalid", place.rstrip("`").lstrip("."), what) from error
+
+
+def _there(catalogue: Catalogue, target: Target) -> Kept | None:
+    """What stands under the name; of a tenant that is not there, nothing can be said but that."""
+    if target.kind is not Kind.TENANT and target.tenant and target.tenant not in catalogue.tenants:
+        raise Refused("not-found", "", "there is no such tenant")
+    return catalogue.get(target.tenant, target.kind, target.name)
+
+
+def page(
+    names: Iterable[str], after: str, limit: int, wanted: Callable[[str], bool],
+) -> tuple[list[str], str | None]:
+    """A page of names past `after`, in order, and where the next begins."""
+    found = heapq.nsmallest(limit + 1, (name for name in names if name > after and wanted(name)))
+    return found[:limit], found[limit - 1] if len(found) > limit else None
--- /dev/null
+++ b/hallhitch/control/api/guard.py
@@ -0,0 +1,187 @@
+"""What stands before every handler: bounds on bodies, who calls, how often. Plain ASGI, outside the framework.
+
+A call that fails here has cost its caller, and nothing was decided or kept for it.
+"""
+
+from __future__ import annotations
+
+import re
+import time
+from collections.abc import Awaitable, Callable, MutableMapping
+from hashlib import blake2b
+from typing import Any
+
+from hallhitch.control.api.bodies import strict
+from hallhitch.control.api.problems import ProblemError
+from hallhitch.control.clock import WallClock
+from hallhitch.control.limits import Buckets
+from hallhitch.control.secrets import Busy, Checker
+from hallhitch.control.settings import ApiSettings
+from hallhitch.control.writer import Writer
+from hallhitch.core.invariants import COUNTS
+from hallhitch.hosting.access import Principal, Token, credential_of, holder_of, token_of, verifiers_of
+from hallhitch.hosting.model import Scope
+
+Scoped = MutableMapping[str, Any]
+Receive = Callable[[], Awaitable[Any]]
+Send = Callable[[Any], Awaitable[None]]
+App = Callable[[Any, Any, Any], Awaitable[None]]
+PUBLIC = {"/openapi.json"}
+READS = {"GET", "HEAD", "OPTIONS"}
+KEY = re.compile(r"[\x21-\x7e]{1,200}")
+JSON_TYPES = {"application/json", "application/merge-patch+json"}
+
+
+class Guard:
+    """Bounds, authentication and rates; what it learns lies in the scope's state for the handlers."""
+
+    def __init__(self, app: App, writer: Writer, checker: Checker, clock: WallClock, told: ApiSettings) -> None:
+        self._app, self._writer, self._checker, self._clock, self._told = app, writer, checker, clock, told
+        self._calls = Buckets(told.calls_per_second, told.burst)
+        failures = told.failures_per_minute / 60
+        self._failed = Buckets(failures, max(3.0, told.failures_per_minute / 2))  # by address and token's name
+        self._failed_there = Buckets(failures * 10, told.failures_per_minute * 5)  # by address
+
+    async def __call__(self, scope: Scoped, receive: Receive, send: Send) -> None:
+        if scope["type"] != "http":
+            return await self._app(scope, receive, send)
+        try:
+            replay = await self._admit(scope, receive)
+        except ProblemError as problem:
+            COUNTS[f"api_{problem.code}"] += 1
+            await answer(send, problem, scope["method"])
+            return
+        await self._app(scope, replay, send)
+
+    async def _admit(self, scope: Scoped, receive: Receive) -> Receive:
+        headers = Headers(scope["headers"])
+        state = scope["state"]
+        if scope["path"] in PUBLIC and scope["method"] in READS:
+            state["caller"] = None
+            return receive
+        state["caller"] = caller = await self._caller(scope, headers)
+        wait = self._calls.take(caller.name, time.monotonic())
+        if wait:
+            raise ProblemError(429, "too-many-calls", "This credential calls too often.", wait=wait)
+        if scope["method"] in READS:
+            state["raw"] = b""
+            return receive
+        key = headers.one("idempotency-key")
+        if key is None or not KEY.fullmatch(key):
+            raise ProblemError(400, "no-idempotency-key",
+                               "A change needs a key of 1 to 200 visible ASCII characters.", "Idempotency-Key")
+        body = await self._body(headers, receive)
+        if body:
+            kind = (headers.one("content-type") or "").partition(";")[0].strip().lower()
+            if kind not in JSON_TYPES:
+                raise ProblemError(415, "media-type", "A body is application/json.", "Content-Type")
+            strict(body)
+        state["raw"], state["key"] = body, key
+        conditions = "\n".join(headers.one(name) or "" for name in ("if-match", "if-none-match"))
+        asked = blake2b(digest_size=16)
+        for piece in (scope["method"].encode(), scope.get("raw_path") or scope["path"].encode(),
+                      scope["query_string"], conditions.encode(), body):
+            asked.update(b"%d:" % len(piece))
+            asked.update(piece)
+        state["asked"] = asked.digest()
+        return _once(body, receive)
+
+    async def _caller(self, scope: Scoped, headers: Headers) -> Principal:
+        """Who calls; 401, and the cost is the caller's."""
+        now = self._clock.now()
+        catalogue = self._writer.catalogue
+        told = headers.one("authorization")
+        if told is None:
+            shown = scope["state"].get("certificate")
+            holder = holder_of(catalogue, shown, now) if shown else None
+            if holder is not None:
+                return holder
+            raise unauthenticated()
+        scheme, _, text = told.partition(" ")
+        token = token_of(text.strip()) if scheme.lower() == "bearer" else None
+        if token is None:
+            raise unauthenticated()
+        address = (scope.get("client") or ("", 0))[0]
+        credential = credential_of(catalogue, token.tenant, token.id, now)
+        verifiers = verifiers_of(credential, now) if credential is not None else []
+        if not self._checker.remembers(verifiers, token.secret):
+            await self._check(token, address, verifiers)
+        if credential is None or credential.scope is Scope.CLIENT:
+            raise unauthenticated()
+        return Principal(token.tenant, token.id, credential.scope)
+
+    async def _check(self, token: Token, address: str, verifiers: list[Any]) -> None:
+        """Check a secret that is not remembered, if its caller has not failed too often."""
+        moment = time.monotonic()
+        names = (address, token.tenant, token.id), address
+        wait = max(self._failed.wait(names[0], moment), self._failed_there.wait(names[1], moment))
+        if wait:
+            raise ProblemError(429, "too-many-failures", "Too many failed authentications.", wait=wait)
+        try:
+            good = await self._checker.check(verifiers, token.secret)
+        except Busy as error:
+            raise ProblemError(503, "busy", "Too many checks of credentials wait.", wait=1.0) from error
+        if not good:
+            self._failed.take(names[0], moment)
+            self._failed_there.take(names[1], moment)
+            raise unauthenticated()
+
+    async def _body(self, headers: Headers, receive: Receive) -> bytes:
+        most = self._told.body_kib * 1024
+        length = headers.one("content-length")
+        if length is not None and length.isdigit() and int(length) > most:
+            raise ProblemError(413, "too-large", f"A body holds {self._told.body_kib} KiB at most.")
+        body = bytearray()
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                raise ProblemError(400, "malformed", "The body ended early.")
+            body += message.get("body", b"")
+            if len(body) > most:
+                raise ProblemError(413, "too-large", f"A body holds {self._told.body_kib} KiB at most.")
+            if not message.get("more_body", False):
+                return bytes(body)
+
+
+class Headers:
+    """The headers of a request; one that must be single and is not is an error."""
+
+    def __init__(self, raw: list[tuple[bytes, bytes]]) -> None:
+        self._raw = raw
+
+    def one(self, name: str) -> str | None:
+        """A header's value; 400 where it stands twice."""
+        found = [value for key, value in self._raw if key == name.encode()]
+        if len(found) > 1:
+            raise ProblemError(400, "malformed", "This header stands twice.", name.title())
+        return found[0].decode("latin-1").strip() if found else None
+
+
+def unauthenticated() -> ProblemError:
+    """One text for all that can be wrong with a credential."""
+    return ProblemError(401, "unauthenticated", "This needs a credential that counts.")
+
+
+def _once(body: bytes, receive: Receive) -> Receive:
+    """The body again, for the framework; then whatever comes."""
+    told = False
+
+    async def replay() -> Any:
+        nonlocal told
+        if told:
+            return await receive()
+        told = True
+        return {"type": "http.request", "body": body, "more_body": False}
+
+    return replay
+
+
+async def answer(send: Send, problem: ProblemError, method: str) -> None:
+    """Send an error."""
+    body = problem.body()
+    headers = problem.headers() | {"content-length": str(len(body))}
+    if problem.status in (400, 413):  # what follows on the connection may be the rest of it
+        headers["connection"] = "close"
+    await send({"type": "http.response.start", "status": problem.status,
+                "headers": [(name.encode(), value.encode()) for name, value in headers.items()]})
+    await send({"type": "http.response.body", "body": b"" if method == "HEAD" else body})
--- /dev/null
+++ b/hallhitch/control/backups.py
@@ -0,0 +1,156 @@
+"""Backup, restore and verification of a store's folder.
+
+A restored store begins a later epoch, so that versions told to gateways before it never seem to come again.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import sqlite3
+import time
+from pathlib import Path
+
+from hallhitch.control.store import (
+    ASIDE,
+    FILE,
+    HALF,
+    PIECE,
+    Damaged,
+    Loaded,
+    Lock,
+    StoreError,
+    connect,
+    load,
+    migrate,
+    write_snapshot_head,
+)
+from hallhitch.control.store import digest as digest_of
+from hallhitch.hosting.history import encode_rows
+from hallhitch.hosting.model import Catalogue
+from hallhitch.hosting.rows import Row, rows_of
+
+PAGES = 512  # of a backup's step: writers get their turn between two
+
+
+def sync_folder(folder: Path) -> None:
+    """Make renames in a folder durable."""
+    handle = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(handle)
+    finally:
+        os.close(handle)
+
+
+def backup(folder: Path, target: Path) -> Loaded:
+    """Copy a store, in use or not, to a new file, and verify the copy. It appears whole or not at all."""
+    if target.exists():
+        raise StoreError(f"{target}: exists; a backup overwrites nothing")
+    half = target.with_name(target.name + ".tmp")
+    source = connect(folder / FILE, readonly=True)
+    try:
+        half.unlink(missing_ok=True)
+        with contextlib.closing(sqlite3.connect(half)) as copy:
+            source.backup(copy, pages=PAGES)
+            copy.execute("PRAGMA journal_mode=DELETE")
+        found = verify(half)
+        with open(half, "rb") as file:
+            os.fsync(file.fileno())
+        os.rename(half, target)
+        sync_folder(target.parent)
+        return found
+    except (sqlite3.Error, OSError) as error:
+        raise StoreError(f"{target}: {error}") from error
+    finally:
+        source.close()
+        half.unlink(missing_ok=True)
+
+
+def verify(path: Path) -> Loaded:
+    """Check every page and every row of a store's file; Damaged names what does not fit."""
+    db = connect(path, readonly=True)
+    try:
+        (said,) = db.execute("PRAGMA integrity_check(1)").fetchone()
+        if said != "ok":
+            raise Damaged(f"{path}: {said}")
+        found = load(db, path)
+        for actor, key, at, asked, body, kept in db.execute("SELECT * FROM answer"):
+            if digest_of(actor, key, at, asked, body) != kept:
+                raise Damaged(f"{path}: table answer, actor {actor}, key {key}: the checksum does not fit")
+        return found
+    except sqlite3.Error as error:
+        raise Damaged(f"{path}: {error}") from error
+    finally:
+        db.close()
+
+
+def restore(folder: Path, source: Path, at_least: int = 0) -> Catalogue:
+    """Put a backup in a store's place, in a later epoch than any it can know of.
+
+    What stood there is moved aside, not deleted. `at_least` is an epoch that gateways are known to hold.
+    """
+    lock = Lock(folder)
+    try:
+        found = verify(source)
+        epoch = max(found.catalogue.epoch, at_least, _epoch_of(folder)) + 1
+        # Seconds of the clock too: a backup restored twice, on new folders, must give two epochs.
+        epoch = max(epoch, int(time.time()))
+        half = folder / HALF
+        half.unlink(missing_ok=True)
+        with contextlib.closing(connect(source, readonly=True)) as old, \
+                contextlib.closing(sqlite3.connect(half, isolation_level=None)) as db:
+            old.backup(db)
+            migrate(db, half)
+            made = _advance(db, found.catalogue, epoch)
+            db.execute("PRAGMA journal_mode=DELETE")
+        with open(half, "rb") as file:
+            os.fsync(file.fileno())
+        _swap(folder, half)
+        return made
+    except (sqlite3.Error, OSError) as error:
+        raise StoreError(f"{folder}: {error}") from error
+    finally:
+        lock.release()
+
+
+def _advance(db: sqlite3.Connection, was: Catalogue, epoch: int) -> Catalogue:
+    """The same state as the first snapshot of a later epoch; the log of the earlier ends with it."""
+    made = Catalogue(epoch, was.version, was.tenants, was.operators, was.hosts, was.sum)
+    db.execute("BEGIN IMMEDIATE")
+    (last,) = db.execute("SELECT coalesce(max(id), 0) FROM snapshot").fetchone()
+    db.execute("DELETE FROM snapshot")
+    db.execute("DELETE FROM piece")
+    db.execute("DELETE FROM change")
+    rows: list[Row] = list(rows_of(made))
+    pieces = 0
+    for start in range(0, len(rows), PIECE):
+        body = encode_rows(rows[start:start + PIECE])
+        db.execute("INSERT INTO piece VALUES (?,?,?,?)",
+                   (last + 1, pieces, body, digest_of(last + 1, pieces, body)))
+        pieces += 1
+    write_snapshot_head(db, last + 1, made, pieces)
+    db.execute("COMMIT")
+    return made
+
+
+def _epoch_of(folder: Path) -> int:
+    """The epoch of what stands in a folder, as far as it can be read."""
+    try:
+        with contextlib.closing(connect(folder / FILE, readonly=True)) as db:
+            row = db.execute("SELECT max(epoch) FROM (SELECT epoch FROM change UNION ALL "
+                             "SELECT epoch FROM snapshot)").fetchone()
+            return int(row[0] or 0)
+    except (StoreError, sqlite3.Error):  # what cannot be read is why one restores
+        return 0
+
+
+def _swap(folder: Path, half: Path) -> None:
+    """Move the old files aside and the new one in; a start in between finds `half` and says so."""
+    aside = folder / f"{ASIDE}-{time.strftime('%Y%m%dT%H%M%S')}-{os.getpid()}"
+    aside.mkdir()
+    for name in (FILE, f"{FILE}-wal", f"{FILE}-shm"):
+        if (folder / name).exists():
+            os.rename(folder / name, aside / name)
+    sync_folder(folder)
+    os.rename(half, folder / FILE)
+    sync_folder(folder)
--- /dev/null
+++ b/hallhitch/control/clock.py
@@ -0,0 +1,32 @@
+"""Wall time that never goes back: an expired credential must not live again because a clock was set."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable
+
+import structlog
+
+STEP = 1_000  # ms back that are worth a line in the log; less is the usual correction
+log = structlog.get_logger()
+
+
+class WallClock:
+    """Unix time in whole milliseconds; it stands still while the machine's clock is behind what it said."""
+
+    def __init__(self, floor: int = 0, wall: Callable[[], float] = time.time) -> None:
+        self._last, self._wall, self._told = floor, wall, False
+
+    def now(self) -> int:
+        """The time, or the latest that was ever told if that is later."""
+        wall = int(self._wall() * 1000)
+        if wall >= self._last:
+            self._last, self._told = wall, False
+        elif self._last - wall > STEP and not self._told:
+            self._told = True
+            log.warning("the clock went back; time stands still until it has caught up", ms=self._last - wall)
+        return self._last
+
+    def not_before(self, floor: int) -> None:
+        """Go on from a time that was told before, by an earlier process."""
+        self._last = max(self._last, floor)
--- /dev/null
+++ b/hallhitch/control/serve.py
@@ -0,0 +1,209 @@
+"""The control plane as a process: store, writer, API over TLS, signals, housekeeping.
+
+Order at the end: no new connections, calls under way answered, what was taken made durable, the store closed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import signal
+import socket
+import ssl
+import time
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import structlog
+import uvicorn
+from uvicorn.protocols.http.h11_impl import H11Protocol
+
+from hallhitch.control.api.app import application
+from hallhitch.control.clock import WallClock
+from hallhitch.control.secrets import Checker, Keys
+from hallhitch.control.settings import ApiSettings, ControlSettings
+from hallhitch.control.store import SqliteStore, StoreError
+from hallhitch.control.writer import Writer
+from hallhitch.core.invariants import COUNTS
+from hallhitch.net.sockets import address_of, listen
+from hallhitch.tls.certificates import Certificates, fingerprint
+
+HANDSHAKE = 5.0  # seconds for TLS
+ENDING = 8.0  # seconds for calls under way at the end
+HOURLY = 3_600.0
+KEY_WORD = "key"  # where the store keeps which key file it goes with
+log = structlog.get_logger()
+
+
+class Bounded(H11Protocol):
+    """A connection with bounds on how many there are and how long a whole request may take."""
+
+    bounds: ApiSettings  # set on the subclass that a server makes
+    _clock: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+        if len(self.connections) >= self.bounds.connections:
+            COUNTS["api_connections_refused"] += 1
+            self.transport = transport
+            transport.abort()
+            return
+        super().connection_made(transport)
+        shown = transport.get_extra_info("ssl_object")
+        if shown is not None and (der := shown.getpeercert(True)):
+            self.app_state = {**self.app_state, "certificate": fingerprint(der)}
+        self._arm()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._disarm()
+        if self.flow is not None:  # one turned away was never made
+            super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        if self.transport.is_closing():
+            return
+        if self._clock is None and (self.cycle is None or self.cycle.response_complete):
+            self._arm()
+        super().data_received(data)
+        if self.cycle is not None and not self.cycle.more_body:
+            self._disarm()
+
+    def _arm(self) -> None:
+        self._disarm()
+        self._clock = self.loop.call_later(self.bounds.request_seconds, self._too_slow)
+
+    def _disarm(self) -> None:
+        if self._clock is not None:
+            self._clock.cancel()
+            self._clock = None
+
+    def _too_slow(self) -> None:
+        COUNTS["api_slow_requests"] += 1
+        self._clock = None
+        if not self.transport.is_closing():
+            self.transport.abort()
+
+
+class Server(uvicorn.Server):
+    """uvicorn's server on our listener, with a bound on handshakes; signals are the process's own."""
+
+    def __init__(self, config: uvicorn.Config, listener: socket.socket, context: ssl.SSLContext) -> None:
+        super().__init__(config)
+        self._listener, self._context = listener, context
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        """Listen."""
+        await self.lifespan.startup()
+
+        def connection() -> asyncio.Protocol:
+            made: asyncio.Protocol = self.config.http_protocol_class(  # type: ignore[call-arg]
+                config=self.config, server_state=self.server_state, app_state=self.lifespan.state)
+            return made
+
+        self.servers = [await asyncio.get_running_loop().create_server(
+            connection, sock=self._listener, ssl=self._context, ssl_handshake_timeout=HANDSHAKE, backlog=1024)]
+        self.started = True
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        """None: the process has handlers of its own."""
+        yield
+
+
+def open_store(settings: ControlSettings, file: str) -> tuple[SqliteStore, Keys]:
+    """The store and the key that goes with it."""
+    folder = settings.path(settings.store.folder, file)
+    store = SqliteStore(folder)
+    try:
+        keys = Keys.read(folder)
+        if store.meta(KEY_WORD) != keys.word:
+            raise StoreError(f"{folder}: the key file is not the one that this store was made with")
+    except BaseException:
+        store.close()
+        raise
+    return store, keys
+
+
+async def serve(settings: ControlSettings, file: str) -> None:
+    """Serve until SIGTERM; SIGHUP has the certificates looked at again."""
+    began = time.monotonic()
+    store, keys = open_store(settings, file)
+    try:
+        found = store.load()
+        clock = WallClock(found.at)
+        writer = Writer(store, found.catalogue, found.history, clock, keys, settings.store.snapshot_each,
+                        settings.store.keep)
+        ca = settings.tls.client_ca
+        certificates = Certificates(settings.path(settings.tls.folder, file), settings.path(ca, file) if ca else None)
+        listener = listen(address_of(settings.api.listen))
+    except BaseException:
+        store.close()
+        raise
+    checker = Checker(keys)
+    writer.start(found.replayed)
+    server = _server(settings, application(writer, checker, store, clock, settings.api), listener, certificates)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, setattr, server, "should_exit", True)
+    loop.add_signal_handler(signal.SIGHUP, certificates.reload)
+    chores = [loop.create_task(_look(certificates, settings.tls.look_seconds)),
+              loop.create_task(_hourly(writer))]
+    log.info("serving", listen=settings.api.listen, epoch=found.catalogue.epoch, version=found.catalogue.version,
+             tenants=len(found.catalogue.tenants), replayed=found.replayed, names=certificates.names,
+             start_ms=round((time.monotonic() - began) * 1000))
+    await server.serve()
+    for chore in chores:
+        chore.cancel()
+    await writer.close()
+    checker.close()
+    store.close()
+    log.info("ended", counts=dict(COUNTS), version=writer.catalogue.version, batches=writer.batches)
+
+
+def _server(settings: ControlSettings, app: Any, listener: socket.socket, certificates: Certificates) -> Server:
+    """uvicorn, told what it may not decide by itself."""
+    api = settings.api
+    quiet = logging.getLogger("uvicorn")
+    quiet.propagate = False
+    quiet.addHandler(logging.NullHandler())  # what it has to say is counted here
+    protocol = type("BoundedProtocol", (Bounded,), {"bounds": api})
+    config = uvicorn.Config(
+        app, http=protocol, ws="none", lifespan="off", log_config=None, access_log=False, server_header=False,
+        date_header=False, h11_max_incomplete_event_size=api.head_kib * 1024, timeout_keep_alive=api.idle_seconds,
+        timeout_graceful_shutdown=int(ENDING), proxy_headers=False)
+    return Server(config, listener, certificates.context)
+
+
+async def _look(certificates: Certificates, seconds: float) -> None:
+    """Take replaced certificates without being told."""
+    while True:
+        await asyncio.sleep(seconds)
+        certificates.reload()
+
+
+async def _hourly(writer: Writer) -> None:
+    """Forget answers that are a day old."""
+    while True:
+        await writer.forget_answers()
+        await asyncio.sleep(HOURLY)
+
+
+def initialise(settings: ControlSettings, file: str) -> Path:
+    """Make the folder, the key and an empty store; what is there already stays."""
+    folder = settings.path(settings.store.folder, file)
+    try:
+        folder.mkdir(parents=True, exist_ok=True, mode=0o700)
+        keys = Keys.create(folder)
+    except OSError as error:
+        raise StoreError(f"{folder}: {error.strerror}") from error
+    store = SqliteStore(folder, create=True)
+    try:
+        word = store.meta(KEY_WORD)
+        if word is None:
+            store.meta(KEY_WORD, keys.word)
+        elif word != keys.word:
+            raise StoreError(f"{folder}: the key file is not the one that this store was made with")
+    finally:
+        store.close()
+    return folder
--- /dev/null
+++ b/hallhitch/control/settings.py
@@ -0,0 +1,58 @@
+"""The control plane's settings file; `deploy/control.toml` is one."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+from msgspec import Meta, Struct
+
+from hallhitch.net.sockets import address_of
+from hallhitch.settings_file import checked
+
+Count = Annotated[int, Meta(ge=1, le=1_000_000)]
+
+
+class StoreSettings(Struct, frozen=True, forbid_unknown_fields=True):
+    """Where the catalogue lies, and how often its log is cut."""
+
+    folder: str
+    snapshot_each: Count = 10_000  # changes
+    keep: Count = 2_000  # changes kept in the log before a snapshot
+
+
+class ApiSettings(Struct, frozen=True, forbid_unknown_fields=True):
+    """Where the administration API listens, and what it bears."""
+
+    listen: str
+    connections: Annotated[int, Meta(ge=1, le=10_000)] = 256
+    body_kib: Annotated[int, Meta(ge=1, le=1024)] = 256
+    head_kib: Annotated[int, Meta(ge=1, le=64)] = 16
+    calls_per_second: Annotated[float, Meta(gt=0, le=1e6)] = 50.0  # by credential
+    burst: Annotated[float, Meta(ge=1, le=1e6)] = 200.0
+    failures_per_minute: Annotated[float, Meta(gt=0, le=1e6)] = 12.0  # failed authentications, by address and token
+    request_seconds: Annotated[float, Meta(gt=0, le=600)] = 10.0  # for a caller to say a whole request
+    idle_seconds: Annotated[int, Meta(ge=1, le=3600)] = 30
+
+    def __post_init__(self) -> None:
+        checked("listen", lambda: address_of(self.listen))
+
+
+class TlsSettings(Struct, frozen=True, forbid_unknown_fields=True):
+    """The folder of certificates, and whose client certificates may name operators."""
+
+    folder: str
+    client_ca: str | None = None
+    look_seconds: Annotated[float, Meta(gt=0, le=3600)] = 5.0  # between two looks for replaced files
+
+
+class ControlSettings(Struct, frozen=True, forbid_unknown_fields=True):
+    """The whole file."""
+
+    store: StoreSettings
+    api: ApiSettings
+    tls: TlsSettings
+
+    def path(self, text: str, file: str) -> Path:
+        """A path of the file: one that is not absolute starts where the file lies."""
+        return Path(file).resolve().parent / text
