Add the command line hallhitch, and read deploy/resp.toml by msgspec

Need: people need commands for the control plane; settings files need one reader that names file, field, what was found and what is allowed.

--- /dev/null
+++ b/hallhitch/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The commands, on click: arguments, tables, exit codes. It decides nothing."""
--- /dev/null
+++ b/hallhitch/cli/check.py
@@ -0,0 +1,39 @@
+"""`hallhitch check FILE`: read a settings file as the program would, and do nothing else."""
+
+from __future__ import annotations
+
+import tomllib
+from typing import Any
+
+import click
+
+from hallhitch.control.settings import ControlSettings
+from hallhitch.hosting.tenant_file import TenantFile
+from hallhitch.resp.config import RespConfig
+from hallhitch.settings_file import SettingsError, read
+
+FORMS: dict[str, type[Any]] = {"control": ControlSettings, "tenant": TenantFile, "resp": RespConfig}
+
+
+def form_of(path: str) -> str:
+    """What a file is for, by what stands at its top."""
+    try:
+        with open(path, "rb") as file:
+            top = tomllib.load(file)
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    except ValueError as error:
+        raise SettingsError(f"{path}: not TOML: {error}") from error
+    if {"store", "api", "tls"} & set(top):
+        return "control"
+    return "tenant" if {"tenant", "plans", "clients", "hosts"} & set(top) else "resp"
+
+
+@click.command()
+@click.argument("file", type=click.Path())
+@click.option("--as", "form", type=click.Choice(sorted(FORMS)), help="What the file is for; told from it otherwise.")
+def check(file: str, form: str | None) -> None:
+    """Check a settings FILE: one line for what is wrong, and exit code 2."""
+    form = form or form_of(file)
+    read(file, FORMS[form])
+    click.echo(f"{file}: good ({form})")
--- /dev/null
+++ b/hallhitch/cli/control.py
@@ -0,0 +1,92 @@
+"""`hallhitch control`: make, run, save and restore a control plane."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import click
+
+from hallhitch.cli.output import as_json
+from hallhitch.control import backups
+from hallhitch.control.first import first_operator
+from hallhitch.control.serve import serve
+from hallhitch.control.settings import ControlSettings
+from hallhitch.control.store import Loaded, StoreError
+from hallhitch.settings_file import read
+
+FILE = click.argument("file", type=click.Path())
+
+
+def _settings(file: str) -> ControlSettings:
+    return read(file, ControlSettings)
+
+
+def _told(found: Loaded) -> dict[str, object]:
+    catalogue = found.catalogue
+    return {"epoch": catalogue.epoch, "version": catalogue.version, "tenants": len(catalogue.tenants),
+            "replayed": found.replayed, "checksum": f"{catalogue.sum:032x}"}
+
+
+@click.group()
+def control() -> None:
+    """The control plane: its store and its administration API. FILE is a settings file such as deploy/control.toml."""
+
+
+@control.command()
+@FILE
+@click.option("--token-to", type=click.Path(), help="Write the token to this file (mode 600) and not to the terminal.")
+def init(file: str, token_to: str | None) -> None:
+    """Make an empty store and its first operator; the token is told once."""
+    token = first_operator(_settings(file), file)
+    if token_to is not None:
+        path = Path(token_to)
+        path.touch(mode=0o600)
+        path.write_text(token + "\n")
+        click.echo(f"the operator's token is in {token_to}")
+    else:
+        click.echo(token)
+
+
+@control.command("serve")
+@FILE
+def serve_(file: str) -> None:
+    """Serve the administration API until SIGTERM."""
+    import uvloop
+
+    try:
+        uvloop.run(serve(_settings(file), file))
+    except OSError as error:
+        raise StoreError(f"{file}: {error}") from error
+
+
+@control.command()
+@FILE
+@click.argument("target", type=click.Path())
+def backup(file: str, target: str) -> None:
+    """Copy the store to TARGET and verify the copy, while it is served or not."""
+    settings = _settings(file)
+    as_json(_told(backups.backup(settings.path(settings.store.folder, file), Path(target))))
+
+
+@control.command()
+@FILE
+@click.argument("source", type=click.Path())
+@click.option("--epoch-at-least", type=click.IntRange(0), default=0,
+              help="An epoch that gateways are known to hold: the new one is later.")
+def restore(file: str, source: str, epoch_at_least: int) -> None:
+    """Put the backup SOURCE in the store's place, in a later epoch; what stood there is moved aside."""
+    settings = _settings(file)
+    folder = settings.path(settings.store.folder, file)
+    made = backups.restore(folder, Path(source), epoch_at_least)
+    as_json({"epoch": made.epoch, "version": made.version, "tenants": len(made.tenants)})
+
+
+@control.command()
+@FILE
+def verify(file: str) -> None:
+    """Check every row of a store: FILE is a settings file, or a backup."""
+    path = Path(file)
+    if path.suffix == ".toml":
+        settings = _settings(file)
+        path = settings.path(settings.store.folder, file) / "state.db"
+    as_json(_told(backups.verify(path)))
--- a/hallhitch/gateway.py
+++ b/hallhitch/gateway.py
@@ -1,21 +1,25 @@
-"""One real gateway: `python -m hallhitch`."""
+"""One real gateway: `python -m hallhitch`.
+
+The RESP front is imported only where it is asked for: its settings file needs what the platform does not install.
+"""
 
 from __future__ import annotations
 
 import argparse
 import asyncio
 import gc
-import logging
 import signal
 import socket
 import sys
 from collections.abc import Callable
 from dataclasses import fields
 from functools import partial
+from typing import TYPE_CHECKING
 
 import structlog
 import uvloop
 
+from hallhitch import logs
 from hallhitch.core.deadlines import Clock, Deadlines
 from hallhitch.core.grants import ROUTE, GrantHop
 from hallhitch.core.invariants import COUNTS
@@ -28,11 +32,10 @@
 from hallhitch.net.hops import Hops
 from hallhitch.net.ingress import Ingress
 from hallhitch.net.routes import RouteTable
-from hallhitch.net.sockets import listen
-from hallhitch.resp import config as resp_config
-from hallhitch.resp.config import RespConfig
-from hallhitch.resp.counter import RespCounterCodec
-from hallhitch.resp.server import LimitServer
+from hallhitch.net.sockets import address_of, listen
+
+if TYPE_CHECKING:
+    from hallhitch.resp.config import RespConfig
 
 KEPT = 32  # descriptors for the counter, discovery, listeners and the process itself
 MOVES = {"discovery", "counter", "known", "seed"}  # what SIGHUP changes, and what matters at a start alone
@@ -44,15 +47,26 @@
 ) -> tuple[tuple[str, int], Callable[[], CounterCodec]] | None:
     """Where the counter is and what it speaks."""
     if resp is not None and resp.counter is not None:
-        return resp.counter, RespCounterCodec
+        from hallhitch.resp.counter import RespCounterCodec
+
+        return address_of(resp.counter), RespCounterCodec
     if told.counter is not None:
         return told.counter, partial(HttpCounterCodec, told.counter[0])
     return None
 
 
+def read_resp(path: str | None) -> RespConfig | None:
+    """The file of the RESP front, if there is one."""
+    if path is None:
+        return None
+    from hallhitch.resp import config as resp_config
+
+    return resp_config.read(path)
+
+
 async def serve(told: config.Config, resp_file: str | None) -> None:
     """Wire the parts together and run until SIGTERM; SIGHUP has the files read again."""
-    resp = resp_config.read(resp_file) if resp_file else None
+    resp = read_resp(resp_file)
     loop = asyncio.get_running_loop()
     deadlines = Deadlines(Clock(), loop)
     settings = told.settings
@@ -84,7 +98,9 @@
         limits.post(ROUTE)
         most = min(resp.connections, clients // 2)
         clients -= most + SPARE
-        listener = bound("listen (RESP)", resp.listen)
+        from hallhitch.resp.server import LimitServer
+
+        listener = bound("listen (RESP)", address_of(resp.listen))
         fronts.append(LimitServer(listener, limits, settings, deadlines, loop, most))
     fronts.append(Ingress(bound("listen", told.listen), core, settings, deadlines, loop, clients))
 
@@ -95,7 +111,7 @@
     def reread() -> None:
         try:
             fresh = config.read(again=True)
-            fresh_resp = resp_config.read(resp_file) if resp_file else None
+            fresh_resp = read_resp(resp_file)
         except Exception as error:  # whatever the files hold, what was read before goes on
             COUNTS["reread_failed"] += 1
             log.error("configuration not taken", error=f"{type(error).__name__}: {error}")
@@ -140,12 +156,7 @@
     parser = argparse.ArgumentParser(prog="hallhitch", description="One gateway, configured by EDGE_CONFIG.")
     parser.add_argument("--resp", metavar="FILE", help="also answer RESP commands for limits, as FILE says")
     arguments = parser.parse_args()
-    structlog.configure(
-        processors=[structlog.processors.add_log_level, structlog.processors.TimeStamper(fmt="iso"),
-                    structlog.processors.format_exc_info, structlog.processors.JSONRenderer()],
-        wrapper_class=structlog.make_filtering_bound_logger(logging.INFO),
-        logger_factory=structlog.PrintLoggerFactory(sys.stderr),
-    )
+    logs.configure()
     try:
         told = config.read()
         uvloop.run(serve(told, arguments.resp))
@@ -153,7 +164,3 @@
         print(f"hallhitch: {error}", file=sys.stderr)
         return 2
     return 0
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/hallhitch/resp/config.py
+++ b/hallhitch/resp/config.py
@@ -2,42 +2,28 @@
 
 from __future__ import annotations
 
-import tomllib
-from dataclasses import dataclass
+from typing import Annotated
+
+from msgspec import Meta, Struct
 
-from hallhitch.decision.settings import WireError, need
 from hallhitch.net.sockets import address_of
+from hallhitch.settings_file import checked
+from hallhitch.settings_file import read as read_file
 
-FIELDS = {"listen", "counter", "connections"}
-CONNECTIONS = 128
 
+class RespConfig(Struct, frozen=True, forbid_unknown_fields=True):
+    """Where the front listens, the RESP counter if there is one, and how many clients it takes."""
 
-@dataclass(frozen=True, slots=True)
-class RespConfig:
-    """Where the front listens, and the RESP counter if there is one."""
+    listen: str
+    counter: str | None = None
+    connections: Annotated[int, Meta(ge=1, le=1024)] = 128
 
-    listen: tuple[str, int]
-    counter: tuple[str, int] | None
-    connections: int
+    def __post_init__(self) -> None:
+        checked("listen", lambda: address_of(self.listen))
+        if self.counter is not None:
+            checked("counter", lambda: address_of(self.counter or ""))
 
 
 def read(path: str) -> RespConfig:
-    """Read the file; WireError names the field that is wrong."""
-    try:
-        with open(path, "rb") as file:
-            top = tomllib.load(file)
-    except (OSError, ValueError) as error:
-        raise WireError(f"--resp: {error}") from error
-    for name in sorted(set(top) - FIELDS):
-        raise WireError(f"field '{name}' is not known in {path}")
-    addresses = {}
-    for name in ("listen", "counter"):
-        if name in top or name == "listen":
-            try:
-                addresses[name] = address_of(need(top, name, str))
-            except ValueError as error:
-                raise WireError(f"field '{name}': {error}") from error
-    connections = need({"connections": CONNECTIONS} | top, "connections", int)
-    if not 1 <= connections <= 1024:
-        raise WireError("field 'connections' is out of range: 1 to 1024")
-    return RespConfig(addresses["listen"], addresses.get("counter"), connections)
+    """Read the file; SettingsError names the field that is wrong."""
+    return read_file(path, RespConfig)
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -208,7 +208,7 @@
     def test_the_file_under_deploy_is_read(self) -> None:
         """Guards against a file that nobody can start with."""
         told = config.read(str(ROOT / "deploy" / "resp.toml"))
-        self.assertEqual((told.listen, told.counter), (("127.0.0.1", 6380), None))
+        self.assertEqual((told.listen, told.counter), ("127.0.0.1:6380", None))
 
     def test_the_field_is_named(self) -> None:
         """Guards against a wrong file that is passed over in silence."""
@@ -216,7 +216,7 @@
             path, busy = Path(folder) / "resp.toml", f'listen = "127.0.0.1:{taken.getsockname()[1]}"'
             good = Program(folder, "127.0.0.1:1", "127.0.0.1:2", []).config
             cases = [("", "listen"), ('listen = "x"', "listen"), (busy, "listen (RESP)"),
-                     ("listen", "--resp"), (busy + "\ncounter = 1", "counter"), (busy + "\nport = 1", "port"),
+                     ("listen", "resp.toml"), (busy + "\ncounter = 1", "counter"), (busy + "\nport = 1", "port"),
                      (busy + "\nconnections = 0", "connections")]
             for text, field in cases:
                 path.write_text(text)
