Test the administration API on the real program, and bound heads and endings

Need: what callers rely on (repeats, conditions, pages, scopes, rotation, bounds) had been tried by hand only.

They showed two faults: h11 bounds only heads that come in pieces, so a whole head of 64 KiB passed (431 now, counted by the guard); and an idle caller that never ends TLS held the end of the process for 8 s (0.3 s now).

--- a/hallhitch/control/api/guard.py
+++ b/hallhitch/control/api/guard.py
@@ -55,6 +55,8 @@
 
     async def _admit(self, scope: Scoped, receive: Receive) -> Receive:
         headers = Headers(scope["headers"])
+        if headers.size > self._told.head_kib * 1024:
+            raise ProblemError(431, "too-large", f"A head holds {self._told.head_kib} KiB at most.")
         state = scope["state"]
         if scope["path"] in PUBLIC and scope["method"] in READS:
             state["caller"] = None
@@ -149,6 +151,11 @@
     def __init__(self, raw: list[tuple[bytes, bytes]]) -> None:
         self._raw = raw
 
+    @property
+    def size(self) -> int:
+        """Bytes of names and values."""
+        return sum(len(name) + len(value) for name, value in self._raw)
+
     def one(self, name: str) -> str | None:
         """A header's value; 400 where it stands twice."""
         found = [value for key, value in self._raw if key == name.encode()]
@@ -180,7 +187,7 @@
     """Send an error."""
     body = problem.body()
     headers = problem.headers() | {"content-length": str(len(body))}
-    if problem.status in (400, 413):  # what follows on the connection may be the rest of it
+    if problem.status in (400, 413, 431):  # what follows on the connection may be the rest of it
         headers["connection"] = "close"
     await send({"type": "http.response.start", "status": problem.status,
                 "headers": [(name.encode(), value.encode()) for name, value in headers.items()]})
--- a/hallhitch/control/api/resources.py
+++ b/hallhitch/control/api/resources.py
@@ -10,7 +10,7 @@
 from litestar.connection import ASGIConnection
 from litestar.handlers import BaseRouteHandler
 from litestar.openapi.datastructures import ResponseSpec
-from litestar.params import Parameter
+from litestar.params import HeaderParameter, PathParameter, QueryParameter
 
 from hallhitch.control.api import calls, views
 from hallhitch.control.api.calls import Conn, Target, caller_of, service_of
@@ -23,13 +23,13 @@
 from hallhitch.hosting.model import TYPES, Catalogue, Client, Credential, Head, Host, Kept, Kind, Plan, Scope, Verifier
 from hallhitch.hosting.names import OPERATORS, client_of
 
-Key = Annotated[str, Parameter(header="Idempotency-Key", min_length=1, max_length=200,
+Key = Annotated[str, HeaderParameter(name="Idempotency-Key", min_length=1, max_length=200,
                                description="The same key and call give the first answer again, for 24 h.")]
-IfMatch = Annotated[str | None, Parameter(header="If-Match", description="Entity tags of the thing, or *.")]
-IfNoneMatch = Annotated[str | None, Parameter(header="If-None-Match", description="* if there must be none.")]
-After = Annotated[str, Parameter(query="after", max_length=253, description="The `next` of the page before.")]
-Limit = Annotated[int, Parameter(query="limit", ge=1, le=calls.MOST)]
-Prefix = Annotated[str, Parameter(query="prefix", max_length=253, description="Only names that begin so.")]
+IfMatch = Annotated[str | None, HeaderParameter(name="If-Match", description="Entity tags of the thing, or *.")]
+IfNoneMatch = Annotated[str | None, HeaderParameter(name="If-None-Match", description="* if there must be none.")]
+After = Annotated[str, QueryParameter(name="after", max_length=253, description="The `next` of the page before.")]
+Limit = Annotated[int, QueryParameter(name="limit", ge=1, le=calls.MOST)]
+Prefix = Annotated[str, QueryParameter(name="prefix", max_length=253, description="Only names that begin so.")]
 Answer = Response[Any]
 
 
@@ -209,8 +209,8 @@
 
     @get("/", responses=READ, operation_id="listClients")
     async def list(self, request: Conn, tenant: str, after: After = "", limit: Limit = 100, prefix: Prefix = "",
-                   plan: Annotated[str | None, Parameter(query="plan", max_length=64)] = None,
-                   on: Annotated[bool | None, Parameter(query="on")] = None) -> Response[views.ClientPage]:
+                   plan: Annotated[str | None, QueryParameter(name="plan", max_length=64)] = None,
+                   on: Annotated[bool | None, QueryParameter(name="on")] = None) -> Response[views.ClientPage]:
         """The tenant's clients, all or those on a plan, on or off."""
         catalogue = service_of(request).catalogue
         part = catalogue.tenants.get(tenant)
@@ -411,7 +411,8 @@
         return await calls.delete(request, Target(OPERATORS, Kind.CREDENTIAL, name))
 
 
-Before = Annotated[str, Parameter(query="after", pattern="^[0-9]{0,18}$", description="The `next` of the page before.")]
+Before = Annotated[str, QueryParameter(name="after", pattern="^[0-9]{0,18}$",
+                                       description="The `next` of the page before.")]
 
 
 async def _audits(request: Conn, tenant: str | None, after: str, limit: int) -> Answer:
@@ -439,7 +440,7 @@
 
 
 @get("/v1/versions/{number:int}", responses=READ, operation_id="getVersion", tags=["versions"])
-async def version(request: Conn, number: Annotated[int, Parameter(ge=0, le=2**53)]) -> Response[views.VersionView]:
+async def version(request: Conn, number: Annotated[int, PathParameter(ge=0, le=2**53)]) -> Response[views.VersionView]:
     """What a version of the present epoch touched: a tenant sees its own part, operators all."""
     caller, catalogue = caller_of(request), service_of(request).catalogue
     store: SqliteStore = request.app.state.store
--- a/hallhitch/control/serve.py
+++ b/hallhitch/control/serve.py
@@ -31,6 +31,7 @@
 from hallhitch.tls.certificates import Certificates, fingerprint
 
 HANDSHAKE = 5.0  # seconds for TLS
+FAREWELL = 0.3  # seconds for the other side to end TLS too: an idle caller may never look
 ENDING = 8.0  # seconds for calls under way at the end
 HOURLY = 3_600.0
 KEY_WORD = "key"  # where the store keeps which key file it goes with
@@ -102,7 +103,8 @@
             return made
 
         self.servers = [await asyncio.get_running_loop().create_server(
-            connection, sock=self._listener, ssl=self._context, ssl_handshake_timeout=HANDSHAKE, backlog=1024)]
+            connection, sock=self._listener, ssl=self._context, ssl_handshake_timeout=HANDSHAKE,
+            ssl_shutdown_timeout=FAREWELL, backlog=1024)]
         self.started = True
 
     @contextlib.contextmanager
--- /dev/null
+++ b/tests/control/test_api.py
@@ -0,0 +1,403 @@
+"""The administration API, by the real program over TLS: what a caller may rely on."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import ssl
+import unittest
+import uuid
+
+from hallhitch.tls import authority
+from hallhitch.tls.certificates import fingerprint
+from tests.control_plane import PLAN, ControlCase, change, issue, seed
+from tests.stand_ins import soon
+
+ACME = "/v1/tenants/acme"
+
+
+class Calls(ControlCase):
+    """Conditions, repeats, pages."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await seed(self.root, "acme")
+
+    async def test_life_of_a_thing(self) -> None:
+        """Guards against answers that do not say what stands, and statuses that mean something else."""
+        path = f"{ACME}/plans/full-plant"
+        made = await change(self.root, "PUT", path, {"rate": 10, "burst": 20})
+        self.assertEqual((made.status_code, made.json()["rate"]), (201, 10.0))
+        self.assertEqual(made.headers["etag"], f'"{made.json()["version"]}"')
+        read = await self.root.get(path)
+        self.assertEqual((read.status_code, read.json(), read.headers["etag"]),
+                         (200, made.json(), made.headers["etag"]))
+        patched = await change(self.root, "PATCH", path, {"price": 1.8, "burst": None})
+        self.assertEqual(patched.status_code, 422, "a burst of nothing does not go with a rate")
+        patched = await change(self.root, "PATCH", path, {"price": 1.8, "rate": None})
+        self.assertEqual((patched.json()["price"], patched.json()["rate"]), (1.8, 0.0))
+        gone = await change(self.root, "DELETE", path)
+        self.assertEqual((gone.status_code, gone.content), (204, b""))
+        self.assertEqual((await self.root.get(path)).status_code, 404)
+        again = await change(self.root, "DELETE", path)
+        self.assertEqual(again.status_code, 404)
+
+    async def test_conditions(self) -> None:
+        """Guards against a lost update: a replace goes under the version that it replaces."""
+        path = f"{ACME}/plans/small-shop"
+        tag = (await self.root.get(path)).headers["etag"]
+        self.assertEqual((await change(self.root, "PUT", path, PLAN)).status_code, 428)
+        self.assertEqual((await change(self.root, "PUT", path, PLAN, If_None_Match="*")).status_code, 412)
+        self.assertEqual((await change(self.root, "PUT", path, PLAN, If_Match='"1.1"')).status_code, 412)
+        self.assertEqual((await change(self.root, "PUT", path, PLAN, If_Match=f"W/{tag}")).status_code, 412)
+        self.assertEqual((await change(self.root, "PUT", path, PLAN, If_Match="1.1")).status_code, 400)
+        made = await change(self.root, "PUT", path, PLAN | {"price": 2.0}, If_Match=f'"x", {tag}')
+        self.assertEqual(made.status_code, 200)
+        self.assertEqual((await change(self.root, "DELETE", path, If_Match=tag)).status_code, 412)
+        new = await change(self.root, "PUT", f"{ACME}/plans/new", PLAN, If_Match="*")
+        self.assertEqual(new.status_code, 412)
+
+    async def test_two_administrators_at_once(self) -> None:
+        """Guards against one of two changes made on the same version being lost in silence."""
+        path = f"{ACME}/plans/small-shop"
+        for _ in range(8):
+            tag = (await self.root.get(path)).headers["etag"]
+            answers = await asyncio.gather(*(
+                change(self.root, "PUT", path, PLAN | {"price": price}, If_Match=tag) for price in (3.0, 4.0)))
+            self.assertEqual(sorted(a.status_code for a in answers), [200, 412])
+            won = next(a for a in answers if a.status_code == 200)
+            self.assertEqual((await self.root.get(path)).json(), won.json())
+        merged = await asyncio.gather(change(self.root, "PATCH", path, {"price": 5.0}),
+                                      change(self.root, "PATCH", path, {"beyond_cost": 0.8}))
+        self.assertEqual([a.status_code for a in merged], [200, 200])
+        read = (await self.root.get(path)).json()
+        self.assertEqual((read["price"], read["beyond_cost"]), (5.0, 0.8), "neither merge loses the other's field")
+
+    async def test_a_repeat_gets_the_first_answer(self) -> None:
+        """Guards against a repeated call that changes twice, or is told something else than the first was."""
+        cases = [("PUT", f"{ACME}/clients/press-2", {"plan": "small-shop"}, 201),
+                 ("PUT", f"{ACME}/credentials/boss", {"scope": "admin"}, 201),
+                 ("PUT", f"{ACME}/clients/press-3", {"plan": "no-such"}, 409),
+                 ("DELETE", f"{ACME}/clients/press-2", None, 204),
+                 ("DELETE", f"{ACME}/clients/press-9", None, 404)]
+        for method, path, body, status in cases:
+            key = str(uuid.uuid4())
+            first = await change(self.root, method, path, body, key)
+            version = await self.status()
+            for _ in range(2):
+                again = await change(self.root, method, path, body, key)
+                self.assertEqual((again.status_code, again.content, again.headers), (
+                    status, first.content, first.headers))
+            self.assertEqual(await self.status(), version)
+            other = await change(self.root, method, path + "x", body, key)
+            self.assertEqual((other.status_code, other.json()["code"]), (422, "key-reused"))
+        await self.plane.stop()
+        await self.plane.start()
+        again = await change(self.root, method, path, body, key)
+        self.assertEqual((again.content, again.headers), (first.content, first.headers), "after a restart too")
+
+    async def test_repeats_of_a_call_that_still_runs_wait_for_it(self) -> None:
+        """Guards against a repeat that overtakes its first call, and makes the change by itself."""
+        for number in range(10):
+            key, path = str(uuid.uuid4()), f"{ACME}/credentials/c{number}"
+            answers = await asyncio.gather(*(
+                change(self.root, "PUT", path, {"scope": "read"}, key) for _ in range(6)))
+            self.assertEqual({(a.status_code, a.content) for a in answers}, {(201, answers[0].content)})
+
+    async def test_a_key_belongs_to_its_caller(self) -> None:
+        """Guards against one tenant learning another's answer by guessing its key."""
+        await seed(self.root, "bolt")
+        boss = self.plane.client(await issue(self.root, "acme", "boss"))
+        other = self.plane.client(await issue(self.root, "bolt", "boss"))
+        path, key = f"{ACME}/plans/p", "the-same-key"
+        self.assertEqual((await change(boss, "PUT", path, PLAN, key)).status_code, 201)
+        self.assertEqual((await change(other, "PUT", path, PLAN, key)).status_code, 404)
+        mine = await change(other, "PUT", "/v1/tenants/bolt/plans/p", PLAN, key)
+        self.assertEqual(mine.status_code, 201)
+        await boss.aclose()
+        await other.aclose()
+
+    async def test_several_edits_are_made_all_or_none(self) -> None:
+        """Guards against half of a change."""
+        path, version = f"{ACME}/changes", await self.status()
+        good = {"kind": "client", "name": "press-5", "value": {"plan": "small-shop"}}
+        for bad, status, field in [
+            ({"kind": "client", "name": "press-6", "value": {"plan": "no-such"}}, 409, "plan"),
+            ({"kind": "client", "name": "press-6", "value": {"plan": 7}}, 422, "edits[1].value.plan"),
+            ({"kind": "plan", "name": "small-shop", "value": None}, 409, "plan"),
+            ({"kind": "client", "name": "press-1", "value": None, "expect": "1.1"}, 412, "edits[1]"),
+            ({"kind": "client", "name": "press-1", "value": {"plan": "small-shop"}, "expect": "none"}, 412, "edits[1]"),
+            ({"kind": "credential", "name": "k", "value": {"scope": "admin"}}, 422, "edits[1]"),
+        ]:
+            made = await change(self.root, "POST", path, {"edits": [good, bad]})
+            self.assertEqual((made.status_code, made.json()["field"]), (status, field), made.text)
+        self.assertEqual(await self.status(), version)
+        made = await change(self.root, "POST", path, {"edits": [good]})
+        self.assertEqual(made.status_code, 200)
+        told = (await self.root.get(f"/v1/versions/{made.json()['version'].split('.')[1]}")).json()
+        self.assertEqual([(row["kind"], row["name"]) for row in told["rows"]], [("client", "press-5")])
+
+    async def test_pages_hold_everything_once(self) -> None:
+        """Guards against things left out or told twice between pages, and filters that pass others."""
+        edits = [{"kind": "client", "name": f"c{n:03}", "value": {"plan": "small-shop", "on": n % 2 == 0}}
+                 for n in range(40)]
+        await change(self.root, "PATCH", ACME, {"limits": {"rate": 500.0}})
+        self.assertEqual((await change(self.root, "POST", f"{ACME}/changes", {"edits": edits})).status_code, 200)
+        queries: list[tuple[dict[str, str], int]] = [({}, 41), ({"on": "true"}, 21), ({"on": "false"}, 20), ({"prefix": "c00"}, 10),
+                            ({"plan": "none"}, 0)]
+        for query, want in queries:
+            names: list[str] = []
+            after: str | None = ""
+            while after is not None:
+                page = (await self.root.get(f"{ACME}/clients", params={"limit": "7", "after": after} | query)).json()
+                names += [item["name"] for item in page["items"]]
+                after = page["next"]
+            self.assertEqual((len(names), names), (want, sorted(set(names))))
+        audited = (await self.root.get(f"{ACME}/audit", params={"limit": 2})).json()
+        older = (await self.root.get(f"{ACME}/audit", params={"limit": 2, "after": audited["next"]})).json()
+        ids = [item["id"] for item in audited["items"] + older["items"]]
+        self.assertEqual(ids, sorted(ids, reverse=True))
+        self.assertEqual(audited["items"][0]["action"], f"POST {ACME}/changes")
+
+    async def test_the_description_is_public_and_whole(self) -> None:
+        """Guards against a description that clients cannot be made from."""
+        async with self.plane.client(None) as nobody:
+            told = (await nobody.get("/openapi.json")).json()
+        self.assertEqual(told["openapi"], "3.1.0")
+        self.assertGreaterEqual(len(told["paths"]), 19)
+        for path, methods in told["paths"].items():
+            for method, operation in methods.items():
+                named = {p["name"] for p in operation.get("parameters", [])}
+                if method != "get":
+                    self.assertIn("Idempotency-Key", named, path)
+                self.assertIn("401", operation["responses"], path)
+
+
+class Secrets(ControlCase):
+    """Credentials."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await seed(self.root, "acme")
+
+    async def _counts(self, token: str) -> bool:
+        async with self.plane.client(token) as caller:
+            return (await caller.get(ACME)).status_code == 200
+
+    async def test_rotation_overlaps_and_revocation_holds_at_once(self) -> None:
+        """Guards against a rotation that locks its holder out, and a revoked secret that still opens."""
+        first = await issue(self.root, "acme", "boss")
+        path = f"{ACME}/credentials/boss"
+        second = (await change(self.root, "POST", f"{path}/rotate", {"overlap_seconds": 600})).json()
+        self.assertIsNotNone(second["overlap_until"])
+        self.assertTrue(await self._counts(first) and await self._counts(second["token"]))
+        third = (await change(self.root, "POST", f"{path}/rotate", {"overlap_seconds": 0})).json()["token"]
+        self.assertEqual([await self._counts(t) for t in (first, second["token"], third)], [False, False, True])
+        self.assertEqual((await change(self.root, "DELETE", path)).status_code, 204)
+        self.assertFalse(await self._counts(third))
+        fresh = await issue(self.root, "acme", "boss")
+        self.assertTrue(await self._counts(fresh) and not await self._counts(third))
+
+    async def test_a_secret_is_told_once(self) -> None:
+        """Guards against a secret in the store, in a list or in a version."""
+        token = await issue(self.root, "acme", "boss")
+        key = await issue(self.root, "acme", "press", "client", client="press-1")
+        number = (await self.status()).split(".")[1]
+        for path in (f"{ACME}/credentials", f"{ACME}/credentials/boss", f"/v1/versions/{number}", "/v1/audit"):
+            text = (await self.root.get(path)).text
+            for secret in (token, key):
+                self.assertNotIn(secret.rpartition(".")[2], text)
+            self.assertNotIn("argon2", text)
+        await self.plane.stop()
+        held = b"".join(p.read_bytes() for p in (self.plane.folder / "store").iterdir())
+        self.assertNotIn(token.rpartition(".")[2].encode(), held)
+        self.assertNotIn(key.rpartition(".")[2].encode(), held)
+        self.assertNotIn(self.plane.token.rpartition(".")[2].encode(), held)
+
+    async def test_scopes(self) -> None:
+        """Guards against a reader that changes, an admin that raises its own limits, a client key that administers."""
+        admin, reader = await issue(self.root, "acme", "boss"), await issue(self.root, "acme", "eye", "read")
+        press = await issue(self.root, "acme", "press", "client", client="press-1")
+        wants = {admin: (201, 403, 403, 403, 404, 404), reader: (403, 403, 403, 403, 404, 404), press: (401,) * 6}
+        for number, (token, statuses) in enumerate(wants.items()):
+            async with self.plane.client(token) as caller:
+                found = [
+                    (await change(caller, "PUT", f"{ACME}/plans/p{number}", PLAN)).status_code,
+                    (await change(caller, "PATCH", ACME, {"limits": {"rate": 1e6}})).status_code,
+                    (await change(caller, "PUT", f"{ACME}/hosts/new.example.org", {})).status_code,
+                    (await change(caller, "POST", f"{ACME}/changes", {"edits": [
+                        {"kind": "host", "name": "new.example.org", "value": {}}]})).status_code,
+                    (await caller.get("/v1/operators")).status_code,
+                    (await caller.get("/v1/audit")).status_code,
+                ]
+            self.assertEqual(tuple(found), statuses)
+
+    async def test_a_tenant_switched_off_has_no_callers(self) -> None:
+        """Guards against credentials that outlive their tenant's service."""
+        token = await issue(self.root, "acme", "boss")
+        await change(self.root, "PATCH", ACME, {"on": False})
+        self.assertFalse(await self._counts(token))
+        await change(self.root, "PATCH", ACME, {"on": True})
+        self.assertTrue(await self._counts(token))
+
+    async def test_an_operator_by_certificate(self) -> None:
+        """Guards against a certificate that names nobody being taken for an operator."""
+        folder = self.plane.folder / "tls"
+        known, unknown = (authority.issue(folder, name, [name], client=True) for name in ("ann", "bob"))
+        shown = fingerprint(ssl.PEM_cert_to_DER_cert(known.read_text()))
+        made = await change(self.root, "PUT", "/v1/operators/ann", {"scope": "operator", "certificate": shown})
+        self.assertEqual(made.status_code, 201)
+        for certificate, status in ((known, 200), (unknown, 401)):
+            context = ssl.create_default_context(cafile=str(folder / "ca.crt"))
+            context.load_cert_chain(certificate, certificate.with_suffix(".key"))
+            async with self.plane.client(None, context) as caller:
+                self.assertEqual((await caller.get("/v1/status")).status_code, status)
+
+    async def _half_said(self, token: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter, bytes]:
+        """A call whose head was taken, and the rest of its body."""
+        host, port = self.plane.url.removeprefix("https://").split(":")
+        reader, writer = await asyncio.open_connection(host, int(port), ssl=self.plane.trust)
+        body = json.dumps(PLAN).encode()
+        writer.write(f"PUT {ACME}/plans/late HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {token}\r\n"
+                     f"Idempotency-Key: k\r\nContent-Type: application/json\r\nContent-Length: {len(body)}\r\n"
+                     "Expect: 100-continue\r\n\r\n".encode())
+        # The server asks for the body once it has let the call in: the credential was good at that moment.
+        self.assertIn(b"100", await soon(reader.readuntil(b"\r\n\r\n")))
+        return reader, writer, body
+
+    async def test_a_credential_revoked_while_its_call_is_in_flight(self) -> None:
+        """Guards against a change made for a caller after its revocation was acknowledged."""
+        token = await issue(self.root, "acme", "boss")
+        reader, writer, body = await self._half_said(token)
+        self.assertEqual((await change(self.root, "DELETE", f"{ACME}/credentials/boss")).status_code, 204)
+        writer.write(body)
+        self.assertIn(b" 401 ", await soon(reader.readline()))
+        writer.close()
+        self.assertEqual((await self.root.get(f"{ACME}/plans/late")).status_code, 404)
+
+    async def test_a_credential_that_ends_while_its_call_is_in_flight(self) -> None:
+        """Guards against the same for one that runs out."""
+        token = await issue(self.root, "acme", "boss")
+        reader, writer, body = await self._half_said(token)
+        made = await change(self.root, "PATCH", f"{ACME}/credentials/boss", {"expires": 1})
+        self.assertEqual(made.status_code, 200)
+        writer.write(body)
+        self.assertIn(b" 401 ", await soon(reader.readline()))
+        writer.close()
+
+
+class Bounds(ControlCase):
+    """What a caller may not do to others."""
+
+    api = {"calls_per_second": 0.001, "burst": 12.0, "connections": 6, "body_kib": 4, "head_kib": 2,
+           "failures_per_minute": 6.0, "request_seconds": 0.5}
+
+    async def test_calls_a_second(self) -> None:
+        """Guards against one credential taking the service from others."""
+        await seed(self.root, "acme")
+        token = await issue(self.root, "acme", "boss")
+        answers = [await self.root.get("/v1/status") for _ in range(12)]
+        self.assertEqual({a.status_code for a in answers}, {200, 429})
+        self.assertGreater(int(answers[-1].headers["retry-after"]), 0)
+        async with self.plane.client(token) as other:
+            self.assertEqual((await other.get(ACME)).status_code, 200)
+
+    async def test_failures_cost_their_caller_alone(self) -> None:
+        """Guards against guesses that are free, and against one caller's failures shutting another out."""
+        wrong = f"hh_.root.{'x' * 43}"
+        async with self.plane.client(wrong) as guesser:
+            statuses = [(await guesser.get("/v1/status")).status_code for _ in range(6)]
+        self.assertEqual((statuses[0], statuses[-1]), (401, 429))
+        async with self.plane.client() as good:
+            first = await good.get("/v1/status")
+        self.assertEqual(first.status_code, 429, "the same token's name, from the same place, not yet known to be good")
+        await self.plane.stop()
+        await self.plane.start()
+        self.assertEqual((await self.root.get("/v1/status")).status_code, 200)
+        async with self.plane.client(wrong) as guesser:
+            statuses = [(await guesser.get("/v1/status")).status_code for _ in range(6)]
+        self.assertEqual(statuses[-1], 429)
+        self.assertEqual((await self.root.get("/v1/status")).status_code, 200, "one known to be good goes on")
+
+    async def test_bodies_heads_and_slow_callers(self) -> None:
+        """Guards against a caller that holds memory or a connection by what it never finishes saying."""
+        big = await change(self.root, "PUT", ACME, {"on": True, "x": "y" * 5000})
+        self.assertEqual((big.status_code, big.json()["code"]), (413, "too-large"))
+        long = await self.root.get("/v1/status", headers={"X-Long": "y" * 3000})
+        self.assertEqual(long.status_code, 431)
+        host, port = self.plane.url.removeprefix("https://").split(":")
+        reader, writer = await asyncio.open_connection(host, int(port), ssl=self.plane.trust)
+        writer.write(b"GET /v1/status HTTP/1.1\r\nHost: x\r\n")
+        self.assertEqual(await soon(_rest(reader)), b"", "a head half said is not waited for")
+        writer.close()
+
+    async def test_connections(self) -> None:
+        """Guards against idle connections without end."""
+        host, port = self.plane.url.removeprefix("https://").split(":")
+        held = []
+        for _ in range(6):
+            held.append(await asyncio.open_connection(host, int(port), ssl=self.plane.trust))
+        reader, writer = await asyncio.open_connection(host, int(port), ssl=self.plane.trust)
+        self.assertEqual(await soon(_rest(reader)), b"")
+        for _, kept in (*held, (reader, writer)):
+            kept.close()
+
+
+async def _rest(reader: asyncio.StreamReader) -> bytes:
+    """What comes until the end, however it ends."""
+    try:
+        return await reader.read()
+    except (ConnectionError, ssl.SSLError):
+        return b""
+
+
+class BadInput(ControlCase):
+    """Bodies that no two readers would read alike."""
+
+    async def test_what_cannot_be_is_named_and_changes_nothing(self) -> None:
+        """Guards against input that is taken for something else than its sender meant."""
+        await seed(self.root, "acme")
+        version = await self.status()
+        deep = b'{"a":' * 5000 + b"1" + b"}" * 5000
+        cases: list[tuple[bytes, int]] = [
+            (b'{"rate":1,"burst":2,"rate":5}', 400), (b'{"rate":NaN}', 400), (b'{"rate":1e999,"burst":1}', 400),
+            (b'{"rate":Infinity}', 400), (b'{"rate":-1,"burst":1}', 422), (b'{"rate":"1"}', 422), (b"[1]", 422),
+            (b'{"rte":1}', 422), (b'{"rate":\xff}', 400), (b"", 422), (b"{", 400), (deep, 400),
+            (b"9" * 5000, 400), (b'{"open_limit":1.5}', 422), (b'{"rate":true}', 422), (b"null", 422),
+            (b'{"price":1e10}', 422), (b'\xef\xbb\xbf{"rate":1,"burst":1}', 400),
+        ]
+        for body, status in cases:
+            for method in ("PUT", "PATCH"):
+                if method == "PATCH" and (status == 422 or body == b""):
+                    continue
+                with self.subTest(body=body[:40], method=method):
+                    made = await self.root.request(
+                        method, f"{ACME}/plans/p", content=body,
+                        headers={"Idempotency-Key": str(uuid.uuid4()), "Content-Type": "application/json"})
+                    self.assertEqual((made.status_code, made.headers["content-type"]),
+                                     (status, "application/problem+json"), made.text)
+        for headers, status in [({"Content-Type": "text/plain", "Idempotency-Key": "k"}, 415),
+                                ({"Content-Type": "application/json"}, 400),
+                                ({"Content-Type": "application/json", "Idempotency-Key": "with space"}, 400)]:
+            made = await self.root.request("PUT", f"{ACME}/plans/p", content=b"{}", headers=headers)
+            self.assertEqual(made.status_code, status)
+        for name in ("A", "a b", "%00", "x" * 65, "..", "%F0%9F%92%A5"):
+            made = await change(self.root, "PUT", f"{ACME}/plans/{name}", PLAN)
+            self.assertIn(made.status_code, (404, 422), name)
+        self.assertEqual(await self.status(), version)
+
+
+class Spelling(ControlCase):
+    """A customer id is one client in either case."""
+
+    async def test_one_spelling_of_a_customer(self) -> None:
+        """Guards against a quota doubled by the case of its customer's digits."""
+        await seed(self.root, "acme")
+        made = await change(self.root, "PUT", f"{ACME}/clients/00000000B4D65521", {"plan": "small-shop"})
+        self.assertEqual((made.status_code, made.json()["name"]), (201, "00000000b4d65521"))
+        again = await change(self.root, "PUT", f"{ACME}/clients/00000000b4d65521", {"plan": "small-shop"})
+        self.assertEqual(again.status_code, 428)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/hosting/test_catalogue.py
@@ -0,0 +1,283 @@
+"""The catalogue by itself: properties over random changes, and the refusals that must be named."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hallhitch.decision.policy import digest
+from hallhitch.hosting import names
+from hallhitch.hosting.access import Principal as Caller
+from hallhitch.hosting.access import Verdict, may, token_of
+from hallhitch.hosting.changes import Change, Edit, Refused, apply
+from hallhitch.hosting.draft import build
+from hallhitch.hosting.history import (
+    History,
+    decode_diff,
+    decode_rows,
+    encode_diff,
+    encode_rows,
+    patch,
+    whole,
+)
+from hallhitch.hosting.model import (
+    Catalogue,
+    Client,
+    Credential,
+    Head,
+    Host,
+    Kind,
+    Limits,
+    Plan,
+    Scope,
+    Verifier,
+)
+from hallhitch.hosting.rows import WRAP, rows_of, sum_of
+from hallhitch.hosting.tenant_file import TenantFile, steps
+
+FEW = st.sampled_from(["x", "y", "z"])
+VALUES: dict[Kind, st.SearchStrategy[Any]] = {
+    Kind.TENANT: st.builds(Head, st.booleans(), st.builds(
+        Limits, clients=st.integers(1, 3), plans=st.integers(1, 3), rate=st.sampled_from([2, 5.0, 100.0]))),
+    Kind.PLAN: st.builds(Plan, rate=st.sampled_from([0, 1, 2.5]), burst=st.sampled_from([0.0, 3.0])),
+    Kind.CLIENT: st.builds(Client, FEW, st.booleans()),
+    Kind.HOST: st.builds(Host, st.booleans()),
+    Kind.CREDENTIAL: st.builds(
+        Credential, st.sampled_from(list(Scope)), st.just((Verifier("h"),)), st.none() | FEW, st.none() | st.just(5)),
+}
+
+
+@st.composite
+def edits(draw: st.DrawFn, tenant: str) -> Edit:
+    """Some edit, good or not."""
+    kind = draw(st.sampled_from(list(Kind)))
+    name = tenant if kind is Kind.TENANT else draw(FEW) + (".example.org" if kind is Kind.HOST else "")
+    drop = draw(st.integers(0, 9)) < (1 if kind is Kind.TENANT else 3)
+    return Edit(kind, name, None if drop else draw(VALUES[kind]), draw(st.none() | st.none() | st.integers(0, 6)))
+
+
+@st.composite
+def changes(draw: st.DrawFn) -> Change:
+    """Some change of one of three tenants, or of the operators'."""
+    tenant = draw(st.sampled_from(["a", "b", "c", ""]))
+    return Change(tenant, tuple(draw(st.lists(edits(tenant), min_size=1, max_size=5))))
+
+
+def check(case: unittest.TestCase, catalogue: Catalogue) -> None:
+    """What holds of every catalogue, looked up the long way."""
+    total = 0
+    hosts: dict[str, str] = {}
+    for row in rows_of(catalogue):
+        kept = catalogue.get(row.tenant, row.kind, row.name)
+        assert kept is not None
+        total += sum_of(row.tenant, row.kind, row.name, kept)
+    case.assertEqual(total % WRAP, catalogue.sum)
+    for name, part in catalogue.tenants.items():
+        clients = [kept.value for kept in part.clients.values()]
+        for plan in {client.plan for client in clients} | set(part.members):
+            case.assertIn(plan, part.plans)
+            case.assertEqual(part.members.get(plan, 0), sum(c.plan == plan for c in clients))
+            case.assertEqual(part.active.get(plan, 0), sum(c.plan == plan and c.on for c in clients))
+        handed = sum(part.plans[c.plan].value.rate for c in clients if c.on)
+        case.assertAlmostEqual(part.rate, handed)
+        limits = part.head.value.limits
+        case.assertLessEqual(handed, limits.rate + 1e-6)
+        case.assertLessEqual(len(part.clients), limits.clients)
+        hosts |= {host: name for host in part.hosts}
+        named: dict[str, set[str]] = {}
+        for id, kept in part.credentials.items():
+            if kept.value.client is not None:
+                case.assertIn(kept.value.client, part.clients)
+                named.setdefault(kept.value.client, set()).add(id)
+        case.assertEqual({client: set(ids) for client, ids in part.keys.items()}, named)
+    case.assertEqual(dict(catalogue.hosts), hosts)
+
+
+class Properties(unittest.TestCase):
+    """Random histories."""
+
+    @settings(max_examples=150, deadline=None, derandomize=True)
+    @given(st.lists(changes(), max_size=25))
+    def test_any_history(self, history: list[Change]) -> None:
+        """Guards against indexes, checksums and diffs that drift from what is there, and versions with gaps."""
+        catalogue, kept = Catalogue(epoch=3), [Catalogue(epoch=3)]
+        log = History()
+        log.start(3, 0)
+        for change in history:
+            before = catalogue
+            try:
+                made = apply(catalogue, change)
+            except Refused as refusal:
+                self.assertIn(refusal.code, Refused.CODES)
+                continue
+            self.assertEqual(made.catalogue.version, before.version + 1)
+            self.assertEqual(patch(before, decode_diff(encode_diff(made.diff))), made.catalogue)
+            others = {name: part for name, part in before.tenants.items() if name != change.tenant}
+            self.assertEqual(others, {n: p for n, p in made.catalogue.tenants.items() if n != change.tenant})
+            catalogue = made.catalogue
+            check(self, catalogue)
+            log.add(made.diff)
+            kept.append(catalogue)
+        for old in kept:
+            diff = log.diff(catalogue, 3, old.version)
+            assert diff is not None
+            self.assertEqual(patch(old, decode_diff(encode_diff(diff))), catalogue)
+        told = whole(catalogue)
+        rows = decode_rows(encode_rows(told.rows))
+        self.assertEqual(build(3, catalogue.version, rows, told.parts), catalogue)
+
+    @settings(max_examples=100, deadline=None, derandomize=True)
+    @given(st.data())
+    def test_a_declared_tenant_is_reached_in_one_change_or_several(self, data: st.DataObject) -> None:
+        """Guards against a declaration that cannot be applied from where the tenant stands, whole or in pieces."""
+
+        def declared() -> TenantFile:
+            plans = {n: Plan(1.0, 3.0) for n in data.draw(st.sets(FEW, min_size=1))}
+            clients = {n: Client(data.draw(st.sampled_from(sorted(plans)))) for n in data.draw(st.sets(FEW))}
+            hosts = {f"{n}.example.org": Host() for n in data.draw(st.sets(FEW))}
+            return TenantFile("a", True, Limits(), plans, clients, hosts)
+
+        catalogue = Catalogue(epoch=1)
+        for wanted in (declared(), declared()):
+            present = {}
+            if "a" in catalogue.tenants:
+                for row in rows_of(catalogue):
+                    present[row.kind, row.name] = (row.value, str(row.version))
+            found = steps(present, wanted.things())
+            piece = data.draw(st.integers(1, 4))
+            for start in range(0, len(found), piece):
+                part = [Edit(s.kind, s.name, s.wanted, int(s.version or 0)) for s in found[start:start + piece]]
+                catalogue = apply(catalogue, Change("a", tuple(part))).catalogue
+            self.assertEqual({(r.kind, r.name): r.value for r in rows_of(catalogue)}, wanted.things())
+
+    @given(st.text("abc/.:@", max_size=6), st.text("abc/.:@", max_size=6), st.text("abc/.:@", max_size=6),
+           st.text("abc/.:@", max_size=6))
+    def test_no_two_tenants_share_a_name_on_the_counter(self, a: str, b: str, c: str, d: str) -> None:
+        """Guards against one tenant's traffic spending another's quota, whatever the two call their clients."""
+        if all(map(names.is_tenant, (a, c))) and all(map(names.is_client, (b, d))) and (a, b) != (c, d):
+            self.assertNotEqual(names.customer_of(a, b), names.customer_of(c, d))
+
+
+class Refusals(unittest.TestCase):
+    """Changes that must not be made, by code and field."""
+
+    def setUp(self) -> None:
+        first = Change("a", (Edit(Kind.TENANT, "a", Head(limits=Limits(clients=2, rate=5.0))),
+                             Edit(Kind.PLAN, "p", Plan(2.0, 4.0)), Edit(Kind.CLIENT, "one", Client("p")),
+                             Edit(Kind.HOST, "a.example.org", Host())))
+        other = Change("b", (Edit(Kind.TENANT, "b", Head()),))
+        operator = Change("", (Edit(Kind.CREDENTIAL, "root", Credential(Scope.OPERATOR, (Verifier("h"),))),))
+        self.was = Catalogue(epoch=1)
+        for change in (first, other, operator):
+            self.was = apply(self.was, change).catalogue
+
+    def test_each_refusal_is_named(self) -> None:
+        """Guards against a bad change that is made, or refused without saying where."""
+        key = (Verifier("h"),)
+        cases: list[tuple[str, Edit | tuple[Edit, ...], str, str]] = [
+            ("c", Edit(Kind.PLAN, "p", Plan()), "not-found", "edits[0]"),
+            ("a", Edit(Kind.PLAN, "q"), "not-found", "edits[0]"),
+            ("a", Edit(Kind.PLAN, "p", Plan(1.0, 1.0), expect=0), "stale", "edits[0]"),
+            ("a", Edit(Kind.PLAN, "p", Plan(1.0, 1.0), expect=99), "stale", "edits[0]"),
+            ("a", Edit(Kind.PLAN, "q", Plan(1.0, 1.0), expect=1), "stale", "edits[0]"),
+            ("a", Edit(Kind.PLAN, "q", Plan(1.0, 0.0)), "invalid", "edits[0].value.burst"),
+            ("a", Edit(Kind.PLAN, "q", Plan(ceiling_rate=1.0)), "invalid", "edits[0].value.ceiling_burst"),
+            ("a", Edit(Kind.PLAN, "q", Plan(float("nan"), 1.0)), "invalid", "edits[0].value"),
+            ("a", Edit(Kind.PLAN, "q", Plan(-1.0, 1.0)), "invalid", "edits[0].value"),
+            ("a", Edit(Kind.PLAN, "q", Client("p")), "invalid", "edits[0].value"),
+            ("a", Edit(Kind.PLAN, "Q", Plan()), "invalid", "edits[0].name"),
+            ("a", Edit(Kind.CLIENT, "a/b", Client("p")), "invalid", "edits[0].name"),
+            ("a", Edit(Kind.CLIENT, "00000000B4D65521", Client("p")), "invalid", "edits[0].name"),
+            ("a", Edit(Kind.TENANT, "b", Head()), "invalid", "edits[0].name"),
+            ("a", Edit(Kind.HOST, "localhost", Host()), "invalid", "edits[0].name"),
+            ("a", Edit(Kind.CLIENT, "two", Client("q")), "in-use", "plan"),
+            ("a", Edit(Kind.PLAN, "p"), "in-use", "plan"),
+            ("a", Edit(Kind.CREDENTIAL, "k", Credential(Scope.CLIENT, key, "two")), "not-found", "client"),
+            ("a", Edit(Kind.CREDENTIAL, "k", Credential(Scope.CLIENT, key)), "invalid", "edits[0].value.client"),
+            ("a", Edit(Kind.CREDENTIAL, "k", Credential(Scope.OPERATOR, key)), "invalid", "edits[0].value.scope"),
+            ("a", Edit(Kind.CREDENTIAL, "k", Credential(Scope.ADMIN)), "invalid", "edits[0].value.verifiers"),
+            ("a", (Edit(Kind.CLIENT, "two", Client("p")), Edit(Kind.CLIENT, "six", Client("p"))), "over-limit",
+             "limits.clients"),
+            ("a", Edit(Kind.PLAN, "p", Plan(6.0, 9.0)), "over-limit", "limits.rate"),
+            ("a", Edit(Kind.TENANT, "a", Head(limits=Limits(rate=1.0))), "over-limit", "limits.rate"),
+            ("b", Edit(Kind.HOST, "a.example.org", Host()), "taken", "edits[0].name"),
+            ("", Edit(Kind.CREDENTIAL, "root"), "in-use", "edits"),
+            ("", Edit(Kind.PLAN, "p", Plan()), "invalid", "edits[0].name"),
+            ("a", (), "invalid", "edits"),
+        ]
+        for tenant, edit, code, field in cases:
+            with self.subTest(tenant=tenant, edit=edit), self.assertRaises(Refused) as told:
+                apply(self.was, Change(tenant, edit if isinstance(edit, tuple) else (edit,)))
+            self.assertEqual((told.exception.code, told.exception.field), (code, field))
+
+    def test_a_change_is_checked_whole(self) -> None:
+        """Guards against refusing an atomic change for the order of its edits."""
+        made = apply(self.was, Change("a", (Edit(Kind.PLAN, "p"), Edit(Kind.CLIENT, "one", Client("q")),
+                                            Edit(Kind.PLAN, "q", Plan(1.0, 1.0)))))
+        self.assertEqual(list(made.catalogue.tenants["a"].plans), ["q"])
+
+    def test_a_tenant_made_again_is_told_whole(self) -> None:
+        """Guards against followers that keep what a tenant had before it was dropped and made again."""
+        log = History()
+        log.start(1, self.was.version)
+        now = self.was
+        for change in (Change("a", (Edit(Kind.TENANT, "a"),)), Change("a", (Edit(Kind.TENANT, "a", Head()),))):
+            made = apply(now, change)
+            log.add(made.diff)
+            now = made.catalogue
+        diff = log.diff(now, 1, self.was.version)
+        assert diff is not None
+        self.assertEqual((diff.reset, patch(self.was, diff)), (("a",), now))
+
+    def test_versions_no_longer_kept_give_no_diff(self) -> None:
+        """Guards against a diff with a gap in it, and one across epochs."""
+        log, now = History(most=3), self.was
+        log.start(1, now.version)
+        for number in range(5):
+            made = apply(now, Change("b", (Edit(Kind.PLAN, f"p{number}", Plan()),)))
+            log.add(made.diff)
+            now = made.catalogue
+        self.assertIsNone(log.diff(now, 1, self.was.version))
+        self.assertIsNone(log.diff(now, 2, now.version))
+        self.assertIsNone(log.diff(now, 1, now.version + 1))
+        kept = log.diff(now, 1, now.version - 3)
+        assert kept is not None
+        self.assertEqual(len(kept.rows), 3)
+        with self.assertRaises(ValueError):
+            patch(self.was, kept)
+
+
+class Access(unittest.TestCase):
+    """Who may do what."""
+
+    def test_another_s_is_hidden_and_one_s_own_is_by_scope(self) -> None:
+        """Guards against a 403 that tells of another tenant, and against scopes that reach too far."""
+        admin, reader = Caller("a", "x", Scope.ADMIN), Caller("a", "y", Scope.READ)
+        client, operator = Caller("a", "z", Scope.CLIENT), Caller("", "o", Scope.OPERATOR)
+        for kind in Kind:
+            for write in (True, False):
+                self.assertEqual(may(operator, "a", kind, write), Verdict.YES)
+                self.assertEqual(may(client, "a", kind, write), Verdict.HIDDEN)
+                for caller in (admin, reader):
+                    for other in ("b", "", "nobody"):
+                        self.assertEqual(may(caller, other, kind, write), Verdict.HIDDEN)
+            self.assertEqual(may(reader, "a", kind, True), Verdict.BEYOND)
+            own = kind in (Kind.PLAN, Kind.CLIENT, Kind.CREDENTIAL)
+            self.assertEqual(may(admin, "a", kind, True), Verdict.YES if own else Verdict.BEYOND)
+
+    def test_tokens_have_one_reading(self) -> None:
+        """Guards against a token that could be read as another tenant's."""
+        told = token_of("hh_acme.boss." + "x" * 43)
+        assert told is not None
+        self.assertEqual((told.tenant, told.id, str(told)), ("acme", "boss", "hh_acme.boss." + "x" * 43))
+        for text in ("", "hh_acme.boss.short", "hh_acme.b.oss." + "x" * 43, "xx_acme.boss." + "x" * 43,
+                     "hh_acme.boss." + "x" * 44, "hh_ACME.boss." + "x" * 43):
+            self.assertIsNone(token_of(text), text)
+
+    def test_customers_of_two_tenants_have_two_names(self) -> None:
+        """Guards against equal client ids meeting in the counter's names."""
+        one, two = names.customer_of("a", "00000000b4d65521"), names.customer_of("b", "00000000b4d65521")
+        self.assertNotEqual(digest(one), digest(two))
