--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	$(PY) -m pytest -n 4
 
 lint: build
-	$(VENV)/bin/ruff check hallhitch tests
+	$(VENV)/bin/ruff check hallhitch tests benchmarks
 	$(VENV)/bin/mypy
 	$(VENV)/bin/lint-imports
 
--- a/hallhitch/cli/control.py
+++ b/hallhitch/cli/control.py
@@ -9,7 +9,6 @@
 from hallhitch.cli.output import as_json
 from hallhitch.control import backups
 from hallhitch.control.first import first_operator
-from hallhitch.control.serve import serve
 from hallhitch.control.settings import ControlSettings
 from hallhitch.control.store import Loaded, StoreError
 from hallhitch.settings_file import read
@@ -51,7 +50,9 @@
 @FILE
 def serve_(file: str) -> None:
     """Serve the administration API until SIGTERM."""
-    import uvloop
+    import uvloop  # with the API's framework, half a second that other commands need not wait
+
+    from hallhitch.control.serve import serve
 
     try:
         uvloop.run(serve(_settings(file), file))
--- a/hallhitch/control/first.py
+++ b/hallhitch/control/first.py
@@ -4,8 +4,8 @@
 
 import time
 
+from hallhitch.control.opening import initialise, open_store
 from hallhitch.control.secrets import ARGON, new_secret
-from hallhitch.control.serve import initialise, open_store
 from hallhitch.control.settings import ControlSettings
 from hallhitch.control.store import Audited, StoreError
 from hallhitch.hosting.access import Token
--- /dev/null
+++ b/hallhitch/control/opening.py
@@ -0,0 +1,45 @@
+"""Opening of a control plane's folder: the store, and the key file that goes with it."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from hallhitch.control.secrets import Keys
+from hallhitch.control.settings import ControlSettings
+from hallhitch.control.store import SqliteStore, StoreError
+
+KEY_WORD = "key"  # where the store keeps which key file it goes with
+
+
+def open_store(settings: ControlSettings, file: str) -> tuple[SqliteStore, Keys]:
+    """The store and the key that goes with it."""
+    folder = settings.path(settings.store.folder, file)
+    store = SqliteStore(folder)
+    try:
+        keys = Keys.read(folder)
+        if store.meta(KEY_WORD) != keys.word:
+            raise StoreError(f"{folder}: the key file is not the one that this store was made with")
+    except BaseException:
+        store.close()
+        raise
+    return store, keys
+
+
+def initialise(settings: ControlSettings, file: str) -> Path:
+    """Make the folder, the key and an empty store; what is there already stays."""
+    folder = settings.path(settings.store.folder, file)
+    try:
+        folder.mkdir(parents=True, exist_ok=True, mode=0o700)
+        keys = Keys.create(folder)
+    except OSError as error:
+        raise StoreError(f"{folder}: {error.strerror}") from error
+    store = SqliteStore(folder, create=True)
+    try:
+        word = store.meta(KEY_WORD)
+        if word is None:
+            store.meta(KEY_WORD, keys.word)
+        elif word != keys.word:
+            raise StoreError(f"{folder}: the key file is not the one that this store was made with")
+    finally:
+        store.close()
+    return folder
--- a/hallhitch/control/serve.py
+++ b/hallhitch/control/serve.py
@@ -13,7 +13,6 @@
 import ssl
 import time
 from collections.abc import Iterator
-from pathlib import Path
 from typing import Any
 
 import structlog
@@ -22,9 +21,9 @@
 
 from hallhitch.control.api.app import application
 from hallhitch.control.clock import WallClock
-from hallhitch.control.secrets import Checker, Keys
+from hallhitch.control.opening import open_store
+from hallhitch.control.secrets import Checker
 from hallhitch.control.settings import ApiSettings, ControlSettings
-from hallhitch.control.store import SqliteStore, StoreError
 from hallhitch.control.writer import Writer
 from hallhitch.core.invariants import COUNTS
 from hallhitch.net.sockets import address_of, listen
@@ -34,7 +33,6 @@
 FAREWELL = 0.3  # seconds for the other side to end TLS too: an idle caller may never look
 ENDING = 8.0  # seconds for calls under way at the end
 HOURLY = 3_600.0
-KEY_WORD = "key"  # where the store keeps which key file it goes with
 log = structlog.get_logger()
 
 
@@ -113,20 +111,6 @@
         yield
 
 
-def open_store(settings: ControlSettings, file: str) -> tuple[SqliteStore, Keys]:
-    """The store and the key that goes with it."""
-    folder = settings.path(settings.store.folder, file)
-    store = SqliteStore(folder)
-    try:
-        keys = Keys.read(folder)
-        if store.meta(KEY_WORD) != keys.word:
-            raise StoreError(f"{folder}: the key file is not the one that this store was made with")
-    except BaseException:
-        store.close()
-        raise
-    return store, keys
-
-
 async def serve(settings: ControlSettings, file: str) -> None:
     """Serve until SIGTERM; SIGHUP has the certificates looked at again."""
     began = time.monotonic()
@@ -189,23 +173,3 @@
     while True:
         await writer.forget_answers()
         await asyncio.sleep(HOURLY)
-
-
-def initialise(settings: ControlSettings, file: str) -> Path:
-    """Make the folder, the key and an empty store; what is there already stays."""
-    folder = settings.path(settings.store.folder, file)
-    try:
-        folder.mkdir(parents=True, exist_ok=True, mode=0o700)
-        keys = Keys.create(folder)
-    except OSError as error:
-        raise StoreError(f"{folder}: {error.strerror}") from error
-    store = SqliteStore(folder, create=True)
-    try:
-        word = store.meta(KEY_WORD)
-        if word is None:
-            store.meta(KEY_WORD, keys.word)
-        elif word != keys.word:
-            raise StoreError(f"{folder}: the key file is not the one that this store was made with")
-    finally:
-        store.close()
-    return folder
--- a/hallhitch/hosting/draft.py
+++ b/hallhitch/hosting/draft.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Iterable
 
 from immutables import Map, MapMutation
@@ -174,12 +175,40 @@
 
 
 def build(epoch: int, version: int, rows: Iterable[Row], parts: dict[str, tuple[int, int]]) -> Catalogue:
-    """A catalogue from rows, each tenant's own first; `parts` has each tenant's `born` and `version`."""
-    draft = Draft(Catalogue())
+    """A catalogue from all its rows, each tenant's own among them; `parts` has each tenant's `born` and `version`.
+
+    The same as a draft with a put for each row, for starts: plain dicts, made into persistent maps at the end.
+    """
+    total = 0
+    things: dict[str, dict[Kind, dict[str, Kept]]] = {}
     for row in rows:
-        draft.put(row)
-    made = draft.done(epoch, version)
-    return set_parts(made, parts)
+        kept = Kept(row.value, row.version)
+        total += sum_of(row.tenant, row.kind, row.name, kept)
+        part = things.get(row.tenant)
+        if part is None:
+            part = things[row.tenant] = {kind: {} for kind in Kind}
+        part[row.kind][row.name] = kept
+    operators = things.pop("", {}).get(Kind.CREDENTIAL, {})
+    hosts: dict[str, str] = {}
+    tenants = {name: _whole(name, part, *parts[name]) for name, part in things.items()}
+    for name, tenant in tenants.items():
+        hosts.update(dict.fromkeys(tenant.hosts, name))
+    return Catalogue(epoch, version, Map(tenants), Map(operators), Map(hosts), total % WRAP)
+
+
+def _whole(name: str, things: dict[Kind, dict[str, Kept]], born: int, version: int) -> Tenant:
+    """One tenant's part with its indexes, from all its things."""
+    members, active = Counter[str](), Counter[str]()
+    for kept in things[Kind.CLIENT].values():
+        members[kept.value.plan] += 1
+        active[kept.value.plan] += kept.value.on
+    keys: dict[str, set[str]] = {}
+    for id, kept in things[Kind.CREDENTIAL].items():
+        if kept.value.client is not None:
+            keys.setdefault(kept.value.client, set()).add(id)
+    made = {field: Map(things[kind]) for kind, field in Tenant.KINDS.items()}
+    return Tenant(born, version, things[Kind.TENANT][name], members=Map(members), active=Map(+active),
+                  keys=Map({client: frozenset(ids) for client, ids in keys.items()}), **made)
 
 
 def set_parts(catalogue: Catalogue, parts: dict[str, tuple[int, int]]) -> Catalogue:
