--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 $(VENV)/done: requirements.txt pyproject.toml
 	python3 -m venv $(VENV)
-	$(VENV)/bin/pip -q install -r requirements.txt -e '.[hosted,dev]'
+	$(VENV)/bin/pip -q install -r requirements.txt -e '.[hosted,lab,dev]'
 	touch $@
 
 test: build
--- a/hallhitch/core/deadlines.py
+++ b/hallhitch/core/deadlines.py
@@ -37,7 +37,7 @@
 class Deadlines:
     """All deadlines of the program, soonest first; swept at each turn and when the soonest comes due."""
 
-    def __init__(self, clock: Clock, scheduler: Scheduler) -> None:
+    def __init__(self, clock: Callable[[], float], scheduler: Scheduler) -> None:
         self.clock, self._scheduler = clock, scheduler
         self._due: SortedList[Entry] = SortedList()
         self._number = count()
--- /dev/null
+++ b/hallhitch/lab/scenario.py
@@ -0,0 +1,163 @@
+"""Scenarios: the world, its traffic and its faults, as TOML. Times in ms unless a name says s; rates a second."""
+
+from __future__ import annotations
+
+from typing import Annotated, Any, Literal
+
+import msgspec
+from msgspec import Meta, Struct
+
+from hallhitch.decision import api
+
+Positive = Annotated[float, Meta(gt=0)]
+Natural = Annotated[float, Meta(ge=0)]
+Share = Annotated[float, Meta(ge=0, le=1)]
+Count = Annotated[int, Meta(ge=1, le=10_000)]
+Range = tuple[Natural, Natural]
+
+
+class Class(Struct, frozen=True, forbid_unknown_fields=True):
+    """A class of requests."""
+
+    aim: Positive
+    deadline: Positive
+    share: Share
+    work: Range  # of one core
+    worth: Positive = 1.0
+    effect: Literal["safe", "keyed", "unsafe"] = "safe"
+    window: Natural = 0.0  # how long the nodes of one pod remember its keys
+
+
+class PlanOf(Struct, frozen=True, forbid_unknown_fields=True):
+    """A plan, and how its clients use it."""
+
+    share: Share  # of the use inside quotas
+    rate: Range  # of each client
+    burst_s: Range
+    price: Positive = 1.0
+    beyond_worth: Share = 0.0
+    beyond_cost: Natural = 0.0
+
+
+class World(Struct, frozen=True, forbid_unknown_fields=True):
+    """What is there."""
+
+    gateways: Count = 3
+    nodes: Count = 10
+    zones: Count = 2
+    pods: Count = 3  # groups of nodes that know each other's keys
+    cores: Positive = 2.0
+    slots: Count = 6  # requests in work at once
+    queue: Count = 24  # requests waiting; more are turned away
+    crowding: Share = 0.01  # part of a node's speed that each request it holds costs
+    speed: Range = (0.9, 1.1)  # of each node, drawn once
+    cold_s: Natural = 12.0
+    cold_from: Annotated[float, Meta(gt=0, le=1)] = 0.2
+    fall_ms: Positive = 1500.0
+    fall_multiple: Positive = 3.0
+    connections: Count = 64  # that a node holds
+    handshake: Range = (1.0, 2.0)  # time of a new connection
+    handshake_work: Natural = 0.5
+    keepalive: Positive = 30_000.0
+    delay: Range = (0.2, 0.4)  # one way inside a zone
+    across: Range = (0.5, 0.8)  # one way between zones
+    list_late: Range = (500.0, 3000.0)
+    counter_per_s: Positive = 1500.0
+    counter_parts: Count = 2
+    counter_ms: Range = (0.4, 1.2)
+    counter_queue: Count = 200
+    counter_timeout: Positive = 50.0
+    attempts: Count = 5
+
+
+class Traffic(Struct, frozen=True, forbid_unknown_fields=True):
+    """What is asked."""
+
+    load: Natural = 0.55  # use inside quotas, as a share of what the nodes can do
+    full: Share = 0.15  # of the clients, who use nearly all of their quota
+    heavy: Share = 0.1  # who ask for far more, all the time
+    heavy_x: Range = (1.6, 4.5)
+    spiky: Share = 0.2  # who ask for far more for seconds
+    spiky_x: Range = (2.0, 6.0)
+    spike_s: Range = (1.8, 5.0)
+    spike_every_s: Range = (10.0, 25.0)
+    calm_use: Range = (0.15, 0.5)  # of the rate, by all others
+    spread: Range = (0.7, 1.0)  # of the gateways, that a client's requests come through
+    skew: Range = (0.3, 1.5)
+    shift_s: Range = (12.0, 22.0)  # until the busiest gateways of a client change
+    retry: Share = 0.5  # of clients that try once more by themselves
+    retry_wait: Range = (100.0, 600.0)
+    patience: Range = (0.5, 1.0)  # of the class's deadline
+    leave: Share = 0.0  # chance that a client leaves before its answer
+    fresh_per_s: Natural = 0.0  # clients that were never seen before, each with one request
+
+
+class Fault(Struct, frozen=True, forbid_unknown_fields=True):
+    """Something that goes wrong from `at_s` on, for `for_s`. `part` is the share of those it may befall."""
+
+    kind: Literal["slow", "quick_failures", "stall", "crash", "replace", "drain", "spoilt", "twice", "reset", "stale",
+                  "gateways_die", "counter_down", "counter_silent", "counter_slow", "counter_empty", "counter_part",
+                  "discovery_down", "burst", "flash"]
+    at_s: Natural
+    for_s: Natural = 0.0
+    part: Share = 0.1
+    size: Natural = 1.0
+    empty: bool = False  # a counter that returns has lost its numbers
+
+
+class Scenario(Struct, frozen=True, forbid_unknown_fields=True):
+    """A whole scenario."""
+
+    name: str
+    about: str = ""
+    seconds: Positive = 60.0
+    world: World = World()
+    traffic: Traffic = Traffic()
+    classes: dict[str, Class] = {}
+    plans: dict[str, PlanOf] = {}
+    faults: tuple[Fault, ...] = ()
+
+    def __post_init__(self) -> None:
+        if not self.classes or not self.plans:
+            raise ValueError("field 'classes': a scenario needs classes and plans")
+        for field, things in (("classes", self.classes), ("plans", self.plans)):
+            if abs(sum(thing.share for thing in things.values()) - 1) > 1e-6:
+                raise ValueError(f"field '{field}': the shares must add up to 1")
+        for name, kind in self.classes.items():
+            if kind.deadline < kind.aim:
+                raise ValueError(f"field 'classes.{name}.deadline': shorter than the aim")
+            if kind.effect == "keyed" and kind.window <= 0:
+                raise ValueError(f"field 'classes.{name}.window': a keyed class has one")
+        for number, fault in enumerate(self.faults):
+            if fault.at_s > self.seconds:
+                raise ValueError(f"field 'faults.{number}.at_s': after the end")
+
+    def settings(self, rates: dict[str, tuple[float, float]]) -> api.Settings:
+        """What a gateway is told; `rates` has each plan's rate and burst, as drawn."""
+        w = self.world
+        classes = tuple(api.RequestClass(
+            name, k.aim, k.deadline, k.worth, k.effect, "cell" if k.effect == "keyed" else "all", k.window)
+            for name, k in self.classes.items())
+        plans = tuple(api.Plan(name, *rates[name], price=p.price, beyond_worth=p.beyond_worth,
+                               beyond_cost=p.beyond_cost) for name, p in self.plans.items())
+        return api.Settings(
+            w.gateways, classes, plans, counter_timeout=w.counter_timeout, attempts=w.attempts, can_cancel=True,
+            can_advise=True, max_advice=1000.0, keepalive=w.keepalive, cold_time=w.cold_s * 1000,
+            cold_from=w.cold_from, fall_time=w.fall_ms, fall_multiple=w.fall_multiple)
+
+
+def replaced(scenario: Scenario, settings: dict[str, Any]) -> Scenario:
+    """A scenario with settings at dotted paths replaced, checked again; ValueError names the field."""
+    plain = msgspec.to_builtins(scenario)
+    for path, value in settings.items():
+        *way, last = path.split(".")
+        here = plain
+        for part in way:
+            here = here[int(part)] if isinstance(here, list) else here.get(part)
+            if here is None:
+                raise ValueError(f"field '{path}': there is none in this scenario")
+        if isinstance(here, list):
+            here[int(last)] = value
+        else:
+            here[last] = value
+    return msgspec.convert(plain, Scenario)
--- /dev/null
+++ b/hallhitch/lab/streams.py
@@ -0,0 +1,57 @@
+"""Random numbers: a stream for each part of the world, all from one seed.
+
+A part draws from its own stream alone, so a change in one part leaves the draws of the others as they were: two
+settings under one seed meet the same traffic and the same faults.
+"""
+
+from __future__ import annotations
+
+import numpy as np
+from xxhash import xxh64_intdigest
+
+
+class Stream:
+    """One part's numbers. Draws come in blocks: a single draw of numpy costs a microsecond."""
+
+    BLOCK = 1024
+
+    def __init__(self, seed: int, name: str) -> None:
+        entropy = np.random.SeedSequence([seed, xxh64_intdigest(name.encode())])
+        self.numbers = np.random.Generator(np.random.PCG64(entropy))
+        self._uniform: list[float] = []
+        self._exponential: list[float] = []
+
+    def random(self) -> float:
+        """From 0 up to 1."""
+        if not self._uniform:
+            self._uniform = self.numbers.random(self.BLOCK).tolist()
+        return self._uniform.pop()
+
+    def between(self, low: float, high: float) -> float:
+        """Evenly between two figures."""
+        return low + (high - low) * self.random()
+
+    def exponential(self, mean: float) -> float:
+        """The time to the next of events that come at random."""
+        if not self._exponential:
+            self._exponential = self.numbers.standard_exponential(self.BLOCK).tolist()
+        return mean * self._exponential.pop()
+
+    def chance(self, share: float) -> bool:
+        """Whether something of this chance happens."""
+        return self.random() < share
+
+    def index(self, count: int) -> int:
+        """One of so many."""
+        return int(self.random() * count)
+
+
+class Streams:
+    """Streams by name."""
+
+    def __init__(self, seed: int) -> None:
+        self._seed = seed
+
+    def of(self, name: str) -> Stream:
+        """The stream of one part: the same seed and name give the same numbers."""
+        return Stream(self._seed, name)
--- /dev/null
+++ b/hallhitch/lab/world.py
@@ -0,0 +1,260 @@
+"""A run in virtual time: builds the world of a scenario, plays its faults and its clients, keeps the log."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from hallhitch.lab.hopping import Ask, ModelGateway, Network
+from hallhitch.lab.journal import Journal
+from hallhitch.lab.node import Node, Pod
+from hallhitch.lab.scenario import Fault, Scenario
+from hallhitch.lab.services import Counter, Discovery
+from hallhitch.lab.streams import Streams
+from hallhitch.lab.traffic import Intent, Traffic, draw
+from hallhitch.lab.virtual import EPOCH, VirtualTime
+
+AFTER = 1_500.0  # ms past the longest deadline for which a run goes on once nothing new is asked
+FRONT_BLIND = (900.0, 3_500.0)  # ms for which requests go on coming to a gateway that is dead
+REPLACED = 4_000.0  # ms that a drained node has to finish
+Mutant = Callable[[ModelGateway], None]
+
+
+@dataclass(slots=True)
+class Result:
+    """What a run leaves."""
+
+    journal: Journal
+    traffic: Traffic
+    counter_calls: int
+    steps: int
+    effects: dict[str, int]
+
+
+class Run:
+    """One run of a scenario under a seed; `mutant` may spoil the gateways, to try the checker."""
+
+    def __init__(self, scenario: Scenario, seed: int, mutant: Mutant | None = None) -> None:
+        self.scenario, self.seed, self._mutant = scenario, seed, mutant
+        self.time, self.streams, w = VirtualTime(), Streams(seed), scenario.world
+        self.journal = Journal(EPOCH)
+        self.traffic = draw(scenario, seed)
+        self.settings = scenario.settings(self.traffic.rates)
+        self._log_world()
+        self.network = Network(w, self.streams.of("network"))
+        self.counter = Counter(w, self.time, self.streams.of("counter"))
+        self.discovery = Discovery(w, self.time, self.streams.of("discovery"))
+        self._pods = [Pod() for _ in range(w.pods)]
+        self._made, self._ids = 0, 0
+        self._speeds, self._faults = self.streams.of("speeds"), self.streams.of("faults")
+        self.nodes: dict[str, Node] = {}
+        self.effects: dict[str, int] = {}
+        for _ in range(w.nodes):
+            node = self._node(0.0)
+            self.discovery.entries[node.name] = self.discovery.entry(node, "up")
+        self._first_list = tuple(self.discovery.entries.values())
+        self._starts = 0
+        self.gateways: dict[int, ModelGateway | None] = {}
+        for number in range(w.gateways):
+            self._gateway(number)
+        self._blind: dict[int, float] = {}  # until when requests still come to a dead gateway
+
+    def play(self) -> Result:
+        """Run to the end."""
+        for fault in self.scenario.faults:
+            self.time.at(EPOCH + fault.at_s * 1000, self._begin, fault)
+        self._next(0)
+        longest = max(k.deadline for k in self.settings.classes)
+        self.time.run(EPOCH + self.scenario.seconds * 1000 + longest + AFTER)
+        for node in self.nodes.values():
+            for key, count in node.effects.items():
+                self.effects[key] = self.effects.get(key, 0) + count
+        return Result(self.journal, self.traffic, self.counter.calls, self.time.steps, self.effects)
+
+    # What is there.
+
+    def _log_world(self) -> None:
+        w = self.scenario.world
+        classes = {k.name: [k.aim, k.deadline, k.worth, k.effect, k.repeat_window] for k in self.settings.classes}
+        plans = {p.name: [p.rate, p.burst, p.price, p.beyond_worth, p.beyond_cost] for p in self.settings.plans}
+        self.journal.add(EPOCH, "world", classes, plans, [w.cold_from, w.fall_ms, w.fall_multiple],
+                         self.scenario.seconds)
+
+    def _node(self, born: float) -> Node:
+        w, number = self.scenario.world, self._made
+        self._made += 1
+        cell = number % w.pods
+        node = Node(f"node-{number}", w, self._pods[cell], cell, number % w.zones, self._speeds.between(*w.speed),
+                    self.time, self.journal, self.streams.of(f"node {number}"), born)
+        self.nodes[node.name] = node
+        return node
+
+    def _gateway(self, number: int) -> None:
+        self._starts += 1
+        stream = self.streams.of(f"gateway {number} start {self._starts}")
+        made = ModelGateway(number, self.settings, self.seed * 1000 + self._starts, self.scenario.world, self.time,
+                            self.nodes, self.counter, self.network, self.journal, stream, self._first_list)
+        if self._mutant is not None:
+            self._mutant(made)
+        self.gateways[number] = made
+        self.discovery.watch(number, made.told)
+
+    # Clients.
+
+    def _next(self, turn: int) -> None:
+        """The next try of a client, and a look at the one behind it."""
+        intents = self.traffic.intents
+        if turn < len(intents):
+            self.time.at(EPOCH + intents[turn].at, self._come, turn)
+
+    def _come(self, turn: int) -> None:
+        self._next(turn + 1)
+        self._try(self.traffic.intents[turn], True, 1.0)
+
+    def _try(self, intent: Intent, first: bool, share: float) -> None:
+        number = self._through(intent.gateway if first else intent.again, intent)
+        gateway = self.gateways.get(number)
+        if gateway is None:  # dead, and the front does not know yet
+            return self._again(intent, first, 0.0)
+        self._ids += 1
+        id, now, patience = self._ids, self.time.now, intent.patience * share
+        plan, klass = self.settings.plans[intent.customer.plan].name, self.settings.classes[intent.klass].name
+        self.journal.add(now, "ask", id, number, intent.customer.name, plan, klass, intent.key,
+                         round(now + patience - EPOCH, 3), first)
+        over = False
+
+        def done(status: str, advice: float) -> None:
+            nonlocal over
+            over = True
+            if status != "served":
+                self._again(intent, first, advice)
+
+        def leave() -> None:
+            if not over and gateway is self.gateways.get(number):
+                self.journal.add(self.time.now, "leave", id)
+                gateway.core.leave(exchange)
+
+        ask = Ask(id, intent, done, self.journal, self.time)
+        exchange = gateway.ask(ask, patience, intent.customer.spread, not first)
+        if first and intent.leaves < 1:
+            self.time.after(patience * intent.leaves, leave)
+
+    def _again(self, intent: Intent, first: bool, advice: float) -> None:
+        """A client that tries once more by itself."""
+        if first and intent.retries:
+            self.time.after(max(intent.retry_wait, advice), self._try, intent, False, 0.75)
+
+    def _through(self, number: int, intent: Intent) -> int:
+        """The gateway that the front gives a request to."""
+        for step in range(intent.customer.spread):
+            other = (number + step) % self.scenario.world.gateways
+            if self.gateways.get(other) is not None or self.time.now < self._blind.get(other, 0.0):
+                return other
+        return number
+
+    # Faults.
+
+    def _some(self, part: float) -> list[Node]:
+        """Nodes that a fault befalls: one at least."""
+        up = [node for node in self.nodes.values() if node.state == "up"]
+        count = min(len(up), max(1, round(part * len(up))))
+        picked = []
+        for _ in range(count):
+            picked.append(up.pop(self._faults.index(len(up))))
+        return picked
+
+    def _begin(self, fault: Fault) -> None:
+        whom: list[Node] = []
+        ends = self.time.now + fault.for_s * 1000
+        kind = fault.kind
+        if kind in ("slow", "quick_failures", "stall", "spoilt", "twice"):
+            whom = self._some(fault.part)
+            field = {"slow": "slow", "quick_failures": "failing", "stall": "stalled", "spoilt": "spoiling",
+                     "twice": "doubling"}[kind]
+            for node in whom:
+                node.change(**{field: True if kind == "stall" else fault.size})
+            usual: object = 1.0 if kind == "slow" else False if kind == "stall" else 0.0
+            for node in whom:
+                self.time.at(ends, lambda node=node: node.change(**{field: usual}))
+        elif kind in ("crash", "drain", "replace"):
+            whom = self._some(1.0 if kind == "replace" else fault.part)
+            self._go(fault, whom)
+        elif kind == "gateways_die":
+            self._kill(fault)
+        elif kind in ("reset", "stale"):
+            setattr(self.network, kind, fault.size)
+            self.time.at(ends, setattr, self.network, kind, 0.0 if kind == "reset" else float("inf"))
+        elif kind == "discovery_down":
+            self.discovery.down = True
+            self.time.at(ends, self.discovery.up)
+        elif kind.startswith("counter"):
+            self._counter_fault(fault, ends)
+        self.journal.add(self.time.now, "fault", kind, "begins", [node.name for node in whom])
+        self.time.at(ends, lambda: self.journal.add(self.time.now, "fault", kind, "ends", []))
+
+    def _counter_fault(self, fault: Fault, ends: float) -> None:
+        counter = self.counter
+
+        def over() -> None:
+            counter.down = counter.silent = False
+            counter.slow = 1.0
+            counter.broken_parts.clear()
+            if fault.empty or fault.kind == "counter_empty":
+                counter.forget()
+
+        if fault.kind == "counter_down":
+            counter.down = True
+        elif fault.kind == "counter_silent":
+            counter.silent = True
+        elif fault.kind == "counter_slow":
+            counter.slow = fault.size
+        elif fault.kind == "counter_part":
+            counter.broken_parts.add(0)
+        self.time.at(ends, over)
+
+    def _go(self, fault: Fault, whom: list[Node]) -> None:
+        """Nodes that crash and return, drain, or are all replaced one after another."""
+        step = fault.for_s * 1000 / max(1, len(whom))
+        for turn, node in enumerate(whom):
+            if fault.kind == "crash":
+                node.stop("down")
+                self.discovery.set(node, "gone")
+                self.time.after(fault.for_s * 1000, self._join)
+            else:
+                at = step * turn if fault.kind == "replace" else 0.0
+                self.time.after(at, self._drain, node)
+                if fault.kind == "replace":
+                    self.time.after(at, self._join)
+
+    def _drain(self, node: Node) -> None:
+        if node.state == "up":
+            node.drain()
+            self.discovery.set(node, "drain")
+            self.time.after(REPLACED, self._gone, node)
+
+    def _gone(self, node: Node) -> None:
+        if node.state == "drain":
+            node.stop("down")
+            self.discovery.set(node, "gone")
+
+    def _join(self) -> None:
+        """A new node, cold."""
+        self.discovery.set(self._node(self.time.now), "up")
+
+    def _kill(self, fault: Fault) -> None:
+        alive = [number for number, gateway in self.gateways.items() if gateway is not None]
+        count = min(len(alive), max(1, round(fault.part * len(alive))))
+        for _ in range(count):
+            number = alive.pop(self._faults.index(len(alive)))
+            gateway = self.gateways[number]
+            assert gateway is not None
+            gateway.kill()
+            self.discovery.leave(number)
+            self.gateways[number] = None
+            self._blind[number] = self.time.now + min(fault.for_s * 1000, self._faults.between(*FRONT_BLIND))
+            self.time.after(fault.for_s * 1000, self._gateway, number)
+
+
+def play(scenario: Scenario, seed: int, mutant: Mutant | None = None) -> Result:
+    """Run a scenario under a seed in virtual time."""
+    return Run(scenario, seed, mutant).play()
--- /dev/null
+++ b/tests/lab/test_world.py
@@ -0,0 +1,86 @@
+"""The world in virtual time: every scenario under a few seeds, by the rules, and the same to the byte each time."""
+
+from __future__ import annotations
+
+import hashlib
+import os
+import subprocess
+import sys
+import unittest
+from pathlib import Path
+
+import msgspec
+
+from hallhitch.lab.checker import check
+from hallhitch.lab.figures import figures
+from hallhitch.lab.scenario import Scenario, replaced
+from hallhitch.lab.streams import Streams
+from hallhitch.lab.world import Result, play
+from hallhitch.settings_file import read
+from tests.stand_ins import ROOT
+
+SCENARIOS = sorted((ROOT / "scenarios").glob("*.toml"))
+SECONDS = 16.0  # of each scenario here: its faults are moved into them
+SEEDS = [int(seed) for seed in os.environ.get("HALLHITCH_LAB_SEEDS", "1 2").split()]
+
+
+def short(path: Path) -> Scenario:
+    """A scenario with its time, and its faults' times, cut down."""
+    whole = read(str(path), Scenario)
+    by = min(1.0, SECONDS / whole.seconds)
+    faults = tuple(msgspec.structs.replace(f, at_s=f.at_s * by, for_s=f.for_s * max(by, 0.3)) for f in whole.faults)
+    return msgspec.structs.replace(whole, seconds=whole.seconds * by, faults=faults)
+
+
+class Rules(unittest.TestCase):
+    """All scenarios."""
+
+    def test_no_rule_is_broken_whatever_fails(self) -> None:
+        """Guards against a decision that breaks a rule under any of the faults that were seen in service."""
+        for path in SCENARIOS:
+            for seed in SEEDS:
+                with self.subTest(scenario=path.stem, seed=seed):
+                    result = play(short(path), seed)
+                    self.assertEqual([str(b) for b in check(result.journal.events)], [])
+                    found = figures(result.journal.events, result.traffic, result.counter_calls)
+                    self.assertGreater(found.service, 0.5)
+                    self.assertLessEqual(found.service, 1.0)
+                    self.assertEqual(found.missed, 0)
+
+
+class Same(unittest.TestCase):
+    """What makes two runs comparable."""
+
+    def test_one_seed_one_log_whatever_the_hash_seed(self) -> None:
+        """Guards against a result that changes with the order of hash tables or with what ran before."""
+        code = ("import hashlib, structlog, logging\n"
+                "structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR))\n"
+                "from tests.lab.test_world import short, ROOT, play\n"
+                "r = play(short(ROOT / 'scenarios' / 'gateways-die.toml'), 7)\n"
+                "print(hashlib.sha256(b''.join(r.journal.lines())).hexdigest())")
+        here = hashlib.sha256(b"".join(play(short(ROOT / "scenarios" / "gateways-die.toml"), 7).journal.lines()))
+        for hash_seed in ("0", "4242"):
+            done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True,
+                                  env={"PYTHONHASHSEED": hash_seed})
+            self.assertEqual(done.stdout.strip(), here.hexdigest(), done.stderr)
+
+    def test_a_change_in_one_part_leaves_the_draws_of_the_others(self) -> None:
+        """Guards against two settings compared on two different days."""
+
+        def asked(result: Result) -> list[tuple[float, str, float]]:
+            return [(i.at, i.key, i.work) for i in result.traffic.intents]
+
+        base = short(ROOT / "scenarios" / "calm.toml")
+        other = replaced(base, {"world.nodes": base.world.nodes, "world.slots": 3, "world.counter_per_s": 200.0})
+        self.assertEqual(asked(play(base, 5)), asked(play(other, 5)))
+        self.assertNotEqual(asked(play(base, 5)), asked(play(base, 6)))
+        one, two = Streams(9), Streams(9)
+        two.of("another part").random()
+        self.assertEqual([one.of("x").random() for _ in range(3)], [two.of("x").random() for _ in range(3)])
+
+    def test_a_setting_that_is_not_there_is_named(self) -> None:
+        """Guards against an experiment that varies nothing."""
+        base = read(str(ROOT / "scenarios" / "calm.toml"), Scenario)
+        for path in ("world.nodez", "wrld.nodes", "classes.inspekt.aim"):
+            with self.subTest(path=path), self.assertRaises(ValueError):
+                replaced(base, {path: 1})
