--- a/hallhitch/cli/check.py
+++ b/hallhitch/cli/check.py
@@ -9,10 +9,12 @@
 
 from hallhitch.control.settings import ControlSettings
 from hallhitch.hosting.tenant_file import TenantFile
+from hallhitch.lab.scenario import Scenario
 from hallhitch.resp.config import RespConfig
 from hallhitch.settings_file import SettingsError, read
 
-FORMS: dict[str, type[Any]] = {"control": ControlSettings, "tenant": TenantFile, "resp": RespConfig}
+FORMS: dict[str, type[Any]] = {"control": ControlSettings, "tenant": TenantFile, "resp": RespConfig,
+                              "scenario": Scenario}
 
 
 def form_of(path: str) -> str:
@@ -26,6 +28,8 @@
         raise SettingsError(f"{path}: not TOML: {error}") from error
     if {"store", "api", "tls"} & set(top):
         return "control"
+    if {"world", "traffic", "classes", "faults"} & set(top):
+        return "scenario"
     return "tenant" if {"tenant", "plans", "clients", "hosts"} & set(top) else "resp"
 
 
--- a/hallhitch/cli/main.py
+++ b/hallhitch/cli/main.py
@@ -10,6 +10,7 @@
 from hallhitch.cli.check import check
 from hallhitch.cli.control import control
 from hallhitch.cli.credentials import credentials
+from hallhitch.cli.experiment import experiment
 from hallhitch.cli.output import Failure
 from hallhitch.cli.tenants import tenants
 from hallhitch.cli.tls import tls
@@ -28,7 +29,7 @@
     logs.configure()
 
 
-for command in (check, control, credentials, tenants, tls):
+for command in (check, control, credentials, experiment, tenants, tls):
     commands.add_command(command)
 
 
