Add hallhitch load: open-loop load whose times count from when a request was meant to go

Need: a generator that waits for replies sends less while a server stands still, and hides the delays that cost most.

--- a/hallhitch/cli/main.py
+++ b/hallhitch/cli/main.py
@@ -11,6 +11,7 @@
 from hallhitch.cli.control import control
 from hallhitch.cli.credentials import credentials
 from hallhitch.cli.experiment import experiment
+from hallhitch.cli.load import load, trace
 from hallhitch.cli.output import Failure
 from hallhitch.cli.tenants import tenants
 from hallhitch.cli.tls import tls
@@ -29,7 +30,7 @@
     logs.configure()
 
 
-for command in (check, control, credentials, experiment, tenants, tls):
+for command in (check, control, credentials, experiment, load, tenants, tls, trace):
     commands.add_command(command)
 
 
