Run the world on real sockets with real gateways, and make demo the main job in one command

Need: a newcomer could not run the program without nodes, counter, discovery and traffic; and a model is worth what it shares with real processes.

Found on the way, in clients of our own (here and in load): a request whose kept connection had been closed was said again on another kept one, not on a new one, and counted as broken.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv-dev
 PY = $(VENV)/bin/python
 
-.PHONY: build test soak lint run demo-control clean
+.PHONY: build test soak lint run demo demo-control clean
 
 build: $(VENV)/done
 
@@ -27,6 +27,10 @@
 run: build
 	$(PY) -O -m hallhitch
 
+# The main job: two gateways, an emulated fleet, traffic with a fault, a report.
+demo: build
+	$(VENV)/bin/hallhitch demo
+
 # A control plane with two tenants, and the calls to try. Ctrl-C ends it.
 demo-control: build
 	$(VENV)/bin/hallhitch control demo
--- a/hallhitch/cli/main.py
+++ b/hallhitch/cli/main.py
@@ -10,6 +10,7 @@
 from hallhitch.cli.check import check
 from hallhitch.cli.control import control
 from hallhitch.cli.credentials import credentials
+from hallhitch.cli.demo_fleet import demo
 from hallhitch.cli.experiment import experiment
 from hallhitch.cli.load import load, trace
 from hallhitch.cli.output import Failure
@@ -30,7 +31,7 @@
     logs.configure()
 
 
-for command in (check, control, credentials, experiment, load, tenants, tls, trace):
+for command in (check, control, credentials, demo, experiment, load, tenants, tls, trace):
     commands.add_command(command)
 
 
--- a/hallhitch/lab/load.py
+++ b/hallhitch/lab/load.py
@@ -269,15 +269,15 @@
         try:
             async with self._room:
                 for again in (True, False):
-                    kept = bool(self._idle)
+                    kept = again and bool(self._idle)  # the second time on a new one
                     reader, writer = self._idle.pop() if kept else await asyncio.open_connection(
                         *loopback(self._plan.address))
                     try:
                         writer.write(self._wire.request(line))
                         status, keep = await self._wire.reply(reader)
-                    except asyncio.IncompleteReadError as error:
+                    except (asyncio.IncompleteReadError, ConnectionError) as error:
                         writer.close()
-                        if kept and again and not error.partial:
+                        if kept and not getattr(error, "partial", b""):
                             continue  # a kept connection that the server had closed: not read there
                         raise
                     if keep:
--- /dev/null
+++ b/hallhitch/lab/sockets.py
@@ -0,0 +1,589 @@
+"""The same world on real sockets: nodes, counter and discovery on loopback, real gateway processes between, clients.
+
+Models, traffic and faults are those of the virtual run, and the log has the same lines, so the same checker reads it.
+Each gateway reaches every party at a port of its own, which is how a node knows whose attempt it is.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+from hallhitch.decision import api
+from hallhitch.lab.hopping import Network
+from hallhitch.lab.journal import Journal
+from hallhitch.lab.node import Node, Pod, Work
+from hallhitch.lab.scenario import Fault, Scenario
+from hallhitch.lab.services import Counter, Discovery
+from hallhitch.lab.streams import Streams
+from hallhitch.lab.traffic import Intent, Traffic, draw
+from hallhitch.lab.world import AFTER, FRONT_BLIND, REPLACED
+
+Reader = asyncio.StreamReader
+Writer = asyncio.StreamWriter
+Tick = Callable[[int, dict[str, int]], None]
+STATES = {"up": "active", "drain": "leaving", "gone": "left"}
+READY = 20.0  # s for a gateway to say that it serves
+HOLD_MOST = 60.0
+
+
+class LoopTime:
+    """Unix ms on the running loop, for the models."""
+
+    def __init__(self) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._base = time.time() * 1000 - time.monotonic() * 1000
+
+    @property
+    def now(self) -> float:
+        return self._base + time.monotonic() * 1000
+
+    def after(self, delay: float, callback: Callable[..., object], /, *args: object) -> object:
+        """Call it so many milliseconds from now."""
+        return self._loop.call_later(max(0.0, delay) / 1000, callback, *args)
+
+
+async def read_message(reader: Reader) -> tuple[str, dict[str, str], bytes]:
+    """One HTTP message: first line, headers in lower case, body."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    headers = {n.strip().lower(): v.strip() for n, _, v in (line.partition(":") for line in head[1:] if line)}
+    return head[0], headers, await reader.readexactly(int(headers.get("content-length", "0")))
+
+
+def answer(status: int, body: bytes = b"", extra: str = "") -> bytes:
+    """An HTTP answer."""
+    return f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{extra}\r\n".encode() + body
+
+
+class Listener:
+    """A listener on loopback whose connections can all be broken at once."""
+
+    def __init__(self, serve: Callable[[Reader, Writer], Awaitable[None]]) -> None:
+        self._serve, self.address, self._writers = serve, "", set[Writer]()
+
+    async def start(self) -> Listener:
+        """Listen on a free port."""
+        self._server = await asyncio.start_server(self._connected, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()[:2]
+        self.address = f"{host}:{port}"
+        return self
+
+    async def _connected(self, reader: Reader, writer: Writer) -> None:
+        self._writers.add(writer)
+        with contextlib.suppress(OSError, EOFError, asyncio.LimitOverrunError, ValueError, asyncio.CancelledError):
+            await self._serve(reader, writer)
+        self._writers.discard(writer)
+        writer.transport.abort()
+
+    def stop(self) -> None:
+        """Refuse from now on, and break what is open."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+
+class SocketNode:
+    """A model node behind one listener for each gateway."""
+
+    def __init__(self, node: Node, run: SocketRun) -> None:
+        self.node, self._run = node, run
+        self.listeners: list[Listener] = []
+
+    async def start(self) -> SocketNode:
+        """Listen."""
+        for gateway in range(self._run.scenario.world.gateways):
+            self.listeners.append(await Listener(
+                lambda reader, writer, gateway=gateway: self._serve(gateway, reader, writer)).start())  # type: ignore[misc]
+        return self
+
+    def stop(self, state: str) -> None:
+        """Crash or be gone."""
+        self.node.stop(state)
+        for listener in self.listeners:
+            listener.stop()
+
+    async def _serve(self, gateway: int, reader: Reader, writer: Writer) -> None:
+        world, node = self._run.scenario.world, self.node
+        if node.connections >= world.connections:
+            return
+        node.connections += 1
+        node.charge(world.handshake_work)
+        await asyncio.sleep(self._run.network_delay() / 1000)
+        idle_since: float | None = None
+        try:
+            while True:
+                _, headers, _ = await read_message(reader)
+                idle = self._run.time.now - idle_since if idle_since is not None else 0.0
+                if not await self._one(gateway, headers, reader, writer, idle):
+                    return
+                idle_since = self._run.time.now
+        finally:
+            node.connections -= 1
+
+    async def _one(self, gateway: int, headers: dict[str, str], reader: Reader, writer: Writer, idle: float) -> bool:
+        """One attempt; whether the connection goes on."""
+        run, node = self._run, self.node
+        id = int(headers["req-id"], 16)
+        intent = run.intents[id]
+        if idle > run.network.stale:
+            return False  # dropped long ago, if anybody had said so
+        number = run.attempts.get(id, 0)
+        run.attempts[id] = number + 1
+        run.journal.add(run.time.now, "send", id, number, gateway, node.name)
+        kind = run.settings.classes[intent.klass]
+        loop = asyncio.get_running_loop()
+        outcome: asyncio.Future[tuple[str, int]] = loop.create_future()
+
+        def reply(what: str, echo: int) -> None:
+            if not outcome.done():
+                outcome.set_result((what, echo))
+
+        node.take(Work(id, number, intent.work, run.time.now + float(headers.get("req-deadline-ms", 1e4)), intent.key,
+                       kind.repeat_window, kind.effect != api.SAFE, reply))
+        broken = run.network.breaks()
+        # Nothing is asked behind an attempt: what comes is its end.
+        gone: asyncio.Future[bytes] = loop.create_task(reader.read(1))
+        waited: set[asyncio.Future[Any]] = {gone, outcome}
+        await asyncio.wait(waited, return_when=asyncio.FIRST_COMPLETED)
+        if not outcome.done() or broken:
+            gone.cancel()
+            run.journal.add(run.time.now, "done", id, number, "reset" if broken else "cancelled")
+            return False
+        what, echo = outcome.result()
+        text = {"ok": answer(200, b"%d" % echo), "twice": answer(200, b"%d" % echo) * 2, "error": answer(500),
+                "full": answer(503, extra="Srv-Declined: 1\r\n"),
+                "spoilt": b"HTTP/1.1 200 OK\r\nContent-Length: none\r\n\r\n"}.get(what, b"")
+        heard = {"spoilt": "error", "twice": "ok"}.get(what, what)
+        run.journal.add(run.time.now, "done", id, number, heard)
+        writer.write(text)
+        gone.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await gone
+        return what in ("ok", "error", "full")
+
+
+class Agent:
+    """Discovery's agent on one gateway's machine: it has what it was sent, and answers watches with it."""
+
+    def __init__(self, number: int, run: SocketRun) -> None:
+        self._number, self._run, self._seq = number, run, 1
+        self._changes: list[tuple[int, api.ServerEntry]] = []
+        self._entries: dict[str, api.ServerEntry] = {}
+        self._news = asyncio.Event()
+
+    async def start(self) -> Agent:
+        """Listen."""
+        self.listener = await Listener(self._serve).start()
+        return self
+
+    def told(self, news: api.ServerList) -> None:
+        """Discovery has sent something."""
+        for entry in news.entries:
+            self._seq += 1
+            self._changes.append((self._seq, entry))
+            if entry.state == "gone":
+                self._entries.pop(entry.server, None)
+            else:
+                self._entries[entry.server] = entry
+        self._news.set()
+        self._news = asyncio.Event()
+
+    async def _serve(self, reader: Reader, writer: Writer) -> None:
+        while True:
+            first, *_ = await read_message(reader)
+            query = dict(part.partition("=")[::2] for part in first.split()[1].partition("?")[2].split("&") if part)
+            after = int(query.get("from", -1))
+            if after >= self._seq:
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(self._news.wait(), min(HOLD_MOST, float(query.get("hold_ms", 0)) / 1000))
+            whole = after < 0
+            entries = list(self._entries.values()) if whole else [e for seq, e in self._changes if seq > after]
+            hosts = [self._run.host(entry, self._number) for entry in entries]
+            body = json.dumps({"seq": self._seq, "whole": whole, "hosts": hosts}).encode()
+            for entry in entries:
+                self._run.journal.add(self._run.time.now, "told", self._number, entry.server, entry.state)
+            writer.write(answer(200, body))
+
+
+class CounterSide:
+    """The counter as one gateway reaches it: calls may be written one behind another, answers keep their order."""
+
+    def __init__(self, run: SocketRun) -> None:
+        self._run = run
+
+    async def serve(self, reader: Reader, writer: Writer) -> None:
+        """Answer calls."""
+        last: asyncio.Future[None] | None = None
+        loop = asyncio.get_running_loop()
+        while True:
+            first, *_ = await read_message(reader)
+            path, _, query = first.split()[1].partition("?")
+            told = dict(part.partition("=")[::2] for part in query.split("&"))
+            if self._run.counter.down:
+                return
+            mine: asyncio.Future[None] = loop.create_future()
+
+            def reply(outcome: str, total: float, before: asyncio.Future[None] | None = last,
+                      mine: asyncio.Future[None] = mine) -> None:
+                if outcome == "unreachable":
+                    writer.transport.abort()
+                    return
+                text = answer(200, b"%.7g" % total) if outcome == "ok" else answer(503)
+
+                def write(_: object = None) -> None:
+                    if not writer.transport.is_closing():
+                        writer.write(text)
+                    if not mine.done():
+                        mine.set_result(None)
+
+                if before is None or before.done():
+                    write()
+                else:
+                    before.add_done_callback(write)
+
+            last = mine
+            self._run.counter.call(int(path.rpartition("/")[2]), float(told["n"]), float(told["keep_ms"]), reply)
+
+
+class SocketRun:
+    """One run on sockets. `tick` hears each second what came of the requests so far."""
+
+    def __init__(self, scenario: Scenario, seed: int, tick: Tick | None = None) -> None:
+        self.scenario, self.seed, self._tick = scenario, seed, tick
+        self.traffic: Traffic = draw(scenario, seed)
+        self.settings = scenario.settings(self.traffic.rates)
+        self.intents: dict[int, Intent] = {}
+        self.attempts: dict[int, int] = {}
+        self.statuses: dict[str, int] = {}
+        self._processes: dict[int, asyncio.subprocess.Process | None] = {}
+        self._idle: dict[int, list[tuple[Reader, Writer]]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._blind: dict[int, float] = {}
+        self._ids = 0
+
+    def network_delay(self) -> float:
+        """One way between a gateway and a node."""
+        return self.network.delay(0, 0)
+
+    async def play(self) -> None:
+        """Run to the end; the log is in `journal`."""
+        w, streams = self.scenario.world, Streams(self.seed)
+        self.time = LoopTime()
+        self.journal = Journal(self.time.now)
+        self.network = Network(w, streams.of("network"))
+        self.counter = Counter(w, self.time, streams.of("counter"))
+        self.discovery = Discovery(w, self.time, streams.of("discovery"))
+        self._streams, self._speeds, self._faults = streams, streams.of("speeds"), streams.of("faults")
+        self._pods = [Pod() for _ in range(w.pods)]
+        self.nodes: dict[str, SocketNode] = {}
+        self._log_world()
+        with tempfile.TemporaryDirectory() as folder:
+            self._folder = Path(folder)
+            for _ in range(w.nodes):
+                made = await self._node(0.0)
+                self.discovery.entries[made.node.name] = self.discovery.entry(made.node, "up")
+            self._first = [entry for entry in self.discovery.entries.values()]
+            sides = [await Listener(CounterSide(self).serve).start() for _ in range(w.gateways)]
+            self._agents = [await Agent(number, self).start() for number in range(w.gateways)]
+            self._counters = sides
+            self._ports = {number: free_port() for number in range(w.gateways)}
+            try:
+                await asyncio.gather(*(self._gateway(number) for number in range(w.gateways)))
+                await self._drive()
+            finally:
+                await self._end()
+
+    # What is there.
+
+    def _log_world(self) -> None:
+        w = self.scenario.world
+        classes = {k.name: [k.aim, k.deadline, k.worth, k.effect, k.repeat_window] for k in self.settings.classes}
+        plans = {p.name: [p.rate, p.burst, p.price, p.beyond_worth, p.beyond_cost] for p in self.settings.plans}
+        self.journal.add(self.time.now, "world", classes, plans, [w.cold_from, w.fall_ms, w.fall_multiple],
+                         self.scenario.seconds)
+
+    async def _node(self, born: float) -> SocketNode:
+        w, number = self.scenario.world, len(self.nodes)
+        cell = number % w.pods
+        node = Node(f"node-{number}", w, self._pods[cell], cell, number % w.zones, self._speeds.between(*w.speed),
+                    self.time, self.journal, self._streams.of(f"node {number}"), born)
+        made = self.nodes[node.name] = await SocketNode(node, self).start()
+        return made
+
+    def host(self, entry: api.ServerEntry, gateway: int) -> dict[str, Any]:
+        """A node's line in discovery's list, as one gateway reaches it."""
+        return {"host": entry.server, "dial": self.nodes[entry.server].listeners[gateway].address,
+                "site": f"zone-{entry.zone}", "class": "node", "block": entry.cell, "health": STATES[entry.state],
+                "share": entry.weight, "born_ms": entry.started}
+
+    def _config(self, number: int) -> dict[str, Any]:
+        """What a gateway is told, in the platform's form."""
+        w, s = self.scenario.world, self.settings
+        effects = {api.SAFE: "pure", api.KEYED: "token", api.UNSAFE: "side_effect"}
+        settings = {
+            "balancers": w.gateways, "index": number, "discovery": "push",
+            "zones": [f"zone-{n}" for n in range(w.zones)],
+            "classes": [{"name": k.name, "aim": k.aim, "deadline": k.deadline, "worth": k.worth,
+                         "repeat": effects[k.effect], "group": k.group, "window": k.repeat_window} for k in s.classes],
+            "tiers-of-service": [{"name": p.name, "per-second": p.rate, "peak-units": p.burst, "worth-factor": p.price,
+                                  "beyond-earns": p.beyond_worth, "overrun-cost": p.beyond_cost} for p in s.plans],
+            "family-info": {"shared-counter": True, "counter-timeout": s.counter_timeout, "units-top": 1},
+            "limits": {"connect-timeout": s.connect_timeout, "keepalive": s.keepalive, "send-cap": s.attempts,
+                       "retry-after": True, "max-retry-after": s.max_advice, "cancel": True},
+            "safety": {"cold": s.cold_time, "cold-from": s.cold_from, "fall": s.fall_time,
+                       "fall-multiple": s.fall_multiple}}
+        known = {"seq": 1, "whole": True, "hosts": [self.host(entry, number) for entry in self._first]}
+        return {"name": f"n{number}", "listen": f"127.0.0.1:{self._ports[number]}", "settings": settings,
+                "discovery": self._agents[number].listener.address, "counter": self._counters[number].address,
+                "seed": f"{self.seed * 1000 + number:016x}", "limits": {"sockets": 1024}, "known": known}
+
+    async def _gateway(self, number: int) -> None:
+        """Start a gateway's process, and follow its log until it serves."""
+        path = self._folder / f"n{number}.json"
+        path.write_text(json.dumps(self._config(number)))
+        environ = {k: v for k, v in os.environ.items() if not k.startswith("EDGE_")} | {"EDGE_CONFIG": str(path)}
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-O", "-m", "hallhitch", env=environ, stderr=asyncio.subprocess.PIPE,
+            cwd=Path(__file__).parents[2])
+        assert process.stderr is not None
+        while b'"serving"' not in (line := await asyncio.wait_for(process.stderr.readline(), READY)):
+            if not line:
+                raise RuntimeError(f"gateway {number} ended before it served")
+        self._spawn(self._drain(process.stderr))
+        self._processes[number], self._idle[number] = process, []
+        self.journal.add(self.time.now, "gateway", number, "up")
+        self.discovery.watch(number, self._agents[number].told)
+
+    async def _drain(self, stream: Reader) -> None:
+        while await stream.readline():
+            pass
+
+    def _spawn(self, what: Any) -> None:
+        task = asyncio.get_running_loop().create_task(what)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # Clients.
+
+    async def _drive(self) -> None:
+        """Send all at their times; the faults come at theirs."""
+        begin = time.monotonic() + 0.2
+        for fault in self.scenario.faults:
+            asyncio.get_running_loop().call_later(begin - time.monotonic() + fault.at_s, self._begin, fault)
+        second = 0
+        for intent in self.traffic.intents:
+            due = begin + intent.at / 1000
+            while (wait := due - time.monotonic()) > 0:
+                await asyncio.sleep(min(wait, 1.0))
+            while self._tick is not None and second <= intent.at / 1000:
+                self._tick(second, dict(self.statuses))
+                second += 1
+            self._spawn(self._try(intent, True, 1.0))
+        longest = max(k.deadline for k in self.settings.classes)
+        await asyncio.sleep((longest + AFTER) / 1000)
+
+    def _through(self, intent: Intent, first: bool) -> int | None:
+        number = intent.gateway if first else intent.again
+        for step in range(intent.customer.spread):
+            other = (number + step) % self.scenario.world.gateways
+            if self._processes.get(other) is not None or self.time.now < self._blind.get(other, 0.0):
+                return other
+        return None
+
+    async def _try(self, intent: Intent, first: bool, share: float) -> None:
+        number = self._through(intent, first)
+        status, advice = "nobody there", 0.0
+        if number is not None and self._processes.get(number) is not None:
+            self._ids += 1
+            id = self._ids
+            self.intents[id] = intent
+            status, advice = await self._ask(id, number, intent, first, intent.patience * share)
+        self.statuses[status] = self.statuses.get(status, 0) + 1
+        if first and status != "served" and intent.retries:
+            await asyncio.sleep(max(intent.retry_wait, advice) / 1000)
+            await self._try(intent, False, 0.75)
+
+    async def _ask(self, id: int, number: int, intent: Intent, first: bool, patience: float) -> tuple[str, float]:
+        """One try on a connection of its own for as long as it lasts: status, and when to come back."""
+        began, taken = self.time.now, False
+        try:
+            for again in (True, False):
+                kept = again and bool(self._idle[number])  # the second time on a new one
+                reader, writer = self._idle[number].pop() if kept else await asyncio.open_connection(
+                    "127.0.0.1", self._ports[number])
+                if not taken:
+                    taken = True
+                    self._log_ask(id, number, intent, first, began + patience)
+                writer.write(self._request(id, intent, patience - (self.time.now - began)))
+                try:
+                    async with asyncio.timeout(patience / 1000 + 1.0):
+                        line, headers, body = await read_message(reader)
+                except (asyncio.IncompleteReadError, ConnectionError) as error:
+                    writer.close()
+                    if kept and not getattr(error, "partial", b""):
+                        continue  # closed between two requests: not read there, so it is said once more
+                    raise
+                return self._answered(id, number, line, headers, body, reader, writer)
+        except (OSError, EOFError, TimeoutError):
+            pass
+        return "broken", 0.0
+
+    def _log_ask(self, id: int, number: int, intent: Intent, first: bool, ends: float) -> None:
+        plan, klass = self.settings.plans[intent.customer.plan].name, self.settings.classes[intent.klass].name
+        start = self.journal._start
+        self.journal.add(self.time.now, "ask", id, number, intent.customer.name, plan, klass, intent.key,
+                         round(ends - start, 3), first)
+
+    def _request(self, id: int, intent: Intent, left: float) -> bytes:
+        kind = self.settings.classes[intent.klass]
+        safe = kind.effect == api.SAFE
+        lines = [f"{'GET' if safe else 'POST'} /{kind.name}/{intent.customer.name} HTTP/1.1", "Host: service.internal",
+                 f"Req-Id: {id:016x}", f"X-Contract: {self.settings.plans[intent.customer.plan].name}",
+                 f"Req-Deadline-Ms: {max(1, round(left))}",
+                 f"X-Metering: units=1,spread={intent.customer.spread},first={intent.customer.first}"]
+        body = b"" if safe else b"part"
+        if not safe:
+            lines += [f"Idempotency-Key: {intent.key}", f"Content-Length: {len(body)}"]
+        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+    def _answered(self, id: int, number: int, line: str, headers: dict[str, str], body: bytes, reader: Reader,
+                  writer: Writer) -> tuple[str, float]:
+        code = int(line.split()[1])
+        status = "served" if code == 200 else "refused" if code in (429, 503) else "failed"
+        echo = int(body) if code == 200 and body.isdigit() else 0
+        self.journal.add(self.time.now, "answer", id, status, echo)
+        if headers.get("connection") == "close":
+            writer.close()
+        else:
+            self._idle[number].append((reader, writer))
+        return status, 1000 * float(headers.get("retry-after", 0))
+
+    # Faults: those of the virtual run, on the same models and on processes.
+
+    def _some(self, part: float) -> list[SocketNode]:
+        up = [made for made in self.nodes.values() if made.node.state == "up"]
+        count = min(len(up), max(1, round(part * len(up))))
+        return [up.pop(self._faults.index(len(up))) for _ in range(count)]
+
+    def _later(self, seconds: float, what: Callable[[], object]) -> None:
+        asyncio.get_running_loop().call_later(seconds, what)
+
+    def _begin(self, fault: Fault) -> None:
+        kind, whom = fault.kind, list[SocketNode]()
+        fields = {"slow": ("slow", fault.size, 1.0), "quick_failures": ("failing", fault.size, 0.0),
+                  "stall": ("stalled", True, False), "spoilt": ("spoiling", fault.size, 0.0),
+                  "twice": ("doubling", fault.size, 0.0)}
+        if kind in fields:
+            field, value, usual = fields[kind]
+            whom = self._some(fault.part)
+            for made in whom:
+                made.node.change(**{field: value})
+                self._later(fault.for_s, lambda made=made: made.node.change(**{field: usual}))  # type: ignore[misc]
+        elif kind in ("crash", "drain", "replace"):
+            whom = self._some(1.0 if kind == "replace" else fault.part)
+            for turn, made in enumerate(whom):
+                at = fault.for_s * turn / len(whom) if kind == "replace" else 0.0
+                self._later(at, lambda made=made: self._spawn(self._go(fault, made)))  # type: ignore[misc]
+        elif kind == "gateways_die":
+            self._kill(fault)
+        elif kind in ("reset", "stale"):
+            setattr(self.network, kind, fault.size)
+            self._later(fault.for_s, lambda: setattr(self.network, kind, 0.0 if kind == "reset" else float("inf")))
+        elif kind == "discovery_down":
+            self.discovery.down = True
+            self._later(fault.for_s, self.discovery.up)
+        elif kind.startswith("counter"):
+            self._counter_fault(fault)
+        self.journal.add(self.time.now, "fault", kind, "begins", [made.node.name for made in whom])
+
+    def _counter_fault(self, fault: Fault) -> None:
+        counter = self.counter
+        if fault.kind == "counter_down":
+            counter.down = True
+        elif fault.kind == "counter_silent":
+            counter.silent = True
+        elif fault.kind == "counter_slow":
+            counter.slow = fault.size
+        elif fault.kind == "counter_part":
+            counter.broken_parts.add(0)
+
+        def over() -> None:
+            counter.down = counter.silent = False
+            counter.slow = 1.0
+            counter.broken_parts.clear()
+            if fault.empty or fault.kind == "counter_empty":
+                counter.forget()
+
+        self._later(fault.for_s, over)
+
+    async def _go(self, fault: Fault, made: SocketNode) -> None:
+        """A node crashes, or drains and goes; a replaced one has a cold node in its place."""
+        if made.node.state != "up":
+            return
+        if fault.kind == "crash":
+            made.stop("down")
+            self.discovery.set(made.node, "gone")
+            await asyncio.sleep(fault.for_s)
+        else:
+            made.node.drain()
+            self.discovery.set(made.node, "drain")
+        if fault.kind != "drain":
+            self.discovery.set((await self._node(self.time.now)).node, "up")
+        if fault.kind != "crash":
+            await asyncio.sleep(REPLACED / 1000)
+            if made.node.state == "drain":
+                made.stop("down")
+                self.discovery.set(made.node, "gone")
+
+    def _kill(self, fault: Fault) -> None:
+        alive = [number for number, process in self._processes.items() if process is not None]
+        for _ in range(min(len(alive), max(1, round(fault.part * len(alive))))):
+            number = alive.pop(self._faults.index(len(alive)))
+            process = self._processes[number]
+            assert process is not None
+            self.journal.add(self.time.now, "gateway", number, "killed")
+            process.kill()
+            self._processes[number] = None
+            self.discovery.leave(number)
+            self._blind[number] = self.time.now + min(fault.for_s * 1000, self._faults.between(*FRONT_BLIND))
+            self._later(fault.for_s, lambda number=number: self._spawn(self._gateway(number)))  # type: ignore[misc]
+
+    async def _end(self) -> None:
+        """End the processes that were started here, and what listens."""
+        for process in self._processes.values():
+            if process is not None and process.returncode is None:
+                process.send_signal(signal.SIGTERM)
+        for process in self._processes.values():
+            if process is not None:
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(process.wait(), 10.0)
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for listener in (*self._counters, *(a.listener for a in self._agents),
+                         *(one for made in self.nodes.values() for one in made.listeners)):
+            listener.stop()
+
+
+def free_port() -> int:
+    """A port of loopback that nobody listens on."""
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+def play(scenario: Scenario, seed: int, tick: Tick | None = None) -> SocketRun:
+    """Run a scenario on sockets, in real time."""
+    run = SocketRun(scenario, seed, tick)
+    asyncio.run(run.play())
+    return run
