--- a/benchmarks/calibration.py
+++ b/benchmarks/calibration.py
@@ -68,8 +68,8 @@
                         f"({apart.low:.4g} to {apart.high:.4g}) | {says} |")
     text = "\n".join([
         "# Virtual runs beside runs on sockets", "",
-        f"`python -m benchmarks.calibration --seeds {told.seeds} --seconds {told.seconds:g} --parallel {told.parallel}`: "
-        f"two gateways, {told.seeds} seeds each; {broken} rules broken on sockets.", "",
+        f"`python -m benchmarks.calibration --seeds {told.seeds} --seconds {told.seconds:g} "
+        f"--parallel {told.parallel}`: two gateways, {told.seeds} seeds each; {broken} rules broken on sockets.", "",
         "| scenario | figure | virtual | sockets | difference | |", "| --- | --- | --- | --- | --- | --- |", *rows, ""])
     print(text)
     if told.write:
--- a/hallhitch/lab/experiments.py
+++ b/hallhitch/lab/experiments.py
@@ -181,7 +181,7 @@
 
     def experiments(self) -> list[tuple[str, int, int, float]]:
         """Each experiment: its name, runs, runs with a broken rule, when it last got one."""
-        return self._db.execute("SELECT experiment, count(*), sum(broken <> '[]'), max(at) FROM result "
+        return self._db.execute("SELECT experiment, count(*), sum(CAST(broken AS TEXT) <> '[]'), max(at) FROM result "
                                 "GROUP BY experiment ORDER BY max(at)").fetchall()
 
     def of(self, experiment: str) -> dict[tuple[str, str], dict[int, Outcome]]:
--- a/hallhitch/lab/scenario.py
+++ b/hallhitch/lab/scenario.py
@@ -74,6 +74,7 @@
     """What is asked."""
 
     load: Natural = 0.55  # use inside quotas, as a share of what the nodes can do
+    rate: Natural = 0.0  # the same in requests a second, in place of `load`: for settings that differ in their nodes
     full: Share = 0.15  # of the clients, who use nearly all of their quota
     heavy: Share = 0.1  # who ask for far more, all the time
     heavy_x: Range = (1.6, 4.5)
--- a/hallhitch/lab/traffic.py
+++ b/hallhitch/lab/traffic.py
@@ -59,7 +59,7 @@
         rate = who.between(*plan.rate)
         rates[name] = rate, rate * who.between(*plan.burst_s)
     mean_work = sum(k.share * (k.work[0] + k.work[1]) / 2 for k in scenario.classes.values())
-    total = t.load * w.nodes * w.cores * 1000 / mean_work
+    total = t.rate or t.load * w.nodes * w.cores * 1000 / mean_work
     customers: list[Customer] = []
     for number, (name, plan) in enumerate(scenario.plans.items()):
         wanted = total * plan.share / rates[name][0]
--- /dev/null
+++ b/tests/cli/test_experiment.py
@@ -0,0 +1,119 @@
+"""Experiments from the command line: runs that are interrupted, comparisons, reports."""
+
+from __future__ import annotations
+
+import re
+import sqlite3
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from hallhitch.lab import experiments
+from hallhitch.lab.experiments import Outcome, compare, interval
+from hallhitch.lab.figures import Figures
+from tests.cli.test_commands import run
+from tests.stand_ins import ROOT
+
+SCENARIO = (ROOT / "scenarios" / "calm.toml").read_text().replace(
+    "seconds = 30.0", "seconds = 3.0\n[traffic]\nrate = 90.0")
+EXPERIMENT = """
+name = "small"
+scenarios = ["calm.toml"]
+seeds = 6
+[[settings]]
+name = "as it is"
+[[settings]]
+name = "few nodes"
+scenario = { "world.nodes" = 4 }
+"""
+
+
+def outcome(service: float) -> Outcome:
+    """A result with this service."""
+    figures: dict[str, Any] = {name: 0 for name in Figures.__struct_fields__}
+    figures |= {"by_class": {}, "by_plan": {}, "curve": [], "service": service}
+    return Outcome(Figures(**figures), [], 1.0)
+
+
+class Statistics(unittest.TestCase):
+    """Verdicts."""
+
+    def test_verdicts(self) -> None:
+        """Guards against a difference that is chance told as one, and one that is plain not told."""
+        base = {seed: outcome(0.9 + seed % 3 * 0.01) for seed in range(20)}
+        noisy = {seed: outcome(0.9 + (seed * 7) % 3 * 0.01) for seed in range(20)}
+        better = {seed: outcome(o.figures.service + 0.01 + seed % 2 * 0.002) for seed, o in base.items()}
+        self.assertEqual(compare(base, noisy).verdict, "cannot tell")
+        self.assertEqual(compare(base, better).verdict, "better")
+        self.assertEqual(compare(better, base).verdict, "worse")
+        self.assertEqual(compare(base, better, more_is_better=False).verdict, "worse")
+        few = dict(list(better.items())[:4])
+        self.assertEqual(compare(base, few).verdict, "cannot tell")
+        with self.assertRaises(ValueError):
+            compare({1: outcome(1)}, {2: outcome(1)})
+        found = interval([o.figures.service for o in base.values()])
+        self.assertTrue(found.low < found.mean < found.high)
+        self.assertEqual(found, interval([o.figures.service for o in base.values()]), "drawn the same each time")
+
+
+class Command(unittest.TestCase):
+    """The whole way."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        (self.folder / "calm.toml").write_text(SCENARIO)
+        (self.folder / "small.toml").write_text(EXPERIMENT)
+        self.db = str(self.folder / "results.db")
+
+    def test_an_interrupted_experiment_ends_with_the_same_results(self) -> None:
+        """Guards against runs made twice, lost, or different the second time."""
+        file = str(self.folder / "small.toml")
+        first = run("experiment", "run", file, "--workers", "2", "--db", self.db)
+        self.assertIn("12 runs made, 0 were there", first.stdout, first.stderr)
+        with sqlite3.connect(self.db) as db:
+            whole = db.execute("SELECT key, figures FROM result ORDER BY key").fetchall()
+            db.execute("DELETE FROM result WHERE seed IN (2, 5)")  # as if it had been cut off there
+        again = run("experiment", "run", file, "--workers", "2", "--db", self.db)
+        self.assertIn("4 runs made, 8 were there", again.stdout, again.stderr)
+        with sqlite3.connect(self.db) as db:
+            self.assertEqual(db.execute("SELECT key, figures FROM result ORDER BY key").fetchall(), whole)
+        told = run("experiment", "compare", "small", "as it is", "few nodes", "--db", self.db)
+        self.assertRegex(told.stdout, r"calm\s+6\s+-0\.\d+ \(-.*worse", told.stdout + told.stderr)
+        listed = run("experiment", "list", "--db", self.db)
+        self.assertRegex(listed.stdout, r"small\s+12\s+0")
+        page = self.folder / "report.html"
+        done = run("experiment", "report", "small", "--db", self.db, "--to", str(page))
+        self.assertEqual(done.returncode, 0, done.stderr)
+        text = page.read_text()
+        self.assertIn("no rule", text)
+        self.assertIn("few nodes", text)
+        self.assertEqual(re.findall(r'(?:src|href)="(?!data:)', text), [], "nothing from outside")
+
+    def test_one_try(self) -> None:
+        """Guards against a scenario that cannot be tried, or a wrong one that can."""
+        path = str(self.folder / "calm.toml")
+        done = run("experiment", "try", path, "--set", "world.nodes=6", "--log", str(self.folder / "log"))
+        self.assertEqual(done.returncode, 0, done.stderr)
+        self.assertIn("service", done.stdout)
+        self.assertTrue((self.folder / "log").read_bytes().startswith(b'[0.0,"world"'))
+        for words, says in [(("--set", "world.nodez=6"), "nodez"), (("--set", "world.nodes=x"), "--set")]:
+            bad = run("experiment", "try", path, *words)
+            self.assertEqual((bad.returncode, len(bad.stderr.splitlines())), (2, 1), bad.stderr)
+            self.assertIn(says, bad.stderr)
+        (self.folder / "small.toml").write_text(EXPERIMENT + 'module = { NO_SUCH = 1.0 }\n')
+        bad = run("experiment", "run", str(self.folder / "small.toml"), "--db", self.db)
+        self.assertEqual(bad.returncode, 2)
+        self.assertIn("NO_SUCH", bad.stderr)
+
+    def test_constants_come_back(self) -> None:
+        """Guards against one setting's constants staying for the next."""
+        from hallhitch.decision import policy
+
+        was = policy.LEARN
+        with self.assertRaises(ZeroDivisionError), experiments.constants({"LEARN": 0.5}):
+            self.assertEqual(policy.LEARN, 0.5)
+            raise ZeroDivisionError
+        self.assertEqual(policy.LEARN, was)
