Keep each fault of the lab in its model, and let every credentials command print JSON

Need: what a fault does to nodes and counter stood twice, in the virtual run and in the one on sockets, and the two could drift apart; revoke and init printed no JSON.

Change: Node.fail and recover by one table, Counter.fail and recover, scenario.described for a log's first event; both runs call them.

--- a/hallhitch/cli/control.py
+++ b/hallhitch/cli/control.py
@@ -6,10 +6,10 @@
 
 import click
 
-from hallhitch.cli.demo import demo
+from hallhitch.cli.demo import demo, secret_file
 from hallhitch.cli.output import as_json
 from hallhitch.control import backups
-from hallhitch.control.first import first_operator
+from hallhitch.control.first import ROOT, first_operator
 from hallhitch.control.settings import ControlSettings
 from hallhitch.control.store import Loaded, StoreError
 from hallhitch.settings_file import read
@@ -38,16 +38,16 @@
 @control.command()
 @FILE
 @click.option("--token-to", type=click.Path(), help="Write the token to this file (mode 600) and not to the terminal.")
-def init(file: str, token_to: str | None) -> None:
+@click.option("--json", "plain", is_flag=True, help="Print JSON.")
+def init(file: str, token_to: str | None, plain: bool) -> None:
     """Make an empty store and its first operator; the token is told once."""
     token = first_operator(_settings(file), file)
     if token_to is not None:
-        path = Path(token_to)
-        path.touch(mode=0o600)
-        path.write_text(token + "\n")
-        click.echo(f"the operator's token is in {token_to}")
+        secret_file(Path(token_to), token)
+    if plain:
+        as_json({"operator": ROOT, "token": None if token_to else token, "token_to": token_to})
     else:
-        click.echo(token)
+        click.echo(f"the operator's token is in {token_to}" if token_to else token)
 
 
 @control.command("serve")
--- a/hallhitch/cli/credentials.py
+++ b/hallhitch/cli/credentials.py
@@ -81,9 +81,12 @@
 @TENANT
 @ID
 @connected
-def revoke(tenant: str, id: str, **options: Any) -> None:
+@JSON
+def revoke(tenant: str, id: str, plain: bool, **options: Any) -> None:
     """Revoke a credential: once this has ended it does not count."""
     api_of(**options).change("DELETE", *_place(tenant, id))
+    if plain:
+        return as_json({"tenant": tenant, "name": id, "revoked": True})
     click.echo(f"{tenant}/{id} is revoked")
 
 
--- a/hallhitch/lab/node.py
+++ b/hallhitch/lab/node.py
@@ -14,6 +14,10 @@
 
 COLD_STEP = 250.0  # ms between looks at a cold node's speed
 QUICK = (1.0, 4.0)  # ms that a quick failure takes
+# Faults of nodes: what each changes, and how it is without.
+NODE_FAULTS: dict[str, tuple[str, float | bool]] = {
+    "slow": ("slow", 1.0), "stall": ("stalled", False), "quick_failures": ("failing", 0.0), "spoilt": ("spoiling", 0.0),
+    "twice": ("doubling", 0.0)}
 
 
 class Time(Protocol):
@@ -136,11 +140,18 @@
         self.state = "drain"
         self._journal.add(self._time.now, "node", self.name, "drain", self.cell, self.capacity, 0.0)
 
-    def change(self, **what: object) -> None:
-        """Change how it works from now on."""
+    def fail(self, kind: str, size: float) -> None:
+        """A fault of `NODE_FAULTS` begins."""
+        self._change(NODE_FAULTS[kind][0], True if kind == "stall" else size)
+
+    def recover(self, kind: str) -> None:
+        """It ends."""
+        self._change(*NODE_FAULTS[kind])
+
+    def _change(self, field: str, value: float | bool) -> None:
+        """Work otherwise from now on."""
         self._progress()
-        for name, value in what.items():
-            setattr(self, name, value)
+        setattr(self, field, value)
         self._arm()
 
     def charge(self, work: float) -> None:
--- a/hallhitch/lab/scenario.py
+++ b/hallhitch/lab/scenario.py
@@ -147,6 +147,14 @@
             cold_from=w.cold_from, fall_time=w.fall_ms, fall_multiple=w.fall_multiple)
 
 
+def described(scenario: Scenario, settings: api.Settings) -> tuple[Any, ...]:
+    """The fields of a log's first event: what figures and checker must know of the world."""
+    classes = {k.name: [k.aim, k.deadline, k.worth, k.effect, k.repeat_window] for k in settings.classes}
+    plans = {p.name: [p.rate, p.burst, p.price, p.beyond_worth, p.beyond_cost] for p in settings.plans}
+    w = scenario.world
+    return classes, plans, [w.cold_from, w.fall_ms, w.fall_multiple], scenario.seconds
+
+
 def replaced(scenario: Scenario, settings: dict[str, Any]) -> Scenario:
     """A scenario with settings at dotted paths replaced, checked again; ValueError names the field."""
     plain = msgspec.to_builtins(scenario)
--- a/hallhitch/lab/services.py
+++ b/hallhitch/lab/services.py
@@ -7,7 +7,7 @@
 
 from hallhitch.decision import api
 from hallhitch.lab.node import Node, Time
-from hallhitch.lab.scenario import World
+from hallhitch.lab.scenario import Fault, World
 from hallhitch.lab.streams import Stream
 
 
@@ -48,9 +48,24 @@
         took = self._stream.between(*self._world.counter_ms) * self.slow
         self._time.after(starts + took - now, self._serve, name, units, lifetime, reply)
 
-    def forget(self) -> None:
-        """Come back empty."""
-        self._counts.clear()
+    def fail(self, fault: Fault) -> None:
+        """A fault begins."""
+        if fault.kind == "counter_down":
+            self.down = True
+        elif fault.kind == "counter_silent":
+            self.silent = True
+        elif fault.kind == "counter_slow":
+            self.slow = fault.size
+        elif fault.kind == "counter_part":
+            self.broken_parts.add(0)
+
+    def recover(self, fault: Fault) -> None:
+        """A fault ends; where its numbers are lost, the counter comes back empty."""
+        self.down = self.silent = False
+        self.slow = 1.0
+        self.broken_parts.clear()
+        if fault.empty or fault.kind == "counter_empty":
+            self._counts.clear()
 
     def _serve(self, name: int, units: float, lifetime: float, reply: Callable[[str, float], None]) -> None:
         if self.down or self.silent:
--- a/hallhitch/lab/sockets.py
+++ b/hallhitch/lab/sockets.py
@@ -22,8 +22,8 @@
 from hallhitch.decision import api
 from hallhitch.lab.hopping import Network
 from hallhitch.lab.journal import Journal
-from hallhitch.lab.node import Node, Pod, Work
-from hallhitch.lab.scenario import Fault, Scenario
+from hallhitch.lab.node import NODE_FAULTS, Node, Pod, Work
+from hallhitch.lab.scenario import Fault, Scenario, described
 from hallhitch.lab.services import Counter, Discovery
 from hallhitch.lab.streams import Streams
 from hallhitch.lab.traffic import Intent, Traffic, draw
@@ -286,7 +286,7 @@
         self._streams, self._speeds, self._faults = streams, streams.of("speeds"), streams.of("faults")
         self._pods = [Pod() for _ in range(w.pods)]
         self.nodes: dict[str, SocketNode] = {}
-        self._log_world()
+        self.journal.add(self.time.now, "world", *described(self.scenario, self.settings))
         with tempfile.TemporaryDirectory() as folder:
             self._folder = Path(folder)
             for _ in range(w.nodes):
@@ -305,13 +305,6 @@
 
     # What is there.
 
-    def _log_world(self) -> None:
-        w = self.scenario.world
-        classes = {k.name: [k.aim, k.deadline, k.worth, k.effect, k.repeat_window] for k in self.settings.classes}
-        plans = {p.name: [p.rate, p.burst, p.price, p.beyond_worth, p.beyond_cost] for p in self.settings.plans}
-        self.journal.add(self.time.now, "world", classes, plans, [w.cold_from, w.fall_ms, w.fall_multiple],
-                         self.scenario.seconds)
-
     async def _node(self, born: float) -> SocketNode:
         w, number = self.scenario.world, len(self.nodes)
         cell = number % w.pods
@@ -480,15 +473,11 @@
 
     def _begin(self, fault: Fault) -> None:
         kind, whom = fault.kind, list[SocketNode]()
-        fields = {"slow": ("slow", fault.size, 1.0), "quick_failures": ("failing", fault.size, 0.0),
-                  "stall": ("stalled", True, False), "spoilt": ("spoiling", fault.size, 0.0),
-                  "twice": ("doubling", fault.size, 0.0)}
-        if kind in fields:
-            field, value, usual = fields[kind]
+        if kind in NODE_FAULTS:
             whom = self._some(fault.part)
             for made in whom:
-                made.node.change(**{field: value})
-                self._later(fault.for_s, lambda made=made: made.node.change(**{field: usual}))  # type: ignore[misc]
+                made.node.fail(kind, fault.size)
+                self._later(fault.for_s, lambda made=made: made.node.recover(kind))  # type: ignore[misc]
         elif kind in ("crash", "drain", "replace"):
             whom = self._some(1.0 if kind == "replace" else fault.part)
             for turn, made in enumerate(whom):
@@ -503,29 +492,10 @@
             self.discovery.down = True
             self._later(fault.for_s, self.discovery.up)
         elif kind.startswith("counter"):
-            self._counter_fault(fault)
+            self.counter.fail(fault)
+            self._later(fault.for_s, lambda: self.counter.recover(fault))
         self.journal.add(self.time.now, "fault", kind, "begins", [made.node.name for made in whom])
 
-    def _counter_fault(self, fault: Fault) -> None:
-        counter = self.counter
-        if fault.kind == "counter_down":
-            counter.down = True
-        elif fault.kind == "counter_silent":
-            counter.silent = True
-        elif fault.kind == "counter_slow":
-            counter.slow = fault.size
-        elif fault.kind == "counter_part":
-            counter.broken_parts.add(0)
-
-        def over() -> None:
-            counter.down = counter.silent = False
-            counter.slow = 1.0
-            counter.broken_parts.clear()
-            if fault.empty or fault.kind == "counter_empty":
-                counter.forget()
-
-        self._later(fault.for_s, over)
-
     async def _go(self, fault: Fault, made: SocketNode) -> None:
         """A node crashes, or drains and goes; a replaced one has a cold node in its place."""
         if made.node.state != "up":
--- a/hallhitch/lab/world.py
+++ b/hallhitch/lab/world.py
@@ -7,8 +7,8 @@
 
 from hallhitch.lab.hopping import Ask, ModelGateway, Network
 from hallhitch.lab.journal import Journal
-from hallhitch.lab.node import Node, Pod
-from hallhitch.lab.scenario import Fault, Scenario
+from hallhitch.lab.node import NODE_FAULTS, Node, Pod
+from hallhitch.lab.scenario import Fault, Scenario, described
 from hallhitch.lab.services import Counter, Discovery
 from hallhitch.lab.streams import Streams
 from hallhitch.lab.traffic import Intent, Traffic, draw
@@ -40,7 +40,7 @@
         self.journal = Journal(EPOCH)
         self.traffic = draw(scenario, seed)
         self.settings = scenario.settings(self.traffic.rates)
-        self._log_world()
+        self.journal.add(EPOCH, "world", *described(scenario, self.settings))
         self.network = Network(w, self.streams.of("network"))
         self.counter = Counter(w, self.time, self.streams.of("counter"))
         self.discovery = Discovery(w, self.time, self.streams.of("discovery"))
@@ -73,13 +73,6 @@
 
     # What is there.
 
-    def _log_world(self) -> None:
-        w = self.scenario.world
-        classes = {k.name: [k.aim, k.deadline, k.worth, k.effect, k.repeat_window] for k in self.settings.classes}
-        plans = {p.name: [p.rate, p.burst, p.price, p.beyond_worth, p.beyond_cost] for p in self.settings.plans}
-        self.journal.add(EPOCH, "world", classes, plans, [w.cold_from, w.fall_ms, w.fall_multiple],
-                         self.scenario.seconds)
-
     def _node(self, born: float) -> Node:
         w, number = self.scenario.world, self._made
         self._made += 1
@@ -167,15 +160,11 @@
         whom: list[Node] = []
         ends = self.time.now + fault.for_s * 1000
         kind = fault.kind
-        if kind in ("slow", "quick_failures", "stall", "spoilt", "twice"):
+        if kind in NODE_FAULTS:
             whom = self._some(fault.part)
-            field = {"slow": "slow", "quick_failures": "failing", "stall": "stalled", "spoilt": "spoiling",
-                     "twice": "doubling"}[kind]
-            for node in whom:
-                node.change(**{field: True if kind == "stall" else fault.size})
-            usual: object = 1.0 if kind == "slow" else False if kind == "stall" else 0.0
             for node in whom:
-                self.time.at(ends, lambda node=node: node.change(**{field: usual}))
+                node.fail(kind, fault.size)
+                self.time.at(ends, node.recover, kind)
         elif kind in ("crash", "drain", "replace"):
             whom = self._some(1.0 if kind == "replace" else fault.part)
             self._go(fault, whom)
@@ -188,30 +177,11 @@
             self.discovery.down = True
             self.time.at(ends, self.discovery.up)
         elif kind.startswith("counter"):
-            self._counter_fault(fault, ends)
+            self.counter.fail(fault)
+            self.time.at(ends, self.counter.recover, fault)
         self.journal.add(self.time.now, "fault", kind, "begins", [node.name for node in whom])
         self.time.at(ends, lambda: self.journal.add(self.time.now, "fault", kind, "ends", []))
 
-    def _counter_fault(self, fault: Fault, ends: float) -> None:
-        counter = self.counter
-
-        def over() -> None:
-            counter.down = counter.silent = False
-            counter.slow = 1.0
-            counter.broken_parts.clear()
-            if fault.empty or fault.kind == "counter_empty":
-                counter.forget()
-
-        if fault.kind == "counter_down":
-            counter.down = True
-        elif fault.kind == "counter_silent":
-            counter.silent = True
-        elif fault.kind == "counter_slow":
-            counter.slow = fault.size
-        elif fault.kind == "counter_part":
-            counter.broken_parts.add(0)
-        self.time.at(ends, over)
-
     def _go(self, fault: Fault, whom: list[Node]) -> None:
         """Nodes that crash and return, drain, or are all replaced one after another."""
         step = fault.for_s * 1000 / max(1, len(whom))
