Wait for the log, not for a turn, in the test of certificates replaced in service

Cause: the program looks at the folder every 50 ms here, and may look between the two files.

Change: the test waits until the log says that both were taken.

--- a/tests/tls/test_certificates.py
+++ b/tests/tls/test_certificates.py
@@ -16,6 +16,7 @@
 from hallhitch.tls import authority
 from hallhitch.tls.certificates import CertificateError, Certificates, describe, load_pair
 from tests.control_plane import ControlCase
+from tests.stand_ins import soon
 
 
 class Folder(unittest.TestCase):
@@ -107,6 +108,11 @@
         writer.close()
         return found
 
+    async def said(self, text: str) -> None:
+        """Wait for a line of the log, one that has come already included."""
+        while not any(text in line for line in self.plane.said):
+            await asyncio.sleep(0.01)
+
     async def test_replaced_in_service(self) -> None:
         """Guards against connections dropped for a new certificate, and a new one that is never shown."""
         folder = self.plane.folder / "tls"
@@ -115,8 +121,9 @@
         assert before is not None
         authority.issue(folder, "default", ["127.0.0.1", "localhost"])
         authority.issue(folder, "late", ["late.example.org"])
-        while (now := (await self.shown()).getpeercert()) == before:
-            await asyncio.sleep(0.02)
+        for file in ("default.crt", "late.crt"):  # each may be looked at before the other is written
+            await soon(self.said(f'"file": "{file}", "replaced": {str(file == "default.crt").lower()}'))
+        now = (await self.shown()).getpeercert()
         self.assertNotEqual(now, before)
         self.assertEqual((await self.root.get("/v1/status")).status_code, 200)
         late = (await self.shown("late.example.org")).getpeercert()
@@ -124,8 +131,7 @@
         self.assertEqual(late["subjectAltName"], (("DNS", "late.example.org"),))
         (folder / "default.crt").write_text("spoilt")
         self.plane.process.send_signal(1)  # SIGHUP
-        while not any("certificate not taken" in line for line in self.plane.said):
-            await asyncio.sleep(0.02)
+        await soon(self.said("certificate not taken"))
         self.assertEqual((await self.shown()).getpeercert(), now, "the one that served goes on")
 
     async def test_old_tls_and_plain_text(self) -> None:
