Drop two names that nothing uses, and use the catalogue's bound on edits in the commands

Need: a read of the whole change found TRACE in lab/load and WallClock.not_before unused, and the 1,000 edits of one change written a second time in the commands.

Change: the two go; tenants apply uses hosting.changes.MOST_EDITS.

Measured: make lint, and the tests of commands and store, pass as before.

--- a/hallhitch/cli/tenants.py
+++ b/hallhitch/cli/tenants.py
@@ -10,11 +10,11 @@
 
 from hallhitch.cli.api_client import Api, api_of, connected
 from hallhitch.cli.output import Failure, as_json, table
+from hallhitch.hosting.changes import MOST_EDITS
 from hallhitch.hosting.model import TYPES, Kind, Value
 from hallhitch.hosting.tenant_file import Step, TenantFile, steps
 from hallhitch.settings_file import read
 
-MOST = 1_000  # edits in one atomic call
 JSON = click.option("--json", "plain", is_flag=True, help="Print JSON.")
 
 
@@ -127,10 +127,10 @@
 def send(api: Api, tenant: str, changes: list[Step]) -> list[str]:
     """Make changes, in pieces that are atomic and hold by themselves; the versions they led to."""
     versions = []
-    for start in range(0, len(changes), MOST):
+    for start in range(0, len(changes), MOST_EDITS):
         edits = [{"kind": step.kind.value, "name": step.name, "expect": step.version or "none",
                   "value": msgspec.to_builtins(step.wanted) if step.wanted is not None else None}
-                 for step in changes[start:start + MOST]]
+                 for step in changes[start:start + MOST_EDITS]]
         versions.append(str(api.change("POST", "tenants", tenant, "changes", body={"edits": edits})["version"]))
     return versions
 
--- a/hallhitch/control/clock.py
+++ b/hallhitch/control/clock.py
@@ -26,7 +26,3 @@
             self._told = True
             log.warning("the clock went back; time stands still until it has caught up", ms=self._last - wall)
         return self._last
-
-    def not_before(self, floor: int) -> None:
-        """Go on from a time that was told before, by an earlier process."""
-        self._last = max(self._last, floor)
--- a/hallhitch/lab/load.py
+++ b/hallhitch/lab/load.py
@@ -29,7 +29,6 @@
 CONNECTIONS = 2_000  # of a worker; a request past them waits, and its time runs
 WAIT = 30.0  # s past the last request after which what is unanswered counts as such
 PERCENTILES = (50.0, 90.0, 99.0, 99.9, 99.99)
-TRACE = ("at_ms", "class", "customer", "plan", "units", "deadline_ms", "body")
 
 
 class TraceLine(Struct, frozen=True, forbid_unknown_fields=True):
