Lab: stopped and reloaded gateways, the counter's RESP form, traces recorded and imported

Need: faults that the emulator promised and did not have, traces that could only be made by the load tool itself, and resets that differed between virtual time and sockets.

gateways_stop (SIGSTOP and SIGCONT; in virtual time all that would reach the process waits in order) and gateways_reload (SIGHUP; counter and discovery have moved). The checker excuses what a stopped process cannot do, and nothing else: tests hold both edges. The counter side speaks HTTP or RESP (world.counter_form). hallhitch trace record passes bytes on and notes each request that has come whole; trace import takes access logs and tables.

--- a/hallhitch/cli/load.py
+++ b/hallhitch/cli/load.py
@@ -62,25 +62,3 @@
         click.echo(f"the generator was at most {tally.late_p99:.2f} ms late for 99 of 100 requests")
     if not tally.valid:
         raise Failure(f"invalid: the generator was {tally.late_p99:.1f} ms late (p99; {lab.LATE_MOST:g} at most)")
-
-
-@click.group()
-def trace() -> None:
-    """Traces: what was asked, line by line, to be asked again."""
-
-
-@trace.command("inspect")
-@click.argument("file", type=click.Path(path_type=Path))
-def inspect(file: Path) -> None:
-    """Say what a trace holds."""
-    from hallhitch.lab import load as lab
-
-    try:
-        with open(file, "rb") as lines:
-            found = lab.read_trace(lines)
-    except (ValueError, OSError) as error:
-        raise SettingsError(f"{file}: {error}") from error
-    seconds = found[-1].at_ms / 1000 if found else 0.0
-    click.echo(f"{len(found)} requests in {seconds:.1f} s, {len({line.customer for line in found})} customers")
-    for name, of in (("class", [line.klass for line in found]), ("plan", [line.plan for line in found])):
-        table((name, "requests"), [(word, of.count(word)) for word in sorted(set(of))])
--- a/hallhitch/cli/main.py
+++ b/hallhitch/cli/main.py
@@ -12,10 +12,11 @@
 from hallhitch.cli.credentials import credentials
 from hallhitch.cli.demo_fleet import demo
 from hallhitch.cli.experiment import experiment
-from hallhitch.cli.load import load, trace
+from hallhitch.cli.load import load
 from hallhitch.cli.output import Failure
 from hallhitch.cli.tenants import tenants
 from hallhitch.cli.tls import tls
+from hallhitch.cli.trace import trace
 from hallhitch.control.store import StoreError
 from hallhitch.settings_file import SettingsError
 from hallhitch.tls.certificates import CertificateError
--- a/hallhitch/lab/hopping.py
+++ b/hallhitch/lab/hopping.py
@@ -23,10 +23,12 @@
 
 
 class GatewayTime:
-    """The time of one gateway's process: what it had planned does not happen once it has died."""
+    """The time of one gateway's process: once it has died nothing that it had planned happens, and while it is stopped
+    all waits, in order, until it goes on."""
 
     def __init__(self, time: VirtualTime) -> None:
         self._time, self.alive = time, True
+        self._waiting: list[tuple[Callable[..., object], tuple[object, ...]]] | None = None  # while it is stopped
 
     def __call__(self) -> float:
         return self._time.now
@@ -39,10 +41,27 @@
         """Call it so many seconds from now."""
         return self._time.after(delay * 1000, self._if_alive, callback, args)
 
-    def _if_alive(self, callback: Callable[..., object], args: tuple[object, ...]) -> None:
-        if self.alive:
+    def stop(self) -> None:
+        """Stand still."""
+        if self._waiting is None:
+            self._waiting = []
+
+    def go_on(self) -> None:
+        """Do what came meanwhile, in order, at this time."""
+        waiting, self._waiting = self._waiting or [], None
+        for callback, args in waiting:
+            self.run(callback, *args)
+
+    def run(self, callback: Callable[..., object], /, *args: object) -> None:
+        """Call it now, or once the process goes on."""
+        if self._waiting is not None:
+            self._waiting.append((callback, args))
+        elif self.alive:
             callback(*args)
 
+    def _if_alive(self, callback: Callable[..., object], args: tuple[object, ...]) -> None:
+        self.run(callback, *args)
+
 
 class Network:
     """Delays between zones, and what breaks on the way."""
@@ -266,13 +285,29 @@
 
     def told(self, news: api.ServerList, log: bool = True) -> None:
         """News of the list."""
-        if not self._time.alive:
-            return
+        self._time.run(self._hear, news, log)
+
+    def _hear(self, news: api.ServerList, log: bool) -> None:
         for entry in news.entries if log else ():
             self._journal.add(self._time(), "told", self.number, entry.server, entry.state)
         self.hops.told(news)
         self.core.post(news)
 
+    def come(self, callback: Callable[[], None]) -> None:
+        """Something reaches the process: now, or once it goes on."""
+        self._time.run(callback)
+
+    def stop(self) -> None:
+        """The process is stopped."""
+        self._time.stop()
+        self._journal.add(self._time(), "gateway", self.number, "stopped")
+
+    def go_on(self) -> None:
+        """The process goes on, unless it has died."""
+        if self._time.alive:
+            self._journal.add(self._time(), "gateway", self.number, "resumed")
+            self._time.go_on()
+
     def ask(self, ask: Ask, patience: float, spread: int, repeat: bool) -> int:
         """A client's try has come."""
         i = ask.intent
--- /dev/null
+++ b/hallhitch/lab/http_wire.py
@@ -0,0 +1,20 @@
+"""HTTP messages as the emulated parties read and write them: no more of the protocol than the platform uses."""
+
+from __future__ import annotations
+
+import asyncio
+
+Reader = asyncio.StreamReader
+Writer = asyncio.StreamWriter
+
+
+async def read_message(reader: Reader) -> tuple[str, dict[str, str], bytes]:
+    """One HTTP message: first line, headers in lower case, body."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    headers = {n.strip().lower(): v.strip() for n, _, v in (line.partition(":") for line in head[1:] if line)}
+    return head[0], headers, await reader.readexactly(int(headers.get("content-length", "0")))
+
+
+def answer(status: int, body: bytes = b"", extra: str = "") -> bytes:
+    """An HTTP answer."""
+    return f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n{extra}\r\n".encode() + body
--- a/hallhitch/lab/journal.py
+++ b/hallhitch/lab/journal.py
@@ -13,7 +13,7 @@
 
 EVENTS: dict[str, tuple[str, ...]] = {
     "world": ("classes", "plans", "cold", "seconds"),
-    "gateway": ("gateway", "state"),  # up, killed, term, gone
+    "gateway": ("gateway", "state"),  # up, killed, stopped, resumed, reloaded
     "node": ("node", "state", "cell", "capacity", "cold_ms"),  # up, drain, down, fell
     "told": ("gateway", "node", "state"),  # what discovery told a gateway: up, drain, gone
     "ask": ("id", "gateway", "customer", "plan", "class", "key", "ends", "first"),  # first: no client's retry
--- a/hallhitch/lab/scenario.py
+++ b/hallhitch/lab/scenario.py
@@ -68,6 +68,7 @@
     counter_queue: Count = 200
     counter_timeout: Positive = 50.0
     attempts: Count = 5
+    counter_form: Literal["http", "resp"] = "http"  # what the counter speaks; on sockets alone it matters
 
 
 class Traffic(Struct, frozen=True, forbid_unknown_fields=True):
@@ -97,8 +98,8 @@
     """Something that goes wrong from `at_s` on, for `for_s`. `part` is the share of those it may befall."""
 
     kind: Literal["slow", "quick_failures", "stall", "crash", "replace", "drain", "spoilt", "twice", "reset", "stale",
-                  "gateways_die", "counter_down", "counter_silent", "counter_slow", "counter_empty", "counter_part",
-                  "discovery_down", "burst", "flash"]
+                  "gateways_die", "gateways_stop", "gateways_reload", "counter_down", "counter_silent", "counter_slow",
+                  "counter_empty", "counter_part", "discovery_down", "burst", "flash"]
     at_s: Natural
     for_s: Natural = 0.0
     part: Share = 0.1
--- a/tests/lab/test_checker.py
+++ b/tests/lab/test_checker.py
@@ -45,6 +45,29 @@
     return [broken.rule for broken in found]
 
 
+class StoodStill(unittest.TestCase):
+    """Gateways that were stopped and went on."""
+
+    def test_what_a_stopped_gateway_owes(self) -> None:
+        """Guards against a process blamed for time in which it did not run, and against one excused for ever."""
+        stop, on = (500.0, "gateway", 0, "stopped"), (1600.0, "gateway", 0, "resumed")
+        late = served(1, 1650.0)
+        self.assertEqual(rules(ask(1), stop, on, late), [])
+        self.assertEqual(rules(ask(1), on, late), ["in time"])
+        self.assertEqual(rules(stop, ask(1, at=600.0), on), [], "its client has left by then")
+        self.assertEqual(rules(stop, on, ask(1, at=1700.0)), ["one final answer"])
+        self.assertEqual(rules(ask(1), stop, on, late, (1700.0, "answer", 1, "failed", 0)), ["one final answer"])
+        self.assertEqual(rules(stop, ask(1, gateway=1, at=600.0), on), ["one final answer"], "another gateway's")
+
+    def test_a_drain_told_meanwhile_counts_from_when_it_goes_on(self) -> None:
+        """Guards against a drain that a process is blamed for not having heard of, and one that is never judged."""
+        stop, on = (500.0, "gateway", 0, "stopped"), (3000.0, "gateway", 0, "resumed")
+        told = (600.0, "told", 0, "a", "drain")
+        begin = ask(1, at=2900.0)
+        self.assertEqual(rules(stop, told, begin, on, *sent(1, 0, "a", 3100.0), served(1, 3200.0)), [])
+        self.assertEqual(rules(stop, told, begin, on, *sent(1, 0, "a", 3600.0), served(1, 3700.0)), ["drains"])
+
+
 class Logs(unittest.TestCase):
     """Each rule by itself: the log at its edge, and one past it."""
 
