--- a/hallhitch/net/hops.py
+++ b/hallhitch/net/hops.py
@@ -19,7 +19,8 @@
 
 REST = 2.0  # ms that a connection stays silent before it is used again: what came too much shows in that time
 IDLE_SHARE = 0.4  # of the servers' keep-alive: connections idle for longer are dropped here first
-SAMPLE = 0.05  # weight of one attempt in the share that breaks
+SAMPLE = 0.05  # weight of one attempt in the share that breaks on new connections
+IDLE_SAMPLE = 0.12  # and on idle ones: two in a row are enough to leave those alone, as a new one costs far less
 BROKEN = 0.15  # share of attempts, above that on new connections, that breaks where idle ones are not used
 STANDS = 100.0  # ms for which the longest idle time found stands, where nothing breaks
 FORGET = 30_000.0  # ms in which half of a learned share is forgotten, so that it is tried again
@@ -84,11 +85,15 @@
         """Note how an attempt ended; `idle` is None for a new connection."""
         if idle is None:
             self._new += SAMPLE * (broke - self._new)
-        else:
-            share = self._share(int(idle).bit_length())
-            self._shares[int(idle).bit_length()] = share + SAMPLE * (broke - share), self._clock()
-            if broke:
-                self._until = -math.inf
+            return
+        order = int(idle).bit_length()
+        if broke:
+            share = self._share(order)
+            self._shares[order] = share + IDLE_SAMPLE * (1 - share), self._clock()
+            self._until = -math.inf
+        else:  # what was idle for less is in order too
+            for less in [known for known in self._shares if known <= order]:
+                self._shares[less] = self._share(less) * (1 - IDLE_SAMPLE), self._clock()
 
     def _share(self, order: int) -> float:
         share, when = self._shares.get(order, (0.0, 0.0))
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -190,6 +190,20 @@
         now = 10 * FORGET
         self.assertEqual(idleness.most(), math.inf, "it must be tried again some day")
 
+    def test_two_in_a_row_are_enough_and_a_longer_one_that_holds_acquits(self) -> None:
+        """Guards against a dozen requests lost before the drop is learned, and idle times shunned that are in order."""
+        idleness = Idleness(lambda: 0.0)
+        for _ in range(50):
+            idleness.learn(300.0, False)
+        idleness.learn(300.0, True)
+        self.assertEqual(idleness.most(), math.inf, "one is no rule")
+        idleness.learn(300.0, True)
+        self.assertEqual(idleness.most(), 256.0)
+        for _ in range(5):
+            idleness.learn(900.0, False)
+        idleness.learn(900.0, True)  # has it told anew
+        self.assertEqual(idleness.most(), math.inf)
+
     def test_breaks_that_have_nothing_to_do_with_idleness_change_nothing(self) -> None:
         """Guards against a connection for each request where new ones break as often."""
         idleness = Idleness(lambda: 0.0)
