--- /dev/null
+++ b/hallhitch/hosting/feed.py
@@ -0,0 +1,252 @@
+"""The catalogue on its way to gateways: what they are told, in which pieces, and how they follow. No I/O, no clock.
+
+A gateway asks with the epoch and version that it holds and gets what leads on from there: a diff, or the whole where
+none does. The whole goes in pieces of so many rows, so that neither side ever holds it as one text. Each piece is one
+line of JSON:
+
+    {"diff": {...}}                                        from a version to a later one, as history.encode_diff has it
+    {"whole": {"epoch": 1, "version": 7, "rows": 1200}}    what follows is everything, in so many rows
+    {"rows": [[tenant, kind, name, version, value], ...]}  a piece of it: a tenant's own row before what it has
+    {"end": {"parts": {...}, "seal": "..."}}               born and version of each tenant, and the checksum of all
+
+Only what a gateway needs is told: of credentials those that name a client, with verifiers and no secrets; of the
+operators nothing.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+from msgspec import Raw, Struct
+from xxhash import xxh3_128_hexdigest
+
+from hallhitch.hosting.draft import Draft, set_parts
+from hallhitch.hosting.history import Diff, History, decode_diff, decode_rows, encode_diff, encode_rows, patch
+from hallhitch.hosting.model import Catalogue, Credential, Kind, Scope
+from hallhitch.hosting.names import OPERATORS
+from hallhitch.hosting.rows import WRAP, Row, rows_of, sum_of
+
+PIECE = 200  # rows of a piece of the whole: about a millisecond's work to take in
+DIFF_MOST = 2_000  # rows of a diff; where more have changed the whole is sent, in pieces
+LINE_MOST = 4 * 1024 * 1024  # bytes of one line; more is no piece of a feed
+AGAIN, AGAIN_MOST = 200.0, 20_000.0  # ms before the next try after one that failed, doubled each time up to that
+
+
+class FeedError(Exception):
+    """What came leads on from nothing that is held here; what is held stays."""
+
+
+class _Line(Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
+    diff: Raw = Raw()
+    whole: _Begin | None = None
+    rows: Raw = Raw()
+    end: _End | None = None
+
+
+class _Begin(Struct, frozen=True, forbid_unknown_fields=True):
+    epoch: int
+    version: int
+    rows: int
+
+
+class _End(Struct, frozen=True, forbid_unknown_fields=True):
+    parts: dict[str, tuple[int, int]]
+    seal: str
+
+
+_decode = msgspec.json.Decoder(_Line).decode
+_encode = msgspec.json.Encoder(order="deterministic").encode
+
+
+def seal(epoch: int, version: int, parts: dict[str, tuple[int, int]], total: int) -> str:
+    """The checksum of a whole: rows, versions and parts. It finds damage; that nobody else wrote it is TLS's to say."""
+    return xxh3_128_hexdigest(_encode([epoch, version, parts, str(total % WRAP)]))
+
+
+def told(row: Row) -> bool:
+    """Whether gateways are told of a row as it stands."""
+    if row.tenant == OPERATORS:
+        return False
+    return not isinstance(row.value, Credential) or row.value.scope is Scope.CLIENT
+
+
+def slim(diff: Diff) -> Diff:
+    """What gateways are told of a diff. A credential that names no client any more is gone to them."""
+    rows = [row if told(row) else Row(row.tenant, row.kind, row.name, row.version, None)
+            for row in diff.rows if row.tenant != OPERATORS]
+    # What goes stands before what is put, as in every diff.
+    rows.sort(key=lambda row: row.value is not None)
+    return Diff(diff.epoch, diff.since, diff.version, diff.reset, tuple(rows), diff.parts)
+
+
+def diff_line(diff: Diff) -> bytes:
+    """A diff as it is sent."""
+    return b'{"diff":' + encode_diff(slim(diff)) + b"}\n"
+
+
+def whole_lines(catalogue: Catalogue, piece: int = PIECE) -> Iterator[bytes]:
+    """Everything that gateways are told, in pieces made as they are asked for; the catalogue may move on meanwhile."""
+    count, total = 0, 0
+    for row in rows_of(catalogue):
+        count += told(row)
+    yield _encode({"whole": {"epoch": catalogue.epoch, "version": catalogue.version, "rows": count}}) + b"\n"
+    held: list[Row] = []
+    for row in rows_of(catalogue):
+        if not told(row):
+            continue
+        kept = catalogue.get(row.tenant, row.kind, row.name)
+        assert kept is not None
+        total += sum_of(row.tenant, row.kind, row.name, kept)
+        held.append(row)
+        if len(held) == piece:
+            yield b'{"rows":' + encode_rows(held) + b"}\n"
+            held = []
+    if held:
+        yield b'{"rows":' + encode_rows(held) + b"}\n"
+    parts = {name: (part.born, part.version) for name, part in catalogue.tenants.items()}
+    found = seal(catalogue.epoch, catalogue.version, parts, total)
+    yield _encode({"end": {"parts": parts, "seal": found}}) + b"\n"
+
+
+def lines_for(newest: Catalogue, history: History, epoch: int, version: int) -> Iterator[bytes] | None:
+    """What leads a gateway from what it holds to the newest; None where it holds that already.
+
+    FeedError where the gateway is ahead: this control plane came back from an older state without a new epoch.
+    """
+    if (epoch, version) == (newest.epoch, newest.version):
+        return None
+    if epoch > newest.epoch or epoch == newest.epoch and version > newest.version:
+        raise FeedError(f"the gateway holds {epoch}.{version}, this is {newest.epoch}.{newest.version}")
+    diff = history.diff(newest, epoch, version)
+    if diff is not None and len(diff.rows) <= DIFF_MOST:
+        return iter([diff_line(diff)])
+    return whole_lines(newest)
+
+
+class Assembly:
+    """A whole catalogue that comes in pieces: each is taken in as it comes, and nothing is put off to the end."""
+
+    def __init__(self, epoch: int, version: int, rows: int) -> None:
+        self.epoch, self.version, self._rows = epoch, version, rows
+        self._draft = Draft(Catalogue(epoch, 0))
+        self._took = 0
+
+    def take(self, rows: tuple[Row, ...]) -> None:
+        """A piece."""
+        self._took += len(rows)
+        if self._took > self._rows:
+            raise FeedError(f"more rows than the {self._rows} that were announced")
+        for row in rows:
+            if row.value is None or not told(row):
+                raise FeedError(f"{row.tenant}/{row.kind}/{row.name}: no row of a whole catalogue")
+            try:
+                self._draft.put(row)
+            except KeyError:
+                raise FeedError(f"{row.tenant}/{row.kind}/{row.name}: before its tenant's own row") from None
+        # Which names were touched is not asked of a whole; whose parts is.
+        self._draft.touched = {(t, Kind.TENANT, t): None for t, _, _ in self._draft.touched}
+
+    def done(self, parts: dict[str, tuple[int, int]], sealed: str) -> Catalogue:
+        """The catalogue; FeedError if rows are missing or damaged."""
+        if self._took != self._rows:
+            raise FeedError(f"{self._took} rows of {self._rows} came")
+        made = self._draft.done(self.epoch, self.version)
+        if seal(self.epoch, self.version, parts, made.sum) != sealed:
+            raise FeedError("the checksum is another")
+        if set(parts) != set(made.tenants):
+            raise FeedError("the parts are of other tenants than the rows")
+        return set_parts(made, parts)
+
+
+class Follower:
+    """One gateway's way along the feed: versions never go back, and what is held changes whole or not at all.
+
+    Only a later epoch starts anew: an operator restored a backup, and said so. Whatever else comes that does not lead
+    on is refused, and what is held goes on serving; staleness is for the caller to tell.
+    """
+
+    def __init__(self, held: Catalogue, draw: random.Random) -> None:
+        self.held, self._draw = held, draw
+        self._failures = 0
+        self._assembly: Assembly | None = None
+
+    @property
+    def holds(self) -> tuple[int, int]:
+        """Epoch and version to ask with."""
+        return self.held.epoch, self.held.version
+
+    def take(self, line: bytes) -> Catalogue | None:
+        """One line of the feed; the catalogue held from now on, where this completes one.
+
+        FeedError: ask again from what is held, after `failed` says.
+        """
+        try:
+            made = self._take(line)
+        except (ValueError, KeyError) as error:  # KeyError: a diff that names what is not there
+            self._assembly = None
+            raise FeedError(f"no line of a feed: {error}") from error
+        except FeedError:
+            self._assembly = None
+            raise
+        if made is not None:
+            self.held, self._failures = made, 0
+        return made
+
+    def _take(self, line: bytes) -> Catalogue | None:
+        if len(line) > LINE_MOST:
+            raise FeedError(f"a line of more than {LINE_MOST} bytes")
+        found = _decode(line)
+        assembly = self._assembly
+        if bytes(found.diff):
+            diff = decode_diff(bytes(found.diff))
+            if assembly is not None:
+                raise FeedError("a diff inside a whole")
+            if diff.version <= self.held.version:
+                raise FeedError(f"{diff.epoch}.{diff.version} is not later than what is held")
+            if not all(row.value is None or told(row) for row in diff.rows):
+                raise FeedError("a row that is not a gateway's to know")
+            return patch(self.held, diff)
+        if found.whole is not None:
+            begin = found.whole
+            if assembly is not None:
+                raise FeedError("a whole inside a whole")
+            if (begin.epoch, begin.version) < self.holds:
+                raise FeedError(f"{begin.epoch}.{begin.version} is older than {self.held.epoch}.{self.held.version}")
+            self._assembly = Assembly(begin.epoch, begin.version, begin.rows)
+            return None
+        if assembly is None:
+            raise FeedError("a piece of nothing")
+        if bytes(found.rows):
+            assembly.take(decode_rows(bytes(found.rows)))
+            return None
+        if found.end is None:
+            raise FeedError("an empty line")
+        self._assembly = None
+        return assembly.done(found.end.parts, found.end.seal)
+
+    def cut(self) -> None:
+        """The connection ended: half of a whole is nothing."""
+        self._assembly = None
+
+    def failed(self) -> float:
+        """A try has failed: ms before the next, so drawn that gateways that failed together come back apart."""
+        self.cut()
+        most = min(AGAIN_MOST, AGAIN * 2.0 ** min(self._failures, 30))
+        self._failures += 1
+        return most * (0.25 + 0.75 * self._draw.random())
+
+
+def read_whole(lines: Iterator[bytes]) -> Catalogue:
+    """A whole catalogue from its lines, as a gateway saves it; FeedError says what is wrong."""
+    follower = Follower(Catalogue(), random.Random(0))
+    made: Any = None
+    for line in lines:
+        if made is not None:
+            raise FeedError("more behind the end")
+        made = follower.take(line)
+    if made is None:
+        raise FeedError("no end")
+    return follower.held
