--- a/hallhitch/cli/tenants.py
+++ b/hallhitch/cli/tenants.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+import time
 from typing import Any
 
 import click
@@ -17,6 +18,8 @@
 
 JSON = click.option("--json", "plain", is_flag=True, help="Print JSON.")
 
+LOOK = 0.2  # s between two looks at how far a change has come
+
 
 @click.group()
 def tenants() -> None:
@@ -106,9 +109,11 @@
 @tenants.command()
 @click.argument("file", type=click.Path())
 @click.option("--yes", is_flag=True, help="Do not ask.")
+@click.option("--wait", type=click.FloatRange(0, 3600), metavar="SECONDS",
+              help="Until all gateways that are counted have applied it (operators); exit code 1 if they have not.")
 @connected
 @JSON
-def apply(file: str, yes: bool, plain: bool, **options: Any) -> None:
+def apply(file: str, yes: bool, wait: float | None, plain: bool, **options: Any) -> None:
     """Bring a tenant to what FILE declares. Safe to repeat, and to interrupt: what is left is done the next time."""
     wanted = read(file, TenantFile)
     api = api_of(**options)
@@ -118,10 +123,29 @@
     if changes and not yes and not click.confirm("Apply?", err=True):
         raise Failure("nothing was changed")
     versions = send(api, wanted.tenant, changes)
+    told = waited(api, versions[-1], wait) if versions and wait is not None else None
     if plain:
-        return as_json({"tenant": wanted.tenant, "changes": lines(changes), "versions": versions})
-    if versions:
+        as_json({"tenant": wanted.tenant, "changes": lines(changes), "versions": versions}
+                | ({"gateways": told} if told else {}))
+    elif versions:
         click.echo(f"applied {len(changes)} changes, now at version {versions[-1]}")
+        if told:
+            click.echo(f"{told['state']}: applied by {told['applied']} of {told['counted']} gateways")
+    if told and told["state"] != "complete":
+        raise Failure(f"version {versions[-1]} is not applied everywhere: {', '.join(told['behind']) or 'no gateways'}")
+
+
+def waited(api: Api, version: str, seconds: float) -> dict[str, Any]:
+    """How far a version has come, once it is complete or the time is over; and which gateways are behind."""
+    until = time.monotonic() + seconds
+    while True:
+        told = api.get("gateways", version=version)
+        if told["state"] == "complete" or time.monotonic() >= until:
+            break
+        time.sleep(min(LOOK, max(0.0, until - time.monotonic())))
+    place = tuple(map(int, version.split(".")))
+    behind = [g["name"] for g in told["gateways"] if tuple(map(int, g["version"].split("."))) < place]
+    return {"state": told["state"], "applied": told["applied"], "counted": told["counted"], "behind": behind}
 
 
 def send(api: Api, tenant: str, changes: list[Step]) -> list[str]:
--- a/hallhitch/control/api/app.py
+++ b/hallhitch/control/api/app.py
@@ -13,10 +13,12 @@
 
 from hallhitch import __version__
 from hallhitch.control.api.calls import Service
+from hallhitch.control.api.feed import FEED
 from hallhitch.control.api.guard import Guard
 from hallhitch.control.api.problems import MEDIA, ProblemError, hidden
 from hallhitch.control.api.resources import HANDLERS, allowed
 from hallhitch.control.clock import WallClock
+from hallhitch.control.publisher import Publisher
 from hallhitch.control.secrets import Checker
 from hallhitch.control.settings import ApiSettings
 from hallhitch.control.store import SqliteStore
@@ -74,10 +76,11 @@
     return msgspec.json.encode(app.openapi_schema.to_schema())
 
 
-def framework(service: Service | None, checker: Checker | None, store: SqliteStore | None) -> Litestar:
+def framework(service: Service | None, checker: Checker | None, store: SqliteStore | None,
+              publisher: Publisher | None = None) -> Litestar:
     """The handlers, without the guard."""
     app = Litestar(
-        route_handlers=[*HANDLERS, described],
+        route_handlers=[*HANDLERS, *FEED, described],
         guards=[allowed],
         exception_handlers={ProblemError: on_problem, HTTPException: on_http, Exception: on_any},
         openapi_config=OpenAPIConfig(
@@ -91,10 +94,12 @@
         request_max_body_size=None,  # the guard bounds bodies
     )
     app.state.service, app.state.checker, app.state.store = service, checker, store
+    app.state.publisher = publisher
     app.state.described = description(app)
     return app
 
 
-def application(writer: Writer, checker: Checker, store: SqliteStore, clock: WallClock, told: ApiSettings) -> Guard:
+def application(writer: Writer, checker: Checker, store: SqliteStore, clock: WallClock, told: ApiSettings,
+                publisher: Publisher) -> Guard:
     """The whole application."""
-    return Guard(framework(Service(writer), checker, store), writer, checker, clock, told)
+    return Guard(framework(Service(writer), checker, store, publisher), writer, checker, clock, told)
--- /dev/null
+++ b/hallhitch/control/api/feed.py
@@ -0,0 +1,102 @@
+"""The feed's paths: what gateways ask, and how operators see the gateways."""
+
+from __future__ import annotations
+
+from typing import Annotated, Any
+
+from litestar import Response, delete, get
+from litestar.params import QueryParameter
+from litestar.response import Stream
+from msgspec import Meta, Struct
+
+from hallhitch.control.api import views
+from hallhitch.control.api.calls import Conn, service_of
+from hallhitch.control.api.problems import ProblemError
+from hallhitch.control.api.resources import CHANGE, READ, Answer, Key, answer
+from hallhitch.control.publisher import Crowded, Publisher
+from hallhitch.hosting.feed import FeedError
+from hallhitch.hosting.membership import Gateway, Taken
+from hallhitch.hosting.names import OPERATORS
+
+HOLD_MOST = 20_000  # ms that a question may wait for news
+MEDIA = "application/x-ndjson"
+Name = Annotated[str, QueryParameter(name="gateway", pattern="^[a-z0-9][a-z0-9.-]{0,62}$")]
+Instance = Annotated[str, QueryParameter(name="instance", pattern="^[0-9a-f]{16,64}$",
+                                         description="Drawn by the gateway at its start.")]
+Number = Annotated[int, QueryParameter(ge=0, le=2**53)]
+
+
+class GatewayView(Struct, frozen=True):
+    """A gateway as operators see it."""
+
+    name: str
+    version: str  # applied
+    lease_ms: Annotated[int, Meta(description="What is left of its lease; below 0: ago.")]
+
+
+class GatewaysView(Struct, frozen=True):
+    """All gateways, and how far a version has come."""
+
+    version: str
+    state: str  # pending, partial, complete
+    applied: int
+    counted: int
+    gateways: list[GatewayView]
+    lost: list[GatewayView]
+
+
+def publisher_of(request: Conn) -> Publisher:
+    """The feed's publisher."""
+    publisher: Publisher = request.app.state.publisher
+    return publisher
+
+
+@get("/v1/feed", responses=READ, operation_id="getFeed", tags=["feed"], opt={"feed": True})
+async def feed(request: Conn, gateway: Name, instance: Instance, epoch: Number = 0, version: Number = 0,
+               hold_ms: Annotated[int, QueryParameter(ge=0, le=HOLD_MOST)] = 0) -> Response[Any]:
+    """What leads on from the version that a gateway holds: lines of JSON, or 204 after `hold_ms` without news.
+
+    The question renews the gateway's lease and tells what it has applied. 409: the gateway is ahead, or its name is
+    another instance's.
+    """
+    publisher = publisher_of(request)
+    try:
+        publisher.members.renew(gateway, instance, (epoch, version), publisher.now())
+        lines = await publisher.ask(epoch, version, hold_ms / 1000)
+    except Taken as error:
+        raise ProblemError(409, "name-taken", f"{error}.", "gateway") from error
+    except FeedError as error:
+        raise ProblemError(409, "behind", f"{error}.", "version") from error
+    except Crowded as error:
+        raise ProblemError(503, "busy", "Too many gateways are sent everything.", wait=error.wait) from error
+    if lines is None:
+        return Response(b"", status_code=204)
+    return Stream(lines, media_type=MEDIA, headers={"cache-control": "no-store"})
+
+
+@delete("/v1/feed", responses=CHANGE, operation_id="leaveFeed", tags=["feed"], opt={"feed": True}, status_code=204)
+async def leave(request: Conn, gateway: Name, instance: Instance, key: Key) -> None:
+    """A gateway ends: it is no longer counted, and its name is free. Nothing happens where the lease is another's."""
+    publisher_of(request).members.leave(gateway, instance)
+
+
+@get("/v1/gateways", responses=READ, operation_id="listGateways", tags=["feed"], opt={"tenant": OPERATORS})
+async def gateways(request: Conn, version: Annotated[str | None, QueryParameter(
+        pattern=r"^[0-9]{1,15}\.[0-9]{1,15}$", description="The newest if none is told.")] = None) -> Answer:
+    """The gateways, and how far a version has come (operators)."""
+    publisher, catalogue = publisher_of(request), service_of(request).catalogue
+    now = publisher.now()
+    asked = (catalogue.epoch, catalogue.version)
+    if version is not None:
+        epoch, _, number = version.partition(".")
+        asked = int(epoch), int(number)
+    progress = publisher.members.progress(asked, now)
+
+    def shown(found: list[Gateway]) -> list[GatewayView]:
+        return [GatewayView(g.name, views.stamp(*g.holds), round(g.ends - now)) for g in found]
+
+    return answer(GatewaysView(views.stamp(*asked), progress.state, progress.applied, progress.counted,
+                               shown(publisher.members.counted(now)), shown(publisher.members.lost(now))))
+
+
+FEED: list[Any] = [feed, leave, gateways]
--- a/hallhitch/control/api/guard.py
+++ b/hallhitch/control/api/guard.py
@@ -62,7 +62,8 @@
             state["caller"] = None
             return receive
         state["caller"] = caller = await self._caller(scope, headers)
-        wait = self._calls.take(caller.name, time.monotonic())
+        # Gateways of one credential are many, and each is bounded by what the feed gives out.
+        wait = 0.0 if caller.scope is Scope.GATEWAY else self._calls.take(caller.name, time.monotonic())
         if wait:
             raise ProblemError(429, "too-many-calls", "This credential calls too often.", wait=wait)
         if scope["method"] in READS:
--- a/hallhitch/control/api/resources.py
+++ b/hallhitch/control/api/resources.py
@@ -53,6 +53,10 @@
     if caller is None:
         return
     told = handler.opt
+    if told.get("feed"):  # gateways alone, and nothing else is theirs
+        if caller.scope is not Scope.GATEWAY:
+            raise hidden()
+        return
     tenant = connection.path_params.get("tenant", told.get("tenant"))
     verdict = may(caller, tenant, told.get("kind"), bool(told.get("write")))
     if verdict is Verdict.HIDDEN:
--- a/hallhitch/control/serve.py
+++ b/hallhitch/control/serve.py
@@ -22,6 +22,7 @@
 from hallhitch.control.api.app import application
 from hallhitch.control.clock import WallClock
 from hallhitch.control.opening import open_store
+from hallhitch.control.publisher import Publisher
 from hallhitch.control.secrets import Checker
 from hallhitch.control.settings import ApiSettings, ControlSettings
 from hallhitch.control.writer import Writer
@@ -128,10 +129,17 @@
         raise
     checker = Checker(keys)
     writer.start(found.replayed)
-    server = _server(settings, application(writer, checker, store, clock, settings.api), listener, certificates)
+    publisher = Publisher(writer)
+    app = application(writer, checker, store, clock, settings.api, publisher)
+    server = _server(settings, app, listener, certificates)
     loop = asyncio.get_running_loop()
+
+    def end() -> None:
+        publisher.close()  # gateways that wait for news are answered now
+        server.should_exit = True
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, setattr, server, "should_exit", True)
+        loop.add_signal_handler(number, end)
     loop.add_signal_handler(signal.SIGHUP, certificates.reload)
     chores = [loop.create_task(_look(certificates, settings.tls.look_seconds)),
               loop.create_task(_hourly(writer))]
--- a/hallhitch/control/writer.py
+++ b/hallhitch/control/writer.py
@@ -107,6 +107,7 @@
         self._calls: deque[tuple[Call, asyncio.Future[Reply]]] = deque()
         self._running: dict[tuple[str, str], tuple[bytes, asyncio.Future[Reply]]] = {}
         self._wake = asyncio.Event()
+        self.news = asyncio.Event()  # set, and another in its place, once there is a newer catalogue
         self._since_snapshot = 0
         self._halted = ""
         self._closing = False
@@ -206,7 +207,10 @@
                 self._commit, [call for call, _ in batch], self.catalogue, self._clock.now())
             for diff in diffs:
                 self.history.add(diff)
-            self.catalogue = catalogue
+            if catalogue is not self.catalogue:
+                self.catalogue = catalogue
+                self.news.set()
+                self.news = asyncio.Event()
             self.batches += 1
             self._since_snapshot += len(diffs)
             if self._since_snapshot >= self._each:
--- a/hallhitch/hosting/access.py
+++ b/hallhitch/hosting/access.py
@@ -83,6 +83,8 @@
     """
     if principal.scope is Scope.OPERATOR:
         return Verdict.YES
+    if principal.scope is Scope.GATEWAY:
+        return Verdict.HIDDEN
     if tenant is None:
         return Verdict.BEYOND if write else Verdict.YES
     if principal.scope is Scope.CLIENT or tenant != principal.tenant:
--- a/hallhitch/hosting/changes.py
+++ b/hallhitch/hosting/changes.py
@@ -75,7 +75,8 @@
     part = made.tenants.get(change.tenant)
     if part is not None:
         _check_whole(part)
-    if change.tenant == names.OPERATORS and not made.operators and catalogue.operators:
+    if change.tenant == names.OPERATORS and catalogue.operators and not any(
+            kept.value.scope is Scope.OPERATOR for kept in made.operators.values()):
         raise Refused("in-use", "edits", "this would leave no operator's credential")
     return Applied(made, delta(made, catalogue.version, draft.touched))
 
@@ -120,8 +121,10 @@
         for field in value.decided(edit.name).faults():
             raise Refused("invalid", f"{at}.value.{field}", "out of range, or contradicts another field")
     elif isinstance(value, Credential):
-        if (value.scope is Scope.OPERATOR) != (tenant == names.OPERATORS):
-            raise Refused("invalid", f"{at}.value.scope", "only the operators' part holds operators")
+        if (value.scope in (Scope.OPERATOR, Scope.GATEWAY)) != (tenant == names.OPERATORS):
+            raise Refused("invalid", f"{at}.value.scope", "operators and gateways, and only they, are the operators'")
+        if value.scope is Scope.GATEWAY and value.certificate is None:
+            raise Refused("invalid", f"{at}.value.certificate", "a gateway is named by its certificate")
         if (value.scope is Scope.CLIENT) != (value.client is not None):
             raise Refused("invalid", f"{at}.value.client", "this goes with the scope 'client', and only with it")
         if not value.verifiers and value.certificate is None:
--- a/hallhitch/hosting/model.py
+++ b/hallhitch/hosting/model.py
@@ -34,6 +34,7 @@
     OPERATOR = "operator"  # everything, of all tenants
     ADMIN = "admin"  # reads its tenant; changes its plans, clients and credentials
     READ = "read"  # reads its tenant
+    GATEWAY = "gateway"  # follows the feed and does nothing else; of the operators' part, by certificate
     CLIENT = "client"  # no administration: names one client to the gateways
 
 
