--- a/hallhitch/hosting/draft.py
+++ b/hallhitch/hosting/draft.py
@@ -115,6 +115,11 @@
                 self.drop(tenant, Kind.CREDENTIAL, id)
         self._index(part, name, was, None)
 
+    def settle(self, but: str, version: int) -> None:
+        """Close all open parts but one, so that `done` has less to do; they open again if need be."""
+        for name in [name for name in self._parts if name != but]:
+            self._tenants[name] = self._parts.pop(name).closed(version)
+
     def done(self, epoch: int, version: int) -> Catalogue:
         """The catalogue that has come of it."""
         changed = {tenant for tenant, _, _ in self.touched}
--- a/hallhitch/hosting/feed.py
+++ b/hallhitch/hosting/feed.py
@@ -5,9 +5,10 @@
 line of JSON:
 
     {"diff": {...}}                                        from a version to a later one, as history.encode_diff has it
-    {"whole": {"epoch": 1, "version": 7, "rows": 1200}}    what follows is everything, in so many rows
+    {"whole": {"epoch": 1, "version": 7}}                  what follows is everything
     {"rows": [[tenant, kind, name, version, value], ...]}  a piece of it: a tenant's own row before what it has
-    {"end": {"parts": {...}, "seal": "..."}}               born and version of each tenant, and the checksum of all
+    {"end": {"rows": 9, "parts": {...}, "seal": "..."}}    how many rows there were, born and version of each tenant,
+                                                           and the checksum of all
 
 Only what a gateway needs is told: of credentials those that name a client, with verifiers and no secrets; of the
 operators nothing.
@@ -25,7 +26,7 @@
 
 from hallhitch.hosting.draft import Draft, set_parts
 from hallhitch.hosting.history import Diff, History, decode_diff, decode_rows, encode_diff, encode_rows, patch
-from hallhitch.hosting.model import Catalogue, Credential, Kind, Scope
+from hallhitch.hosting.model import Catalogue, Credential, Scope
 from hallhitch.hosting.names import OPERATORS
 from hallhitch.hosting.rows import WRAP, Row, rows_of, sum_of
 
@@ -49,10 +50,10 @@
 class _Begin(Struct, frozen=True, forbid_unknown_fields=True):
     epoch: int
     version: int
-    rows: int
 
 
 class _End(Struct, frozen=True, forbid_unknown_fields=True):
+    rows: int
     parts: dict[str, tuple[int, int]]
     seal: str
 
@@ -90,9 +91,7 @@
 def whole_lines(catalogue: Catalogue, piece: int = PIECE) -> Iterator[bytes]:
     """Everything that gateways are told, in pieces made as they are asked for; the catalogue may move on meanwhile."""
     count, total = 0, 0
-    for row in rows_of(catalogue):
-        count += told(row)
-    yield _encode({"whole": {"epoch": catalogue.epoch, "version": catalogue.version, "rows": count}}) + b"\n"
+    yield _encode({"whole": {"epoch": catalogue.epoch, "version": catalogue.version}}) + b"\n"
     held: list[Row] = []
     for row in rows_of(catalogue):
         if not told(row):
@@ -101,6 +100,7 @@
         assert kept is not None
         total += sum_of(row.tenant, row.kind, row.name, kept)
         held.append(row)
+        count += 1
         if len(held) == piece:
             yield b'{"rows":' + encode_rows(held) + b"}\n"
             held = []
@@ -108,7 +108,7 @@
         yield b'{"rows":' + encode_rows(held) + b"}\n"
     parts = {name: (part.born, part.version) for name, part in catalogue.tenants.items()}
     found = seal(catalogue.epoch, catalogue.version, parts, total)
-    yield _encode({"end": {"parts": parts, "seal": found}}) + b"\n"
+    yield _encode({"end": {"rows": count, "parts": parts, "seal": found}}) + b"\n"
 
 
 def lines_for(newest: Catalogue, history: History, epoch: int, version: int) -> Iterator[bytes] | None:
@@ -129,16 +129,14 @@
 class Assembly:
     """A whole catalogue that comes in pieces: each is taken in as it comes, and nothing is put off to the end."""
 
-    def __init__(self, epoch: int, version: int, rows: int) -> None:
-        self.epoch, self.version, self._rows = epoch, version, rows
+    def __init__(self, epoch: int, version: int) -> None:
+        self.epoch, self.version = epoch, version
         self._draft = Draft(Catalogue(epoch, 0))
         self._took = 0
 
     def take(self, rows: tuple[Row, ...]) -> None:
         """A piece."""
         self._took += len(rows)
-        if self._took > self._rows:
-            raise FeedError(f"more rows than the {self._rows} that were announced")
         for row in rows:
             if row.value is None or not told(row):
                 raise FeedError(f"{row.tenant}/{row.kind}/{row.name}: no row of a whole catalogue")
@@ -147,12 +145,15 @@
             except KeyError:
                 raise FeedError(f"{row.tenant}/{row.kind}/{row.name}: before its tenant's own row") from None
         # Which names were touched is not asked of a whole; whose parts is.
-        self._draft.touched = {(t, Kind.TENANT, t): None for t, _, _ in self._draft.touched}
+        self._draft.touched = {}
+        if rows:  # rows come tenant by tenant: those before the last are whole
+            self._draft.settle(rows[-1].tenant, self.version)
 
-    def done(self, parts: dict[str, tuple[int, int]], sealed: str) -> Catalogue:
+    def done(self, rows: int, parts: dict[str, tuple[int, int]], sealed: str) -> Catalogue:
         """The catalogue; FeedError if rows are missing or damaged."""
-        if self._took != self._rows:
-            raise FeedError(f"{self._took} rows of {self._rows} came")
+        if self._took != rows:
+            raise FeedError(f"{self._took} rows of {rows} came")
+        self._draft.settle("", self.version)
         made = self._draft.done(self.epoch, self.version)
         if seal(self.epoch, self.version, parts, made.sum) != sealed:
             raise FeedError("the checksum is another")
@@ -215,7 +216,7 @@
                 raise FeedError("a whole inside a whole")
             if (begin.epoch, begin.version) < self.holds:
                 raise FeedError(f"{begin.epoch}.{begin.version} is older than {self.held.epoch}.{self.held.version}")
-            self._assembly = Assembly(begin.epoch, begin.version, begin.rows)
+            self._assembly = Assembly(begin.epoch, begin.version)
             return None
         if assembly is None:
             raise FeedError("a piece of nothing")
@@ -225,7 +226,7 @@
         if found.end is None:
             raise FeedError("an empty line")
         self._assembly = None
-        return assembly.done(found.end.parts, found.end.seal)
+        return assembly.done(found.end.rows, found.end.parts, found.end.seal)
 
     def cut(self) -> None:
         """The connection ended: half of a whole is nothing."""
