--- a/hallhitch/lab/load.py
+++ b/hallhitch/lab/load.py
@@ -32,7 +32,7 @@
 PERCENTILES = (50.0, 90.0, 99.0, 99.9, 99.99)
 
 
-class TraceLine(Struct, frozen=True, forbid_unknown_fields=True):
+class TraceLine(Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True):
     """One line of a trace: JSON with these fields, ordered by `at_ms`, which counts from the first."""
 
     at_ms: float
@@ -42,6 +42,7 @@
     units: float = 1.0
     deadline_ms: int = 4000
     body: int = 0  # bytes
+    tenant: str = ""  # whose host name is asked; none on the platform
 
 
 class Mix(Struct, frozen=True):
@@ -156,6 +157,8 @@
         value = min(MOST_US, max(1, int(took_ms * 1000)))
         for group in ("all", f"class {line.klass}", f"plan {line.plan}", f"status {status}"):
             self.times[group].record_value(value)
+        if line.tenant:
+            self.times[f"tenant {line.tenant}"].record_value(value)
         self.statuses[status] += 1
 
     def packed(self) -> tuple[dict[str, bytes], dict[str, int], bytes, int]:
@@ -196,7 +199,8 @@
     def request(self, line: TraceLine) -> bytes:
         """A request's bytes."""
         id = next(self._ids)
-        lines_ = [f"{'POST' if line.body else 'GET'} /{line.klass}/{line.customer} HTTP/1.1", "Host: service.internal",
+        lines_ = [f"{'POST' if line.body else 'GET'} /{line.klass}/{line.customer} HTTP/1.1",
+                  f"Host: {line.tenant or 'service.internal'}",
                   f"Req-Id: {id:016x}", f"X-Contract: {line.plan}", f"Req-Deadline-Ms: {line.deadline_ms}",
                   f"X-Metering: units={line.units:g},spread={self._gateways},first=0"]
         if line.body:
--- a/hallhitch/lab/traces.py
+++ b/hallhitch/lab/traces.py
@@ -21,7 +21,7 @@
 ACCESS_TIME = "%d/%b/%Y:%H:%M:%S %z"
 PATH = re.compile(r"/([^/?#]+)/(?:[^?#]*/)?([0-9a-fA-F]{16})(?:[?#].*)?")  # the class first, the customer last
 NEEDED = {"class", "customer", "plan"}
-OPTIONAL = {"at_ms", "time", "units", "deadline_ms", "body"}
+OPTIONAL = {"at_ms", "time", "units", "deadline_ms", "body", "tenant"}
 
 
 def from_access_log(lines: Iterable[str], plan: str, deadline_ms: int, body: int) -> tuple[list[TraceLine], int]:
@@ -58,12 +58,12 @@
 
 def from_csv(lines: Iterable[str], deadline_ms: int) -> list[TraceLine]:
     """A trace from a table with a header: class, customer, plan, `at_ms` or `time` (ISO 8601), and if they are known
-    units, deadline_ms and body. Rows may come in any order. ValueError names the line and the column."""
+    units, deadline_ms, body and tenant (a host name). Rows may come in any order. ValueError names the line."""
     table = csv.DictReader(lines)
     columns = set(table.fieldnames or ())
     if not columns >= NEEDED or not columns <= NEEDED | OPTIONAL or len(columns & {"at_ms", "time"}) != 1:
         raise ValueError(f"line 1: the header needs {', '.join(sorted(NEEDED))} and one of at_ms and time; it may have "
-                         f"units, deadline_ms and body; found {', '.join(sorted(columns)) or 'nothing'}")
+                         f"units, deadline_ms, body and tenant; found {', '.join(sorted(columns)) or 'nothing'}")
     made = []
     for row in table:
         try:
@@ -72,7 +72,7 @@
             at = float(row["at_ms"]) if "at_ms" in columns else datetime.fromisoformat(row["time"]).timestamp() * 1000
             fields = {"at_ms": at, "class": row["class"], "customer": row["customer"], "plan": row["plan"],
                       "units": float(row.get("units") or 1), "body": int(row.get("body") or 0),
-                      "deadline_ms": int(row.get("deadline_ms") or deadline_ms)}
+                      "deadline_ms": int(row.get("deadline_ms") or deadline_ms), "tenant": row.get("tenant") or ""}
             made.append(msgspec.convert(fields, TraceLine))
         except ValueError as error:
             raise ValueError(f"line {table.line_num}: {error}") from error
--- a/tests/lab/test_load.py
+++ b/tests/lab/test_load.py
@@ -50,7 +50,7 @@
     def __init__(self, loop: JumpingLoop, stall: tuple[float, float]) -> None:
         self.loop, self.stall = loop, stall
         self.wrote: dict[str, float] = {}  # when each customer's answer went
-        self.connections = 0
+        self.connections, self.heard = 0, b""
 
     async def connect(self, host: str, port: int) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         """A connection of its own."""
@@ -60,6 +60,7 @@
 
     def take(self, request: bytes, reader: asyncio.StreamReader) -> None:
         """One request."""
+        self.heard += request
         who, now = request.split()[1].rpartition(b"/")[2].decode(), self.loop.now
         ends = self.stall[1] if self.stall[0] <= now < self.stall[1] else now + 0.001
         self.loop.call_at(ends, self._answer, who, reader)
@@ -90,7 +91,8 @@
     def test_a_stall_of_two_seconds_is_told_as_it_was(self) -> None:
         """Guards against a generator that stops asking while the server stands still, and so hides the delay."""
         server = Stalling(self.loop, (1.0, 3.0))
-        asked = [msgspec.structs.replace(line, customer=f"{number:016x}")
+        hosts = ("", "acme.example.org")
+        asked = [msgspec.structs.replace(line, customer=f"{number:016x}", tenant=hosts[number % 2])
                  for number, line in enumerate(load.lines(load.times("poisson", 150.0, 5.0, 3), MIX, 3))]
         plan = load.Plan("127.0.0.1:9", "http", asked)
         tally = self.loop.run_until_complete(load.Worker(plan, 0.0, self.loop.time, server.connect).run(asked))
@@ -102,6 +104,8 @@
         self.assertGreater(found[90.0], 1000.0)
         self.assertTrue(tally.valid)
         self.assertEqual(tally.statuses["served"], len(asked))
+        self.assertEqual(tally.times["tenant acme.example.org"].get_total_count(), len(asked) // 2)
+        self.assertIn(b"Host: acme.example.org\r\n", server.heard)
         self.assertGreater(server.connections, 250, "each request of the stall has gone")
 
     def test_a_closed_loop_beside_it_hides_the_stall(self) -> None:
