One draw of whom a fault befalls, one way out of the queue, one set of benchmark stand-ins

Found on a second reading: the same draw of a part of things stood four times in the lab (Stream.some now); leaving the fair queue out of turn was written twice; the whole's lines looked each row up again that they already had; the CPU benchmark started its stand-ins twice over; a client certificate's context was made in three places of one test.

--- a/benchmarks/cpu_per_request.py
+++ b/benchmarks/cpu_per_request.py
@@ -11,9 +11,11 @@
 
 import argparse
 import asyncio
+import contextlib
 import os
 import sys
 import tempfile
+from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Any
 
@@ -42,54 +44,56 @@
     return found
 
 
-async def measure(rates: list[float], seconds: float) -> list[str]:
-    """The table's rows."""
-    rows = []
+@contextlib.asynccontextmanager
+async def stood() -> AsyncIterator[tuple[QuietCounter, Discovery, list[Backend]]]:
+    """Stand-ins that answer at once, for as long as they are needed."""
     counter, discovery = QuietCounter(), Discovery()
     nodes: list[Backend] = [Quiet(f"b{n}", lambda n: http(200, b"scored")) for n in range(4)]
     for stand_in in (counter, discovery, *nodes):
         await stand_in.start()
-    for rate in rates:
-        with tempfile.TemporaryDirectory() as folder:
-            program = Program(folder, discovery.address, counter.address, nodes, 5000.0)
-            await program.start(optimised=True)
-            await program.logged('"serving"')
-            ours, told = await cost(program.process.pid, program.listen, rate, seconds)
-            await program.stop()
-        port = free_port()
-        bare: Any = await asyncio.create_subprocess_exec(
-            sys.executable, "-O", "-m", "benchmarks.passthrough", str(port), *(node.address for node in nodes),
-            cwd=ROOT, stdout=asyncio.subprocess.PIPE)
-        await bare.stdout.readline()
-        theirs, other = await cost(bare.pid, f"127.0.0.1:{port}", rate, seconds)
-        bare.terminate()
-        await bare.wait()
-        served = told.statuses["served"] / max(1, told.sent)
-        rows.append(f"| {rate:g} | {ours:.0f} | {theirs:.0f} | {ours / theirs:.1f} | {served:.3f} | "
-                    f"{told.percentiles()[50.0]:.1f} / {other.percentiles()[50.0]:.1f} | "
-                    f"{'yes' if told.valid and other.valid else 'no'} |")
-        print(rows[-1], flush=True)
+    yield counter, discovery, nodes
     for stand_in in (counter, discovery, *nodes):
         await stand_in.stop()
+
+
+async def measure(rates: list[float], seconds: float) -> list[str]:
+    """The table's rows."""
+    rows = []
+    async with stood() as (counter, discovery, nodes):
+        for rate in rates:
+            with tempfile.TemporaryDirectory() as folder:
+                program = Program(folder, discovery.address, counter.address, nodes, 5000.0)
+                await program.start(optimised=True)
+                await program.logged('"serving"')
+                ours, told = await cost(program.process.pid, program.listen, rate, seconds)
+                await program.stop()
+            port = free_port()
+            bare: Any = await asyncio.create_subprocess_exec(
+                sys.executable, "-O", "-m", "benchmarks.passthrough", str(port), *(node.address for node in nodes),
+                cwd=ROOT, stdout=asyncio.subprocess.PIPE)
+            await bare.stdout.readline()
+            theirs, other = await cost(bare.pid, f"127.0.0.1:{port}", rate, seconds)
+            bare.terminate()
+            await bare.wait()
+            served = told.statuses["served"] / max(1, told.sent)
+            rows.append(f"| {rate:g} | {ours:.0f} | {theirs:.0f} | {ours / theirs:.1f} | {served:.3f} | "
+                        f"{told.percentiles()[50.0]:.1f} / {other.percentiles()[50.0]:.1f} | "
+                        f"{'yes' if told.valid and other.valid else 'no'} |")
+            print(rows[-1], flush=True)
     return rows
 
 
 async def profile(rate: float, seconds: float) -> str:
     """Where the gateway's time goes at a rate: a table by function."""
-    counter, discovery = QuietCounter(), Discovery()
-    nodes: list[Backend] = [Quiet(f"b{n}", lambda n: http(200, b"scored")) for n in range(4)]
-    for stand_in in (counter, discovery, *nodes):
-        await stand_in.start()
-    with tempfile.TemporaryDirectory() as folder:
-        os.environ["PROFILE_TO"] = str(Path(folder) / "profile")
-        program = Program(folder, discovery.address, counter.address, nodes, 5000.0)
-        await program.start(optimised=True, module="benchmarks.profiled_gateway")
-        await program.logged('"serving"')
-        await cost(program.process.pid, program.listen, rate, seconds)
-        await program.stop()
-        found = Path(os.environ["PROFILE_TO"]).read_text()
-    for stand_in in (counter, discovery, *nodes):
-        await stand_in.stop()
+    async with stood() as (counter, discovery, nodes):
+        with tempfile.TemporaryDirectory() as folder:
+            os.environ["PROFILE_TO"] = str(Path(folder) / "profile")
+            program = Program(folder, discovery.address, counter.address, nodes, 5000.0)
+            await program.start(optimised=True, module="benchmarks.profiled_gateway")
+            await program.logged('"serving"')
+            await cost(program.process.pid, program.listen, rate, seconds)
+            await program.stop()
+            found = Path(os.environ["PROFILE_TO"]).read_text()
     return found
 
 
--- a/hallhitch/hosted/__init__.py
+++ b/hallhitch/hosted/__init__.py
@@ -1,1 +1,1 @@
-"""Gateways that follow the catalogue: what they keep on disk, and later the way to the control plane and the front."""
+"""Gateways that follow the catalogue: the way to the control plane, and what they keep on disk."""
--- a/hallhitch/hosted/link.py
+++ b/hallhitch/hosted/link.py
@@ -48,7 +48,8 @@
         self._client = httpx.AsyncClient(
             base_url=url, verify=context, trust_env=False, timeout=httpx.Timeout(SILENT, read=HOLD / 1000 + SILENT))
         self._instance = secrets.token_hex(16)
-        self._follower = Follower(saved.load() or Catalogue(), draw or random.Random())
+        self._draw = draw or random.Random()
+        self._follower = Follower(saved.load() or Catalogue(), self._draw)
         self._heard = time.monotonic()  # when the control plane last answered
         self._said = self._heard
         self._keeping: asyncio.Task[None] | None = None
@@ -93,7 +94,7 @@
                 later = answer.headers.get("retry-after", "")
                 if answer.status_code == 503 and later.replace(".", "", 1).isdigit():
                     self._follower.cut()
-                    return min(60.0, float(later)) * random.uniform(1.0, 1.5)
+                    return min(60.0, float(later)) * self._draw.uniform(1.0, 1.5)
                 raise FeedError(f"{answer.status_code}: {problem}")
             async for line in lines_of(answer):
                 if (made := self._follower.take(line)) is not None:
--- a/hallhitch/hosting/admission.py
+++ b/hallhitch/hosting/admission.py
@@ -190,9 +190,7 @@
         queue.waiting.remove(found)
         queue.cost = max(0.0, queue.cost - found.cost)
         if not queue.waiting:
-            self._heap = [one for one in self._heap if one[2] != tenant]
-            heapq.heapify(self._heap)
-            self._weight = max(0.0, self._weight - queue.weight) if self._heap else 0.0
+            self._unqueue(tenant, queue)
         return True
 
     def next_at(self, now: float) -> float | None:
@@ -222,17 +220,25 @@
         if queue is None:
             return []
         if queue.waiting:
-            self._heap = [one for one in self._heap if one[2] != tenant]
-            heapq.heapify(self._heap)
-            self._weight = max(0.0, self._weight - queue.weight) if self._heap else 0.0
+            self._unqueue(tenant, queue)
         return [TurnedAway(one.id, ADVICE_LEAST) for one in queue.waiting]
 
+    def _unqueue(self, tenant: str, queue: _Queue) -> None:
+        """A tenant has nothing waiting any more, out of its turn."""
+        self._heap = [one for one in self._heap if one[2] != tenant]
+        heapq.heapify(self._heap)
+        self._rest(queue)
+
+    def _rest(self, queue: _Queue) -> None:
+        """Those that wait weigh so much less; nothing where nobody waits, so that rounding does not add up."""
+        self._weight = max(0.0, self._weight - queue.weight) if self._heap else 0.0
+
     def _requeue(self, tenant: str, queue: _Queue) -> None:
         if queue.waiting:
             heapq.heappush(self._heap, (queue.tag, next(self._number), tenant))
         else:
             queue.cost = 0.0
-            self._weight = max(0.0, self._weight - queue.weight) if self._heap else 0.0
+            self._rest(queue)
 
     def _refill(self, now: float) -> None:
         if now > self._at:
--- a/hallhitch/hosting/feed.py
+++ b/hallhitch/hosting/feed.py
@@ -18,7 +18,6 @@
 
 import random
 from collections.abc import Iterator
-from typing import Any
 
 import msgspec
 from msgspec import Raw, Struct
@@ -26,7 +25,7 @@
 
 from hallhitch.hosting.draft import Draft, set_parts
 from hallhitch.hosting.history import Diff, History, decode_diff, decode_rows, encode_diff, encode_rows, patch
-from hallhitch.hosting.model import Catalogue, Credential, Scope
+from hallhitch.hosting.model import Catalogue, Credential, Kept, Scope
 from hallhitch.hosting.names import OPERATORS
 from hallhitch.hosting.rows import WRAP, Row, rows_of, sum_of
 
@@ -96,9 +95,7 @@
     for row in rows_of(catalogue):
         if not told(row):
             continue
-        kept = catalogue.get(row.tenant, row.kind, row.name)
-        assert kept is not None
-        total += sum_of(row.tenant, row.kind, row.name, kept)
+        total += sum_of(row.tenant, row.kind, row.name, Kept(row.value, row.version))
         held.append(row)
         count += 1
         if len(held) == piece:
@@ -243,11 +240,11 @@
 def read_whole(lines: Iterator[bytes]) -> Catalogue:
     """A whole catalogue from its lines, as a gateway saves it; FeedError says what is wrong."""
     follower = Follower(Catalogue(), random.Random(0))
-    made: Any = None
+    made: Catalogue | None = None
     for line in lines:
         if made is not None:
             raise FeedError("more behind the end")
         made = follower.take(line)
     if made is None:
         raise FeedError("no end")
-    return follower.held
+    return made
--- a/hallhitch/hosting/membership.py
+++ b/hallhitch/hosting/membership.py
@@ -7,8 +7,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 from msgspec import Struct
 
 LEASE = 15_000.0  # ms that a renewal lasts
@@ -46,14 +44,11 @@
     """Another instance of this name holds the lease; the text says until when it does."""
 
 
-@dataclass(slots=True)
 class Membership:
     """All leases, in memory: a control plane that starts again learns them anew within one lease."""
 
-    _gateways: dict[str, Gateway]
-
     def __init__(self) -> None:
-        self._gateways = {}
+        self._gateways: dict[str, Gateway] = {}
 
     def renew(self, name: str, instance: str, holds: Version, now: float) -> bool:
         """A gateway says that it is there and what it holds; False where there are too many to count one more.
--- a/hallhitch/lab/sockets.py
+++ b/hallhitch/lab/sockets.py
@@ -430,9 +430,7 @@
     # Faults: those of the virtual run, on the same models and on processes.
 
     def _some(self, part: float) -> list[SocketNode]:
-        up = [made for made in self.nodes.values() if made.node.state == "up"]
-        count = min(len(up), max(1, round(part * len(up))))
-        return [up.pop(self._faults.index(len(up))) for _ in range(count)]
+        return self._faults.some((made for made in self.nodes.values() if made.node.state == "up"), part)
 
     def _later(self, seconds: float, what: Callable[[], object]) -> None:
         asyncio.get_running_loop().call_later(seconds, what)
@@ -485,9 +483,7 @@
                 self.discovery.set(made.node, "gone")
 
     def _picked(self, part: float) -> list[int]:
-        alive = [number for number, process in self._processes.items() if process is not None]
-        count = min(len(alive), max(1, round(part * len(alive))))
-        return [alive.pop(self._faults.index(len(alive))) for _ in range(count)]
+        return self._faults.some((n for n, process in self._processes.items() if process is not None), part)
 
     def _stop(self, number: int, fault: Fault) -> None:
         """A process stands still for a while, its connections open."""
--- a/hallhitch/lab/streams.py
+++ b/hallhitch/lab/streams.py
@@ -6,9 +6,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+from typing import TypeVar
+
 import numpy as np
 from xxhash import xxh64_intdigest
 
+T = TypeVar("T")
+
 
 class Stream:
     """One part's numbers. Draws come in blocks: a single draw of numpy costs a microsecond."""
@@ -41,6 +46,12 @@
         """Whether something of this chance happens."""
         return self.random() < share
 
+    def some(self, things: Iterable[T], part: float) -> list[T]:
+        """A part of things, one at least if there is any, in the order in which they were drawn."""
+        left = list(things)
+        count = min(len(left), max(1, round(part * len(left))))
+        return [left.pop(self.index(len(left))) for _ in range(count)]
+
     def index(self, count: int) -> int:
         """One of so many."""
         return int(self.random() * count)
--- a/hallhitch/lab/world.py
+++ b/hallhitch/lab/world.py
@@ -155,12 +155,7 @@
 
     def _some(self, part: float) -> list[Node]:
         """Nodes that a fault befalls: one at least."""
-        up = [node for node in self.nodes.values() if node.state == "up"]
-        count = min(len(up), max(1, round(part * len(up))))
-        picked = []
-        for _ in range(count):
-            picked.append(up.pop(self._faults.index(len(up))))
-        return picked
+        return self._faults.some((node for node in self.nodes.values() if node.state == "up"), part)
 
     def _begin(self, fault: Fault) -> None:
         whom: list[Node] = []
@@ -223,9 +218,7 @@
 
     def _picked(self, part: float) -> list[int]:
         """Gateways that a fault befalls: one at least."""
-        alive = [number for number, gateway in self.gateways.items() if gateway is not None]
-        count = min(len(alive), max(1, round(part * len(alive))))
-        return [alive.pop(self._faults.index(len(alive))) for _ in range(count)]
+        return self._faults.some((n for n, gateway in self.gateways.items() if gateway is not None), part)
 
     def _stop(self, number: int, fault: Fault) -> None:
         gateway = self.gateways[number]
--- a/tests/hosted/test_link.py
+++ b/tests/hosted/test_link.py
@@ -16,10 +16,15 @@
 from hallhitch.tls import authority
 from hallhitch.tls.certificates import fingerprint
 from tests.cli.test_commands import run as command
-from tests.control_plane import ControlCase, change, seed
+from tests.control_plane import ControlCase, ControlPlane, change, seed
 from tests.stand_ins import soon
 
 
+def shown_by(plane: ControlPlane, certificate: Path) -> ssl.SSLContext:
+    """TLS to a control plane with a client certificate."""
+    return trusting(str(plane.folder / "tls" / "ca.crt"), str(certificate), str(certificate.with_suffix(".key")))
+
+
 class Following:
     """A link in this process, and what it applied."""
 
@@ -27,7 +32,7 @@
         self.name, self.plane = name, plane
         self.applied: list[Catalogue] = []
         self._news = asyncio.Event()
-        context = trusting(str(plane.folder / "tls" / "ca.crt"), str(certificate), str(certificate.with_suffix(".key")))
+        context = shown_by(plane, certificate)
         self.path = plane.folder / f"{name}.catalogue"
         self.link = Link(plane.url, context, name, Saved(self.path), self._take)
         self.task = asyncio.create_task(self.link.run())
@@ -149,8 +154,7 @@
         """Guards against a tenant that reads the feed, and a gateway's certificate that opens the API."""
         query: dict[str, Any] = {"gateway": "x", "instance": "0" * 16, "epoch": 0, "version": 0}
         self.assertEqual((await self.root.get("/v1/feed", params=query)).status_code, 404)
-        context = trusting(str(self.plane.folder / "tls" / "ca.crt"), str(self.certificate),
-                           str(self.certificate.with_suffix(".key")))
+        context = shown_by(self.plane, self.certificate)
         async with self.plane.client(None, context) as gateway:
             self.assertEqual((await gateway.get("/v1/feed", params=query)).status_code, 200)
             for path in ("/v1/tenants", "/v1/tenants/acme", "/v1/tenants/acme/clients", "/v1/operators", "/v1/status",
@@ -173,8 +177,7 @@
 
     async def test_many_that_come_at_once_are_served_in_turn(self) -> None:
         """Guards against a fleet's return that the control plane answers all at once, or not at all."""
-        context = trusting(str(self.plane.folder / "tls" / "ca.crt"), str(self.certificate),
-                           str(self.certificate.with_suffix(".key")))
+        context = shown_by(self.plane, self.certificate)
         limits = httpx.Limits(max_connections=60)
         async with httpx.AsyncClient(base_url=self.plane.url, verify=context, trust_env=False, limits=limits,
                                      timeout=30.0) as gateway:
