--- a/hallhitch/decision/policy.py
+++ b/hallhitch/decision/policy.py
@@ -308,7 +308,7 @@
         stale = (self.now - s.queue_at) / r.kind.aim  # reports are late and noisy: they add, and fade
         line = len(s.out) + start + s.queue * max(0.0, 1 - stale)
         fails = s.errors if s.linked else max(s.errors, self.refusing())
-        cost = self.work[r.ask.klass] * s.pace * line / math.sqrt(self.warmth(s)) / max(LEARN, 1 - fails)
+        cost = self.work[r.ask.klass] * s.pace * line / self.warmth(s) / max(LEARN, 1 - fails)
         # Silence with work out is the first sign of any stall, whatever its cause.
         quiet = (self.now - s.heard) / self.work[r.ask.klass] if s.out else 0.0
         return cost * (1 + max(0.0, quiet - usual))
