Two chance-based tests judge the mean of eight seeds, by the bounds they had before

Two bounds (calls of a crowded counter under 40, calls near the limit over 30) were widened to 60 and 25 when the choice of server began to draw chance of its own, which shifted the stream. The old bounds hold for the mean. The test of refused watches now follows one watch through 99 failures.

--- a/tests/net/test_pacing.py
+++ b/tests/net/test_pacing.py
@@ -62,5 +62,6 @@
     pushed = Pacing(40, False, 1)
     assert pushed.first(False) == pushed.first(True) == 0.0
     assert pushed.failed(True) <= 100.0
-    refused = [Pacing(40, True, 1).failed(False) for _ in range(9)]
-    assert max(refused) <= 100.0 and Pacing(40, True, 1).failed(False) <= AGAIN_MOST
+    refusing = Pacing(40, True, 1)
+    refused = [refusing.failed(False) for _ in range(99)]
+    assert refused[0] <= 100.0 and max(refused) <= AGAIN_MOST
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -43,8 +43,10 @@
 class Bench:
     """A gateway with a clock and a counter that can fail."""
 
-    def __init__(self, settings: api.Settings | None = None, listed: api.ServerList | None = None) -> None:
-        self.gateway = Gateway(settings or make(), SEED)
+    def __init__(
+        self, settings: api.Settings | None = None, listed: api.ServerList | None = None, seed: int = SEED,
+    ) -> None:
+        self.gateway = Gateway(settings or make(), seed)
         self.now = 500_000.0
         self.numbers: dict[int, float] = {}
         self.outcome = "ok"
@@ -201,13 +203,15 @@
 
 def test_a_crowded_counter_is_called_less_and_again_when_well() -> None:
     """Guards against hundreds of gateways keeping a counter down by calling it (full size, ie3f93e)."""
-    bench = Bench()
-    bench.outcome = "full"
-    for n in range(60):
-        bench.ask(f"k{n}")
-        bench.serve()
-    crowded = sum(len(only(bench.ask(f"m{n}"), api.Count)) for n in range(200))
-    assert 0 < crowded < 60
+    crowded = []
+    for seed in range(8):
+        bench = Bench(seed=seed)
+        bench.outcome = "full"
+        for n in range(60):
+            bench.ask(f"k{n}")
+            bench.serve()
+        crowded.append(sum(len(only(bench.ask(f"m{n}"), api.Count)) for n in range(200)))
+    assert min(crowded) > 0 and sum(crowded) / 8 < 40
     bench.outcome = "ok"
     for n in range(600):
         bench.ask(f"o{n}")
@@ -233,9 +237,8 @@
 
 def test_a_crowded_counter_is_asked_about_those_near_their_limit() -> None:
     """Guards against calls spent on what is known already, by the full and by those past their quota."""
-    bench = Bench(make(plan=api.Plan("p", rate=20.0, burst=40.0, beyond_cost=0.5)))
-
-    def calls(store: float) -> int:
+    def calls(store: float, seed: int) -> int:
+        bench = Bench(make(plan=api.Plan("p", rate=20.0, burst=40.0, beyond_cost=0.5)), seed=seed)
         made = 0
         for _ in range(50):
             bench.ask()
@@ -246,8 +249,8 @@
             bench.serve()
         return made
 
-    full, near, past = calls(40.0), calls(1.5), calls(0.0)
-    assert full < 20 and near > 25 and past == 0, (full, near, past)
+    full, near, past = (sum(calls(store, seed) for seed in range(8)) / 8 for store in (40.0, 1.5, 0.0))
+    assert full < 20 and near > 30 and past == 0, (full, near, past)
 
 
 def test_what_others_use_is_foreseen_between_looks() -> None:
