All gateways keep to a small fleet again; a server's gateways are counted in one place

Read once more, the choice of the few servers and a cold server's budget each had their own copy of how many gateways keep to a server, and they differed: with at most 16 servers and more gateways than that, each kept to a part of them while the budget was divided among all. keepers() says it for both now; a test fails without the change. The servers left out are found in one pass, where each was searched for in the list of the others.

--- a/hallhitch/decision/policy.py
+++ b/hallhitch/decision/policy.py
@@ -348,15 +348,21 @@
         # and meet each server too seldom to learn anything of it.
         # Each server takes the same number of gateways, by its own order of their numbers: nobody is left
         # out, and one that comes back is kept to by the same again, whatever became of the others.
-        most = len(self.pool) if len(self.pool) <= WHOLE else self.keepers()
-        good = [s for s in self.pool if s.linked or s.aside.get(ALL, 0.0) <= self.now]
-        self.redraw = min((s.aside[ALL] for s in self.pool if s not in good), default=math.inf)
+        good, self.redraw = [], math.inf
+        for s in self.pool:
+            if s.linked or s.aside.get(ALL, 0.0) <= self.now:
+                good.append(s)
+            else:
+                self.redraw = min(self.redraw, s.aside[ALL])
         good.sort(key=lambda s: (s.rank, s.entry.server))
+        most = self.keepers()
         self.near = [s for n, s in enumerate(good) if s.rank < most or n < FEW]
 
     def keepers(self) -> int:
-        """How many gateways keep to a server: FEW at least, and so many that each keeps to about FEW."""
-        return math.ceil(FEW * max(1.0, self.set.gateways / max(1, len(self.pool))))
+        """How many gateways keep to a server: all in a small fleet; else FEW, or as many as give each FEW."""
+        if len(self.pool) <= WHOLE:
+            return self.set.gateways
+        return min(self.set.gateways, math.ceil(FEW * max(1.0, self.set.gateways / len(self.pool))))
 
     def takes(self, s: Server, r: Open) -> bool:
         """Whether a server may get this request now; one that turns a plan away may have room for others."""
@@ -375,9 +381,8 @@
             return 0.0
         fleet = sum(o.entry.weight * self.warmth(o) for o in self.servers.values())
         served = sum(t > self.now - self.set.fall_time for o in self.servers.values() for t in o.served)
-        most = min(self.set.gateways, self.keepers() if len(self.pool) > WHOLE else self.set.gateways)
         part = served * self.set.gateways * s.entry.weight * self.warmth(s) * self.set.fall_multiple / fleet
-        return self.set.fall_time * most / max(1, part * COLD_MARGIN)
+        return self.set.fall_time * self.keepers() / max(1, part * COLD_MARGIN)
 
     def fits(self, r: Open, to: api.ServerEntry) -> bool:
         """Where a repeat may go: keyed only in its group and window, unsafe nowhere once it may have run."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -850,6 +850,14 @@
     assert kept == {name: {g.set.index for g in gateways if g.servers[name] in g.near} for name in kept}
 
 
+def test_every_gateway_keeps_to_all_of_a_small_fleet() -> None:
+    """Guards against a few servers of which many gateways leave most out."""
+    for index in range(40):
+        gateway = Gateway(make(gateways=40, index=index), SEED)
+        gateway.handle(500_000.0, [servers(12)])
+        assert len(gateway.near) == 12
+
+
 def test_work_is_shared_by_what_servers_can_do() -> None:
     """Guards against cold servers left idle by gateways that see little of what the others have out."""
     bench = Bench(make(gateways=40, cold_time=16_000.0, fall_multiple=3.0), servers(8))
