A second address with figures and a drain, and a listener that the platform holds

Connections are accepted by a callback of the loop, as a cancelled task could lose one it had taken; a listener is closed and never shut down. A drain says no to health at once, ends connections with their next answer, and idle ones from 0.5 to 1.3 s after the call, none on which something waits unread. After SIGTERM with a shared listener, nothing more is accepted, idle connections stay for 2 s, and requests that come late are owed their answer before SIGKILL.

--- a/hallhitch/decision/policy.py
+++ b/hallhitch/decision/policy.py
@@ -364,6 +364,10 @@
             return self.set.gateways
         return min(self.set.gateways, math.ceil(FEW * max(1.0, self.set.gateways / len(self.pool))))
 
+    def avoided(self) -> int:
+        """How many listed servers get nothing now: not up, or set aside for failures."""
+        return sum(s.entry.state != "up" or s.aside.get(ALL, 0.0) > self.now for s in self.servers.values())
+
     def takes(self, s: Server, r: Open) -> bool:
         """Whether a server may get this request now; one that turns a plan away may have room for others."""
         rests = max(s.rests, s.aside.get(ALL, 0.0), s.aside.get(r.ask.plan, 0.0))
--- a/hallhitch/gateway.py
+++ b/hallhitch/gateway.py
@@ -33,13 +33,17 @@
 from hallhitch.net.ingress import Ingress
 from hallhitch.net.pacing import Pacing
 from hallhitch.net.routes import RouteTable
-from hallhitch.net.sockets import address_of, listen
+from hallhitch.net.sockets import address_of, inherited, listen
+from hallhitch.ops.address import MOST as OPS_MOST
+from hallhitch.ops.address import Reply, SecondAddress
+from hallhitch.ops.figures import CONTENT_TYPE, Figures
+from hallhitch.ops.state import Call, Drain
 
 if TYPE_CHECKING:
     from hallhitch.resp.config import RespConfig
 
 KEPT = 32  # descriptors for the counter, discovery, listeners and the process itself
-MOVES = {"discovery", "counter", "known", "seed"}  # what SIGHUP changes, and what matters at a start alone
+MOVES = {"discovery", "counter", "known", "seed", "inherited"}  # what SIGHUP changes, and what matters at a start alone
 log = structlog.get_logger()
 
 
@@ -84,13 +88,15 @@
 
     core = core_for("module", told.seed)
     pacing = Pacing(settings.gateways, not settings.push_list, told.seed)
+    figures, drain = Figures(kind.name for kind in settings.classes), Drain()
     routes = RouteTable(loop, deadlines, told.zones, core.post, pacing)
     # Usual clients hold at most a third of the descriptors. A quarter is for hops, the rest for clients, so
     # that others crowd them out later, with room for the counter, discovery, connections past the budget
     # that are only turned away, and the process itself.
     quarter = (told.sockets - KEPT) // 4
-    clients = told.sockets - KEPT - quarter - SPARE
-    core.hop = Hops(routes, core, deadlines, loop, settings.connect_timeout, settings.keepalive, quarter)
+    clients = told.sockets - KEPT - quarter - SPARE - (OPS_MOST if told.ops else 0)
+    core.hop = Hops(routes, core, deadlines, loop, settings.connect_timeout, settings.keepalive, quarter,
+                    figures.attempted)
     if told.known is not None:
         routes.post(told.known)
     fronts: list[Acceptor] = []
@@ -104,9 +110,43 @@
 
         listener = bound("listen (RESP)", address_of(resp.listen))
         fronts.append(LimitServer(listener, limits, settings, deadlines, loop, most))
-    fronts.append(Ingress(bound("listen", told.listen), core, settings, deadlines, loop, clients))
+    shared = told.inherited is not None
+    listener = bound("EDGE_FD", told.inherited) if told.inherited is not None else bound("listen", told.listen)
+    ingress = Ingress(
+        listener, core, settings, deadlines, loop, clients, shared, lambda: drain.welcome, figures.ended)
+    fronts.append(ingress)
+    figures.levels = {
+        "in_flight": lambda: ingress.in_flight, "backends_known": lambda: len(routes.entries),
+        "backends_excluded": core.gateway.avoided}
+    serving = False
+
+    def evacuate(call: Call) -> Reply:
+        if drain.take(call):
+            log.info("asked to " + call.value, state=drain.state.value)
+        for front in fronts:
+            if drain.welcome:
+                front.rejoin()
+            else:
+                front.drain()
+        return Reply(200, drain.state.value + "\n")
+
+    def ready() -> Reply:
+        yes = serving and not drain.ending
+        return Reply(200 if yes else 503, ("ready" if yes else "not ready") + "\n")
+
+    second = None
+    if told.ops is not None:
+        second = SecondAddress(bound("ops", told.ops), {
+            ("GET", "/api/ready"): ready,
+            ("GET", "/api/telemetry"): lambda: Reply(200, figures.text(), CONTENT_TYPE),
+            ("PUT", "/api/evacuate"): lambda: evacuate(Call.EVACUATE),
+            ("PUT", "/api/rejoin"): lambda: evacuate(Call.REJOIN),
+        }, deadlines, loop)
+        second.open()
 
     def close() -> None:
+        if drain.take(Call.TERM):
+            log.info("ending")
         for front in fronts:
             front.close()
 
@@ -115,9 +155,10 @@
             fresh = config.read(again=True)
             fresh_resp = read_resp(resp_file)
         except Exception as error:  # whatever the files hold, what was read before goes on
-            COUNTS["reread_failed"] += 1
+            figures.reloads_failed += 1
             log.error("configuration not taken", error=f"{type(error).__name__}: {error}")
             return
+        figures.reloads_ok += 1
         routes.watch(fresh.discovery)
         place = counter_of(fresh, fresh_resp)
         for counter in counters:
@@ -131,8 +172,10 @@
     loop.add_signal_handler(signal.SIGTERM, close)
     loop.add_signal_handler(signal.SIGINT, close)
     loop.add_signal_handler(signal.SIGHUP, reread)
-    tasks = [loop.create_task(front.accept()) for front in fronts]
+    for front in fronts:
+        front.open()
     routes.watch(told.discovery)
+    serving = True
     log.info("serving", gateway=told.name, listen=f"{told.listen[0]}:{told.listen[1]}")
     gc.collect()
     gc.freeze()
@@ -140,15 +183,15 @@
     for front in fronts:
         await front.closed()
     routes.close()
-    for task in tasks:
-        task.cancel()
+    if second is not None:
+        second.close()
     log.info("ended", counts=dict(COUNTS))
 
 
-def bound(field: str, address: tuple[str, int]) -> socket.socket:
-    """A listener, or a word on why there is none."""
+def bound(field: str, place: tuple[str, int] | int) -> socket.socket:
+    """A listener at an address or of a descriptor, or a word on why there is none."""
     try:
-        return listen(address)
+        return inherited(place) if isinstance(place, int) else listen(place)
     except OSError as error:
         raise WireError(f"field '{field}': {error}") from error
 
--- a/hallhitch/net/acceptor.py
+++ b/hallhitch/net/acceptor.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 
-import structlog
-
 from hallhitch.core.actor import Actor
 from hallhitch.core.deadlines import Deadlines, Entry, Scheduler
 from hallhitch.core.invariants import COUNTS
-from hallhitch.net.sockets import cut, pause, tune
+from hallhitch.net.sockets import Listening, alive, cut, tune
 
 BUFFER = 8192
 SPARE = 32  # connections past the budget that are still accepted, to be turned away in words
@@ -20,7 +19,12 @@
 FIRST_MOST = 2500.0  # ms for a whole request: from connecting, from an error, or from its first byte
 LOOK = 250.0  # ms between looks at the connections with nothing open
 ACCEPT_AFTER_TERM = 500.0  # ms to go on accepting after SIGTERM
-log = structlog.get_logger()
+# ms after SIGTERM for which idle connections stay open where another process takes the new ones: nearly all end with
+# an answer meanwhile, and no request crosses that.
+SHARED_IDLE = 2000.0
+# ms of a drain: before idle connections end (who sends clients here must hear the no first), over which they end, and
+# between the looks at them.
+DRAIN_HEARD, DRAIN_SPREAD, DRAIN_LOOK = 500.0, 800.0, 40.0
 
 
 class Peer(Actor[bytes]):
@@ -160,6 +164,11 @@
             except OSError:
                 self.end()
 
+    def part(self) -> None:
+        """End an idle connection, unless something has come on it that was not read yet."""
+        if alive(self._sock):
+            self.end()
+
     def end(self) -> None:
         """End the connection; the reader then cleans up."""
         cut(self._sock)
@@ -173,36 +182,36 @@
     idle_most = 10_000.0  # ms that a connection may stand idle
 
     def __init__(
-        self, listener: socket.socket, deadlines: Deadlines, scheduler: Scheduler, most: int
+        self, listener: socket.socket, deadlines: Deadlines, scheduler: asyncio.AbstractEventLoop, most: int,
+        shared: bool = False,
     ) -> None:
-        self._listener, self.deadlines, self.scheduler, self._most = listener, deadlines, scheduler, most
+        """`shared` says that other processes take connections off the same listener."""
+        self.deadlines, self.scheduler, self._most = deadlines, scheduler, most
+        self._shared = shared
+        self._listening = Listening(listener, self.admit, deadlines, scheduler)
         self._peers: dict[Peer, asyncio.Task[None]] = {}
         # Connections with nothing open and since when, longest first: those that never had anything
         # accepted, and the others.
         self._new: dict[Peer, float] = {}
         self._idle: dict[Peer, float] = {}
-        self.closing = False
+        self.closing = False  # for good, to end the process
+        self.draining = False  # clients are sent elsewhere, and the process runs on
         self._closed = asyncio.Event()
+        self._looks: Entry | None = None  # the next look at the idle connections of a drain
+
+    @property
+    def leaving(self) -> bool:
+        """Whether connections end with their next answer."""
+        return self.closing or self.draining
 
     def peer(self, sock: socket.socket, spare: bool) -> Peer:
         """A new connection's actor; a spare one is past the budget and only turned away."""
         raise NotImplementedError
 
-    async def accept(self) -> None:
-        """Accept clients for as long as the listener is open."""
-        loop = asyncio.get_running_loop()
+    def open(self) -> None:
+        """Accept clients from now on."""
+        self._listening.open()
         self.deadlines.after(LOOK, self._look)
-        while True:
-            try:
-                self.admit((await loop.sock_accept(self._listener))[0])
-            except asyncio.CancelledError:
-                return
-            except OSError as error:
-                if self.closing:
-                    return
-                COUNTS["accept_failed"] += 1
-                log.warning("accept failed", error=str(error))
-                await pause(self.deadlines, 10.0)
 
     def admit(self, sock: socket.socket) -> None:
         """Take in a connection."""
@@ -257,30 +266,52 @@
         """A connection has ended."""
         self._peers.pop(peer, None)
         self.used(peer)
-        if self.closing and not self._peers:
-            self._closed.set()
+        if self.closing and not self._listening.listens:
+            self._check()
+
+    def drain(self) -> None:
+        """Send clients elsewhere: each connection ends with its next answer, or once it was idle for long enough."""
+        if not self.draining:
+            self.draining = True
+            self.deadlines.drop(self._looks)
+            self._looks = self.deadlines.after(DRAIN_HEARD, lambda: self._part(DRAIN_SPREAD / DRAIN_LOOK))
+
+    def rejoin(self) -> None:
+        """Keep clients again."""
+        self.draining = False
+        self.deadlines.drop(self._looks)
+
+    def _part(self, looks: float) -> None:
+        """End a part of the idle connections, all that are left once `looks` looks have passed."""
+        idle = [p for p in self._peers if p.idle]
+        for peer in idle[:math.ceil(len(idle) / max(1.0, looks))]:
+            peer.part()
+        self._looks = self.deadlines.after(DRAIN_LOOK, lambda: self._part(looks - 1))
 
     def close(self) -> None:
         """Begin to end: go on accepting for a while, then finish what is open."""
-        if not self.closing:
-            self.closing = True
+        if self.closing:
+            return
+        self.closing = True
+        if self._shared:  # what nobody has taken yet is the other process's
+            self._listening.close()
+            self._check()
+            self.deadlines.after(SHARED_IDLE, self._end_idle)
+        else:
             self.deadlines.after(ACCEPT_AFTER_TERM, self._stop)
 
     def _stop(self) -> None:
-        while True:  # what the machine accepted meanwhile has been taken too
-            try:
-                self.admit(self._listener.accept()[0])
-            except OSError:
-                break
-        cut(self._listener)
-        self._listener.close()
+        self._listening.close(rest=True)  # what the machine accepted meanwhile has been taken too
+        self._check()
+        self._end_idle()
+
+    def _check(self) -> None:
         if not self._peers:
             self._closed.set()
-        self._end_idle()
 
     def _end_idle(self) -> None:
         for peer in [p for p in self._peers if p.idle]:
-            peer.end()
+            peer.part()
         if self._peers:
             self.deadlines.after(50.0, self._end_idle)
 
--- a/hallhitch/net/config.py
+++ b/hallhitch/net/config.py
@@ -28,6 +28,8 @@
     settings: api.Settings
     zones: list[str]
     known: News | None
+    ops: tuple[str, int] | None  # where operators call; None where nobody does
+    inherited: int | None  # the descriptor of the clients' listener, where the platform holds it
 
 
 def read(environ: Mapping[str, str] = os.environ, again: bool = False) -> Config:
@@ -66,9 +68,14 @@
     if sockets < SOCKETS_LEAST:
         raise WireError(f"field 'sockets' is too small: {SOCKETS_LEAST} is the least")
     known = top.get("known")
+    ops = address("ops", "EDGE_OPS") if environ.get("EDGE_OPS") or top.get("ops") is not None else None
+    descriptor = environ.get("EDGE_FD") or None
+    if descriptor is not None and not descriptor.isdigit():
+        raise WireError("EDGE_FD is no descriptor")
     return Config(
         environ.get("EDGE_NAME") or need(top, "name", str), address("listen", "EDGE_LISTEN"),
         address("discovery", "" if again else "EDGE_DISCOVERY"),
         address("counter", "") if settings.has_counter else None, seed, sockets, settings, zones,
-        news_of(known, zones, saved=True) if known is not None else None,
+        news_of(known, zones, saved=True) if known is not None else None, ops,
+        None if descriptor is None else int(descriptor),
     )
--- a/hallhitch/net/hops.py
+++ b/hallhitch/net/hops.py
@@ -163,6 +163,7 @@
         assert isinstance(request, Message)
         await loop.sock_sendall(connection.sock, self._head(request, left))
         job.written = True
+        self._hops.wrote()
         buffer = bytearray(BUFFER)
         view = memoryview(buffer)
         limit = None
@@ -239,8 +240,10 @@
 
     def __init__(
         self, routes: Routes, told: Told, deadlines: Deadlines, scheduler: Scheduler,
-        connect_timeout: float, keepalive: float, most: int,
+        connect_timeout: float, keepalive: float, most: int, wrote: Callable[[], None] = lambda: None,
     ) -> None:
+        """`wrote` is told of each attempt written whole; `most` bounds the connections."""
+        self.wrote = wrote
         self.routes, self._told, self.deadlines, self._scheduler = routes, told, deadlines, scheduler
         self.connect_timeout, self._idle_most, self._most = connect_timeout, keepalive * IDLE_SHARE, most
         self.idleness = Idleness(deadlines.clock)
--- a/hallhitch/net/http.py
+++ b/hallhitch/net/http.py
@@ -138,10 +138,20 @@
         message.status = self._answers.get_status_code()
 
 
+def path_of(target: bytes) -> bytes:
+    """The path that a request's target names, in the origin form or the absolute one."""
+    if not target.startswith(b"/"):
+        scheme, mark, rest = target.partition(b"://")
+        if mark and scheme.lower() in (b"http", b"https"):
+            target = b"/" + rest.partition(b"/")[2]
+    return target.partition(b"?")[0]
+
+
 REASONS = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 405: b"Method Not Allowed", 408: b"Request Timeout",
     409: b"Conflict", 413: b"Content Too Large", 417: b"Expectation Failed", 429: b"Too Many Requests",
-    431: b"Request Header Fields Too Large", 502: b"Bad Gateway", 503: b"Service Unavailable",
+    431: b"Request Header Fields Too Large", 500: b"Internal Server Error", 502: b"Bad Gateway",
+    503: b"Service Unavailable",
 }
 
 
--- a/hallhitch/net/ingress.py
+++ b/hallhitch/net/ingress.py
@@ -2,17 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
+import math
 import re
 import socket
 from collections import deque
+from collections.abc import Callable
 from functools import lru_cache
 
-from hallhitch.core.deadlines import Deadlines, Scheduler
+from hallhitch.core.deadlines import Deadlines
 from hallhitch.core.invariants import COUNTS, invariant
 from hallhitch.core.module import Core
 from hallhitch.decision import api
 from hallhitch.net.acceptor import Acceptor, Peer
-from hallhitch.net.http import Malformed, Message, RequestReader, answer
+from hallhitch.net.http import Malformed, Message, RequestReader, answer, path_of
 
 QUEUE_MOST = 8  # requests read ahead on one connection; more are left unread
 CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
@@ -21,7 +24,10 @@
 KEY = re.compile(rb"[!-~]{1,128}")
 ONCE = frozenset((
     b"host", b"req-id", b"x-contract", b"x-metering", b"req-deadline-ms", b"idempotency-key", b"req-retry"))
+REFUSALS = (429, 503)
 DEADLINE_MOST = 600_000
+# ms from SIGTERM to SIGKILL: the longest deadline, counted as the first at least, and the second, less some of our own
+KILL_LEAST, KILL_AFTER = 3000.0, 700.0 - 300.0
 PAUSE, PAUSES = 100.0, 4  # ms before more is read after an error, doubled for each further one so often
 
 
@@ -69,6 +75,8 @@
         self._errors, self._slow = 0, False  # errors told here; whether the last one has it left unread
         self._broken = 0  # the status that ends the connection, once nothing more can be read
         self._busy: Message | None = None  # the request that is owed an answer
+        self._klass = ""  # its class, where it names one that is known
+        self._outcome = ""  # how it ended, once its answer is on its way
 
     @property
     def owes(self) -> bool:
@@ -83,7 +91,9 @@
     @property
     def full(self) -> bool:
         """Whether so much waits that no more is read, or errors slow the client down."""
-        return (len(self._waiting) >= QUEUE_MOST or self._slow) and not self.ending
+        # Where connections are to end, only what was read is answered: who never stops asking would never leave.
+        most = 1 if self._ingress.leaving else QUEUE_MOST
+        return (len(self._waiting) >= most or self._slow) and not self.ending
 
     def overdue(self) -> None:
         """Say that the request took too long to come."""
@@ -108,6 +118,7 @@
         self._ingress.open_ids.discard(self._open_id)
         if self._exchange:
             self._ingress.core.leave(self._exchange)
+        self._over()
 
     def _next(self) -> None:
         """Begin with the next request, if none is open."""
@@ -120,10 +131,13 @@
             return
         request = self._busy = self._waiting.popleft()
         self._ingress.used(self)
-        path = request.target.partition(b"?")[0]
+        path = path_of(request.target)
         if path == b"/_health":
-            self._give(200, b"ok")
-        elif self._spare:
+            welcome = self._ingress.welcome()
+            return self._give(200 if welcome else 503, b"ok" if welcome else b"draining")
+        self._klass = self._ingress.named(path)
+        self._ingress.in_flight += bool(self._klass)
+        if self._spare:
             self.refused(1000.0, status=503)
         else:
             try:
@@ -167,14 +181,24 @@
         if self.ended or not invariant(busy is not None, "an answer for an open request") or busy is None:
             return
         close = self.ending or self._spare or not busy.keep
-        close = close or self._ingress.closing and not self._waiting and not self._broken
+        close = close or self._ingress.leaving and not self._waiting and not self._broken
         self.ending, self._exchange = close, 0
+        self._outcome = "served" if status == 200 else "refused" if status in REFUSALS else "failed"
         self._ingress.open_ids.discard(self._open_id)
         self._open_id = b""
         self.post(answer(status, body, headers=headers, close=close))
 
+    def _over(self) -> None:
+        """A request has ended: told under its class, unless its client left before it had an answer."""
+        if self._klass:
+            self._ingress.in_flight -= 1
+            if self._outcome:
+                self._ingress.tally(self._klass, self._outcome)
+        self._klass = self._outcome = ""
+
     def wrote(self, count: int) -> None:
         """The answer has left: the next request may begin."""
+        self._over()
         self._busy = None
         if self.ending:
             self._waiting.clear()
@@ -189,10 +213,14 @@
 
     def __init__(
         self, listener: socket.socket, core: Core, settings: api.Settings, deadlines: Deadlines,
-        scheduler: Scheduler, most: int,
+        scheduler: asyncio.AbstractEventLoop, most: int, shared: bool = False,
+        welcome: Callable[[], bool] = lambda: True, tally: Callable[[str, str], None] = lambda klass, outcome: None,
     ) -> None:
-        super().__init__(listener, deadlines, scheduler, most)
-        self.core, self._settings = core, settings
+        """`welcome` says whether health is told yes; `tally` is told each request's class and outcome at its end."""
+        super().__init__(listener, deadlines, scheduler, most, shared)
+        self.core, self._settings, self.welcome, self.tally = core, settings, welcome, tally
+        self._until = math.inf
+        self.in_flight = 0  # requests of known classes that have no whole answer yet
         self.open_ids: set[bytes] = set()  # Req-Ids of the exchanges that are open
         self._classes = {c.name.encode(): n for n, c in enumerate(settings.classes)}
         self._plans = {p.name.encode(): n for n, p in enumerate(settings.plans)}
@@ -201,6 +229,22 @@
         """A new connection's actor."""
         return Client(self, sock, spare)
 
+    def close(self) -> None:
+        """Begin to end."""
+        longest = max(kind.deadline for kind in self._settings.classes)
+        self._until = min(self._until, self.deadlines.clock() + max(KILL_LEAST, longest) + KILL_AFTER)
+        super().close()
+
+    def _last(self) -> float:
+        """The ms left for any request: a process that is to end is killed in time, answered or not."""
+        return max(1.0, self._until - self.deadlines.clock())
+
+    def named(self, path: bytes) -> str:
+        """The class that a path names, if there is one of that name."""
+        parts = path.split(b"/", 2)
+        number = self._classes.get(parts[1]) if len(parts) == 3 and not parts[0] else None
+        return "" if number is None else self._settings.classes[number].name
+
     def begin(self, request: Message, path: bytes, client: Client) -> int:
         """Open an exchange for a request; nothing is counted or learned of one that is not acceptable."""
         head = request.headers
@@ -239,6 +283,6 @@
         self.open_ids.add(name)
         # Nobody waits for longer than the settings say of the class.
         return self.core.begin(
-            parts[-1].decode(), plan, klass, min(float(deadline), kind.deadline), client, request,
+            parts[-1].decode(), plan, klass, min(float(deadline), kind.deadline, self._last()), client, request,
             units=units, spread=spread, write=kind.effect != api.SAFE,
             repeat=head.get(b"req-retry") == b"1")
--- a/hallhitch/net/sockets.py
+++ b/hallhitch/net/sockets.py
@@ -4,9 +4,19 @@
 
 import asyncio
 import contextlib
+import errno
 import socket
+from collections.abc import Callable
+
+import structlog
 
 from hallhitch.core.deadlines import Deadlines
+from hallhitch.core.invariants import COUNTS
+
+ACCEPTS = 64  # connections taken in one turn, so that those already taken are served meanwhile
+ACCEPT_AGAIN = 10.0  # ms to wait where the machine has no descriptor left
+GONE = (errno.ECONNABORTED, errno.EPROTO)  # who was there has left again: no failure of ours
+log = structlog.get_logger()
 
 
 def address_of(text: str) -> tuple[str, int]:
@@ -35,6 +45,78 @@
     return sock
 
 
+def inherited(number: int) -> socket.socket:
+    """A listening socket that the platform holds, and other processes beside this one; OSError if it is none."""
+    sock = socket.socket(fileno=number)
+    if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        sock.detach()  # whatever it is, it is not ours to close
+        raise OSError(f"descriptor {number} is no listening socket")
+    sock.setblocking(False)
+    return sock
+
+
+class Listening:
+    """Takes connections off a listener, which other processes may take from as well.
+
+    A callback of the loop, not a task: a connection that a cancelled task had just taken would be lost.
+    """
+
+    def __init__(
+        self, listener: socket.socket, admit: Callable[[socket.socket], None], deadlines: Deadlines,
+        loop: asyncio.AbstractEventLoop,
+    ) -> None:
+        self._listener, self._admit, self._deadlines, self._loop = listener, admit, deadlines, loop
+        self._open = False
+
+    @property
+    def listens(self) -> bool:
+        """Whether connections are taken."""
+        return self._open
+
+    def open(self) -> None:
+        """Take connections from now on."""
+        self._open = True
+        self._loop.add_reader(self._listener, self._ready)
+
+    def close(self, rest: bool = False) -> None:
+        """Take none any more, but for those that wait if `rest` says so.
+
+        Only closed, never shut down: that would end it for every process that holds it.
+        """
+        if not self._open:
+            return
+        self._loop.remove_reader(self._listener)
+        while rest and self._take():
+            pass
+        self._open = False
+        self._listener.close()
+
+    def _ready(self) -> None:
+        for _ in range(ACCEPTS):
+            if not self._take():
+                break
+
+    def _take(self) -> bool:
+        try:
+            sock = self._listener.accept()[0]
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            if error.errno in GONE:
+                return True
+            COUNTS["accept_failed"] += 1
+            log.warning("accept failed", error=str(error))
+            self._loop.remove_reader(self._listener)
+            self._deadlines.after(ACCEPT_AGAIN, self._again)
+            return False
+        self._admit(sock)
+        return True
+
+    def _again(self) -> None:
+        if self._open:
+            self._loop.add_reader(self._listener, self._ready)
+
+
 class Within:
     """Ends what runs inside it with TimeoutError after some milliseconds, by the one deadline structure."""
 
--- a/hallhitch/resp/server.py
+++ b/hallhitch/resp/server.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import math
 import re
 import socket
@@ -21,7 +22,7 @@
 from itertools import count
 
 from hallhitch import __version__
-from hallhitch.core.deadlines import Deadlines, Scheduler
+from hallhitch.core.deadlines import Deadlines
 from hallhitch.core.invariants import COUNTS
 from hallhitch.core.module import Core
 from hallhitch.decision import api
@@ -259,7 +260,7 @@
 
     def __init__(
         self, listener: socket.socket, core: Core, settings: api.Settings, deadlines: Deadlines,
-        scheduler: Scheduler, most: int,
+        scheduler: asyncio.AbstractEventLoop, most: int,
     ) -> None:
         super().__init__(listener, deadlines, scheduler, most)
         self.core, self.settings = core, settings
--- /dev/null
+++ b/tests/ops/test_replacement.py
@@ -0,0 +1,112 @@
+"""A second process beside the first, on one listener that neither owns: the real program, twice."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import socket
+import subprocess
+import sys
+import tempfile
+
+from tests.stand_ins import GUARD, ROOT, GatewayCase, Program, free_port, http, read_http, soon
+
+
+class Replacement(GatewayCase):
+    """The platform holds the listener; each process inherits it."""
+
+    ops = True
+
+    async def asyncSetUp(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self.addCleanup(self.listener.close)
+        await super().asyncSetUp()
+
+    def started(self, program: Program) -> None:
+        """Have a program take its clients from the inherited listener."""
+        program.listen = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        program.inherits = (self.listener.fileno(),)
+        program.environ["EDGE_FD"] = str(self.listener.fileno())
+
+    async def second(self) -> Program:
+        """The replacement, ready."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        program = Program(folder.name, self.discovery.address, self.counter.address, self.nodes, self.give_up)
+        program.config["ops"] = f"127.0.0.1:{free_port()}"
+        self.started(program)
+        await program.start()
+        await program.logged('"serving"')
+        self.assertEqual((await program.call("/api/ready"))[0], 200)
+        return program
+
+    async def test_under_load_every_request_is_answered_once(self) -> None:
+        """Guards against requests lost or sent on twice, and against a listener that ends with the first process."""
+        asked: list[str] = []
+        going, customers = True, itertools.count()
+
+        async def load() -> None:
+            streams = None
+            while going:
+                if streams is None:
+                    streams = await self.program.connect()
+                streams[1].write(self.request(customer=f"{next(customers):016x}"))
+                line, headers, _ = await soon(read_http(streams[0]))
+                asked.append(line.split()[1])
+                if headers.get("connection") == "close":
+                    streams[1].close()
+                    streams = None
+
+        old = self.program
+        clients = [asyncio.create_task(load()) for _ in range(8)]
+        new = await self.second()
+        old.process.terminate()
+        self.assertEqual(await soon(old.process.wait()), 0)
+        before, taken = len(asked), self.nodes[0].taken
+        while len(asked) < before + 20:
+            await soon(self.nodes[0].came.get())
+        going = False
+        await asyncio.gather(*clients)
+        self.assertGreater(self.nodes[0].taken, taken)
+        self.assertEqual(asked.count("200"), self.nodes[0].taken)
+        self.assertEqual(set(asked) - {"200", "429"}, set())
+        self.program = new
+
+    async def test_one_that_dies_before_its_yes_costs_nothing(self) -> None:
+        """Guards against a first process that stops serving before the second one can."""
+        new = await self.second()
+        new.process.kill()
+        await soon(new.process.wait())
+        for _ in range(3):
+            self.assertIn(" 200 ", (await self.ask(self.request()))[0])
+
+    async def test_what_is_open_at_the_end_of_the_first_is_finished_there(self) -> None:
+        """Guards against an answer lost because its process was replaced meanwhile."""
+        self.nodes[0].reply = lambda n: None
+        reader, writer = await self.program.connect()
+        writer.write(self.request())
+        await soon(self.nodes[0].came.get())
+        new, old = await self.second(), self.program
+        old.process.terminate()
+        await old.logged('"ending"')
+        self.nodes[0].reply = lambda n: http(200, b"by the second")
+        self.assertEqual((await self.ask(self.request(customer="0000000000000002")))[2], b"by the second")
+        next(iter(self.nodes[0].writers)).write(http(200, b"by the first"))
+        self.assertEqual((await soon(read_http(reader)))[2], b"by the first")
+        writer.close()
+        self.assertEqual(await soon(old.process.wait()), 0)
+        self.program = new
+
+    async def test_a_descriptor_that_is_no_listener_is_one_line(self) -> None:
+        """Guards against a gateway that starts and serves nobody."""
+        with tempfile.TemporaryDirectory() as folder, socket.socket() as other:
+            path = f"{folder}/config.json"
+            with open(path, "w") as file:
+                json.dump(self.program.config | {"ops": None}, file)
+            for value in ("x", "77", str(other.fileno())):
+                run = await asyncio.to_thread(
+                    subprocess.run, [sys.executable, "-m", "hallhitch"], cwd=ROOT, capture_output=True, text=True,
+                    timeout=GUARD, env={"EDGE_CONFIG": path, "EDGE_FD": value}, pass_fds=(other.fileno(),))
+                self.assertEqual((run.returncode, len(run.stderr.splitlines())), (2, 1), run.stderr)
+                self.assertIn("EDGE_FD", run.stderr)
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -252,6 +252,8 @@
             "name": "n0", "listen": self.listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
             "counter": counter, "limits": {"sockets": sockets}, "settings": settings,
             "known": {"seq": 1, "whole": True, "hosts": [b.entry() for b in known]}}
+        self.environ: dict[str, str] = {}  # beside what every start sets
+        self.inherits: tuple[int, ...] = ()  # descriptors passed on
 
     async def start(self, *arguments: str, fault: str = "", optimised: bool = False, module: str = "hallhitch") -> None:
         """Start it; `fault` is a line of code that plants a fault in the module first; `optimised` is as in service.
@@ -265,8 +267,8 @@
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, *(["-O"] if optimised else []), *(call if fault else ["-m", module]), *arguments,
             cwd=ROOT,
-            env=environ | {"EDGE_CONFIG": str(path), "EDGE_DISCOVERY": self.config["discovery"]},
-            stderr=asyncio.subprocess.PIPE)
+            env=environ | {"EDGE_CONFIG": str(path), "EDGE_DISCOVERY": self.config["discovery"]} | self.environ,
+            stderr=asyncio.subprocess.PIPE, pass_fds=self.inherits)
 
     async def logged(self, text: str) -> str:
         """Wait for a line of its log."""
@@ -286,6 +288,20 @@
         host, port = (address or self.listen).split(":")
         return await asyncio.open_connection(host, int(port))
 
+    async def call(self, path: str, method: str = "GET", address: str = "") -> tuple[int, str]:
+        """A call of its second address: status and body."""
+        reader, writer = await self.connect(address or self.config["ops"])
+        writer.write(f"{method} {path} HTTP/1.1\r\nHost: ops\r\n\r\n".encode())
+        first, _, body = await soon(read_http(reader))
+        assert await soon(reader.read()) == b"", "one call a connection"
+        writer.close()
+        return int(first.split()[1]), body.decode()
+
+    async def figures(self) -> dict[str, int]:
+        """What its second address reports, by name with labels."""
+        lines = (await self.call("/api/telemetry"))[1].splitlines()
+        return {n: int(v) for n, _, v in (line.rpartition(" ") for line in lines if not line.startswith("#"))}
+
     async def stop(self) -> tuple[int | None, str]:
         """End it as a planned restart does; its exit code and the rest of its log."""
         if self.process.returncode is None:
@@ -310,6 +326,7 @@
     resp = ""  # lines of the file for --resp
     sockets = 1024
     fault = ""  # a line of code that plants a fault in the module
+    ops = False  # whether it has a second address
 
     async def asyncSetUp(self) -> None:
         # unittest turns the loop's debugging on, which makes a counter of it that is slower than 50 ms.
@@ -324,6 +341,9 @@
             folder.name, self.discovery.address, self.counter.address, self.nodes, self.give_up,
             self.sockets)
         arguments = []
+        if self.ops:
+            self.program.config["ops"] = f"127.0.0.1:{free_port()}"
+        self.started(self.program)
         if self.resp:
             self.resp_address = f"127.0.0.1:{free_port()}"
             path = Path(folder.name) / "resp.toml"
@@ -333,6 +353,9 @@
         await self.program.start(*arguments, fault=self.fault)
         await self.program.logged('"serving"')
 
+    def started(self, program: Program) -> None:
+        """What a case sets of a program before its start."""
+
     async def asyncTearDown(self) -> None:
         code, errors = await self.program.stop()
         for stand_in in (self.counter, self.discovery, *self.nodes):
