--- a/tests/ops/test_second_address.py
+++ b/tests/ops/test_second_address.py
@@ -76,7 +76,8 @@
                 writer.close()
         answered.cancel()
         figures = await self.program.figures()
-        answers_told = [sum(pair) for pair in zip(requests(figures, "inspect"), requests(figures, "reject"), strict=True)]
+        pairs = zip(requests(figures, "inspect"), requests(figures, "reject"), strict=True)
+        answers_told = [sum(pair) for pair in pairs]
         self.assertEqual(answers_told, [seen.count("200"), seen.count("429"), seen.count("502") + seen.count("400")])
         self.assertEqual((figures["svc_in_flight"], figures["svc_attempts"]), (1, self.nodes[0].taken))
         self.assertEqual((figures["svc_backends_known"], figures["svc_reloads_ok"]), (1, 0))
