--- a/hallhitch/core/module.py
+++ b/hallhitch/core/module.py
@@ -18,6 +18,7 @@
 # Kept back of a deadline, in ms and at most as a share of it: the client's clock began at its send, the
 # answer must still arrive, and a processor that gateways share may stand still for a while.
 MARGIN, MARGIN_SHARE = 20.0, 0.1
+COMING_MOST = 600_000.0  # ms for a request to come whole that is sent on meanwhile; its front sees to its progress
 BACKUP = 3.0  # ms past an exchange's end at which the sweep answers for a module that has not
 SOON = 100.0  # ms after which to come back, where the module refuses for want of room and gives no time
 HEX = re.compile("[0-9a-fA-F]{16}")  # how the platform writes customers
@@ -37,6 +38,7 @@
     ends: float
     answer: AnswerPort
     payload: object
+    patience: float  # ms, once the request has come whole
     backup: Entry | None = None
     sends: int = 0
 
@@ -63,15 +65,18 @@
     def begin(
         self, customer: str, plan: int, klass: int, deadline: float, answer: AnswerPort, payload: object,
         *, units: float = 1.0, spread: float = 1.0, write: bool = False, repeat: bool = False,
-        kind: api.RequestClass | None = None,
+        kind: api.RequestClass | None = None, coming: bool = False, waited: float = 0.0,
     ) -> int:
         """Take a request; its one final answer goes to `answer` before the client's deadline.
 
-        `kind` is its class itself, where the number may mean another one meanwhile.
+        `kind` is its class itself, where the number may mean another one meanwhile. One that is `coming` is sent on
+        while it still comes from the client: its time begins with `complete`. `waited` are the ms for which a request
+        lay unread here, while its client's clock ran.
         """
         self._last += 1
-        patience = deadline - min(MARGIN, MARGIN_SHARE * deadline)
-        x = Exchange(self._last, self.clock() + patience, answer, payload)
+        patience = max(1.0, deadline - waited - min(MARGIN, MARGIN_SHARE * deadline))
+        x = Exchange(self._last, self.clock() + (COMING_MOST if coming else patience), answer, payload, patience)
+        patience = COMING_MOST if coming else patience
         ask = api.Request(x.id, spelled(customer), plan, klass, units, patience, spread, write, repeat, kind)
         if not self.post(ask):
             answer.refused(1000.0)
@@ -80,18 +85,43 @@
         x.backup = self.deadlines.at(x.ends + BACKUP, lambda: self._overdue(x.id))
         return x.id
 
+    def complete(self, exchange: int) -> None:
+        """The request has come whole: from now on its time counts."""
+        x = self.open.get(exchange)
+        if x is not None:
+            x.ends = self.clock() + x.patience
+            self.deadlines.drop(x.backup)
+            x.backup = self.deadlines.at(x.ends + BACKUP, lambda: self._overdue(exchange))
+
+    def passes(self, a: Attempt) -> None:
+        """An attempt holds its request no longer whole: it is left alone by the module, and never made again."""
+        a.passing = True
+        self.post(api.StreamStarted(a.exchange, a.number, a.server))
+
     def leave(self, exchange: int) -> None:
         """The client has gone; nothing more is owed."""
-        if self._close(exchange) is not None:
+        x = self._close(exchange)
+        if x is not None:
             self.post(api.RequestGone(exchange))
+            self._let_go(x)
+
+    def _let_go(self, x: Exchange) -> None:
+        # Of these the module calls nothing off: to it they are the client's.
+        for number in range(x.sends):
+            attempt = self._out.get((x.id, number))
+            if attempt is not None and attempt.passing:
+                self.hop.cancel(attempt)
 
     def ended(
         self, a: Attempt, outcome: str, payload: object = None, lag: float | None = None
-    ) -> None:
-        """An attempt's end, after `lag` or the time since its send; the first good one is the answer."""
+    ) -> bool:
+        """An attempt's end, after `lag` or the time since its send; the first good one is the answer.
+
+        Says whether the payload was handed to the front.
+        """
         if self._out.pop((a.exchange, a.number), None) is None:
             COUNTS["late_outcome"] += 1
-            return
+            return False
         x = self._close(a.exchange) if outcome == "ok" else None
         done = x is not None or a.exchange not in self.open
         lag = self.clock() - a.sent if lag is None else lag
@@ -99,6 +129,7 @@
         self.post(event)
         if x is not None:
             self._answer(lambda: x.answer.served(payload))
+        return x is not None
 
     def counted(self, name: int, outcome: str, total: float, lag: float) -> None:
         """The answer to one call of the counter."""
@@ -210,9 +241,11 @@
             self.crashed(error)
 
     def _give_up(self, exchange: int) -> None:
-        if exchange in self.open:
+        x = self.open.get(exchange)
+        if x is not None:
             self._final(exchange, lambda x: x.answer.failed())
             self.post(api.RequestGone(exchange))
+            self._let_go(x)
 
     def _overdue(self, exchange: int) -> None:
         COUNTS["backup_answer"] += 1
--- a/hallhitch/core/ports.py
+++ b/hallhitch/core/ports.py
@@ -26,6 +26,7 @@
     sent: float
     ends: float
     payload: object  # what the front took in, for the hop alone to read
+    passing: bool = False  # whether it holds its request no longer whole: nobody can begin it again
     wanted: bool = True  # false once the exchange has had its answer: nothing may be written any more
 
 
--- a/hallhitch/decision/policy.py
+++ b/hallhitch/decision/policy.py
@@ -529,7 +529,7 @@
 
     def again(self, r: Open, e: api.AttemptEnded) -> None:
         """Nothing is out any more: try elsewhere if that is allowed, paid for and in time; else answer."""
-        best, left = self.choose(r), r.ends - self.now
+        best, left = None if r.streaming else self.choose(r), r.ends - self.now  # what has passed is gone
         ran = any(a.state != "never" for a in r.attempts)
         # What found no connection is no repeat: nothing ran, nothing is out, another server costs nothing.
         price = float(e.outcome != "unreachable")
--- a/hallhitch/gateway.py
+++ b/hallhitch/gateway.py
@@ -45,7 +45,9 @@
 
 KEPT = 32  # descriptors for the counter, discovery, listeners and the process itself
 MOVES = {"discovery", "counter", "settings", "zones", "file", "known", "seed"}  # what SIGHUP changes, or a start alone
-STAYS = {"name", "listen", "sockets", "ops", "inherited"}  # what holds until the next start
+STAYS = {"name", "listen", "sockets", "memory", "ops", "inherited"}  # what holds until the next start
+FIRST_LIST = 500.0  # ms to wait at a start for discovery's word: the list held so far may name servers long gone
+HELD_SHARE = 16  # of the memory, as one part: bytes of long requests that are kept whole until they have come
 log = structlog.get_logger()
 
 
@@ -106,7 +108,7 @@
     core.hop = hops = Hops(routes, core, deadlines, loop, settings, quarter, figures.attempted)
     if told.known is not None:
         routes.post(told.known)
-    fronts: list[Ingress | LimitServer] = []
+    fronts: dict[Ingress | LimitServer, Callable[[], socket.socket]] = {}  # and where each gets its listener
     if resp is not None:
         limits = core_for("limits", told.seed + 1, batch=1)
         limits.hop = GrantHop(limits)
@@ -115,13 +117,12 @@
         clients -= most + SPARE
         from hallhitch.resp.server import LimitServer
 
-        listener = bound("listen (RESP)", address_of(resp.listen))
-        fronts.append(LimitServer(listener, limits, settings, deadlines, loop, most))
-    shared = told.inherited is not None
-    listener = bound("EDGE_FD", told.inherited) if told.inherited is not None else bound("listen", told.listen)
-    ingress = Ingress(
-        listener, core, settings, deadlines, loop, clients, shared, lambda: drain.welcome, figures.ended)
-    fronts.append(ingress)
+        fronts[LimitServer(limits, settings, deadlines, loop, most)] = partial(
+            bound, "listen (RESP)", address_of(resp.listen))
+    ingress = Ingress(core, settings, deadlines, loop, clients, told.inherited is not None,
+                      told.memory // HELD_SHARE, lambda: drain.welcome, figures.ended)
+    fronts[ingress] = partial(bound, "listen", told.listen) if told.inherited is None else partial(
+        bound, "EDGE_FD", told.inherited)
     figures.levels = {
         "in_flight": lambda: ingress.in_flight, "backends_known": lambda: len(routes.entries),
         "backends_excluded": core.gateway.avoided}
@@ -143,13 +144,13 @@
 
     second = None
     if told.ops is not None:
-        second = SecondAddress(bound("ops", told.ops), {
+        second = SecondAddress({
             ("GET", "/api/ready"): ready,
             ("GET", "/api/telemetry"): lambda: Reply(200, figures.text(), CONTENT_TYPE),
             ("PUT", "/api/evacuate"): lambda: evacuate(Call.EVACUATE),
             ("PUT", "/api/rejoin"): lambda: evacuate(Call.REJOIN),
         }, deadlines, loop)
-        second.open()
+        second.open(bound("ops", told.ops))
 
     def close() -> None:
         if drain.take(Call.TERM):
@@ -195,14 +196,17 @@
     loop.add_signal_handler(signal.SIGTERM, close)
     loop.add_signal_handler(signal.SIGINT, close)
     loop.add_signal_handler(signal.SIGHUP, reread)
-    for front in fronts:
-        front.open()
     routes.watch(told.discovery)
-    serving = True
-    log.info("serving", gateway=told.name, listen=f"{told.listen[0]}:{told.listen[1]}")
     gc.collect()
     gc.freeze()
     gc.set_threshold(20_000, 20, 20)  # what a request makes dies with it, and most of it in no cycle
+    if settings.push_list:  # else the first answer may be long in coming, for all that ask
+        await routes.heard(FIRST_LIST)
+    # Nobody can connect before all is ready: what waits in a listener's line is taken, and its time runs.
+    for front, listener in fronts.items() if not drain.ending else ():
+        front.open(listener())
+        serving = True
+    log.info("serving", gateway=told.name, listen=f"{told.listen[0]}:{told.listen[1]}")
     for front in fronts:
         await front.closed()
     routes.close()
--- a/hallhitch/net/acceptor.py
+++ b/hallhitch/net/acceptor.py
@@ -3,18 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 import socket
+import struct
 
 from hallhitch.core.actor import Actor
 from hallhitch.core.deadlines import Deadlines, Entry, Scheduler
 from hallhitch.core.invariants import COUNTS
+from hallhitch.net.flow import Broken, Flow, chunk
 from hallhitch.net.sockets import Listening, alive, cut, tune
 
 BUFFER = 8192
+BULK = 32_768  # bytes read at once of a long body
 SPARE = 32  # connections past the budget that are still accepted, to be turned away in words
-WRITE_MOST = 10_000.0  # ms for a client to take an answer
+WRITE_MOST = 10_000.0  # ms for a client to take an answer, or the next piece of a long one
 LINGER = 500.0  # ms to go on reading after an answer that ends a connection, so that it arrives
+RESET = struct.pack("ii", 1, 0)  # close with a reset
+LINGER_LONG, LINGER_LONG_MOST = 2000.0, 1 << 26  # both, where a long request was still coming
 LINGER_MOST = 65_536  # bytes read and dropped in that time; who sends more is not read any more
 FIRST_MOST = 2500.0  # ms for a whole request: from connecting, from an error, or from its first byte
 LOOK = 250.0  # ms between looks at the connections with nothing open
@@ -27,7 +33,14 @@
 DRAIN_HEARD, DRAIN_SPREAD, DRAIN_LOOK = 500.0, 800.0, 40.0
 
 
-class Peer(Actor[bytes]):
+class Sent:
+    """A message to be written whose long body is still coming, in chunks where its head gives no length."""
+
+    def __init__(self, head: bytes, flow: Flow, chunked: bool) -> None:
+        self.head, self.flow, self.chunked = head, flow, chunked
+
+
+class Peer(Actor[bytes | Sent]):
     """One client's connection; its mailbox holds what is to be written, in order."""
 
     def __init__(
@@ -38,11 +51,14 @@
         self.ending = False  # nothing more is read; the connection ends once nothing is owed
         self.ended = False
         self.accepted = False  # whether anything it asked for was accepted
+        self.waits_since = 0.0  # since when it may have waited to be taken, until it is first read
         self.begun = 0.0  # when what is half read began to come; 0 if nothing is
         self._limit: Entry | None = None
         self._writer: asyncio.Task[None] | None = None
         self._posted = 0  # messages handed over and not yet written
-        self._unsent: list[bytes] = []
+        self._unsent: list[bytes | Sent] = []
+        self.broke = False  # whether a long answer broke off under way
+        self._resets = False  # whether the connection is to end with a reset
         self._paused: asyncio.Future[None] | None = None
 
     @property
@@ -60,6 +76,20 @@
         """Whether nothing is owed and nothing half read."""
         return not self.owes and not self.partial
 
+    def late(self, now: float) -> bool:
+        """Whether what is half read has taken too long."""
+        return bool(self.begun) and now - self.begun > FIRST_MOST
+
+    @property
+    def unread(self) -> bool:
+        """Whether the connection ends while a long request is still coming."""
+        return False
+
+    @property
+    def bulky(self) -> bool:
+        """Whether much is to be read at once."""
+        return False
+
     def overdue(self) -> None:
         """What is half read has taken too long: say so, and end the connection."""
         raise NotImplementedError
@@ -85,7 +115,7 @@
         if self._paused is not None and not self.full and not self._paused.done():
             self._paused.set_result(None)
 
-    def post(self, message: bytes) -> bool:
+    def post(self, message: bytes | Sent) -> bool:
         """Have a message written."""
         taken = super().post(message)
         self._posted += taken
@@ -98,12 +128,17 @@
         try:
             dropped = 0
             while size := await loop.sock_recv_into(self._sock, buffer):
+                if self.bulky and len(buffer) < BULK:
+                    first = bytes(view[:size])
+                    buffer = bytearray(BULK)
+                    buffer[:size] = first
+                    view = memoryview(buffer)
                 if not self.ending:
                     self.take(view[:size])
                     self.begun = (self.begun or self._deadlines.clock()) if self.partial else 0.0
                 else:  # lingering
                     dropped += size
-                while self.full or dropped > LINGER_MOST:
+                while self.full or dropped > (LINGER_LONG_MOST if self.unread else LINGER_MOST):
                     self._paused = loop.create_future()
                     await self._paused
         except (OSError, asyncio.CancelledError):
@@ -116,16 +151,28 @@
             if self._writer is not None:
                 self._writer.cancel()
             self.left()
-            cut(self._sock)
+            for one in self._unsent:
+                if isinstance(one, Sent):
+                    one.flow.abandon()
+            if not self._resets:
+                cut(self._sock)
             self._sock.close()
             self._acceptor.left(self)
 
-    def receive(self, message: bytes) -> None:
+    def now(self, message: bytes) -> None:
+        """Write a few bytes ahead of any answer, where none is owed; lost if the connection takes them not at once."""
+        if self._writer is None and not self._posted:
+            with contextlib.suppress(OSError):
+                self._sock.send(message)
+
+    def receive(self, message: bytes | Sent) -> None:
         """Write a message, behind those that wait."""
         if self.ended:
+            if isinstance(message, Sent):
+                message.flow.abandon()
             return
         self._unsent.append(message)
-        if self._writer is None:
+        if self._writer is None and isinstance(message, bytes):
             # Most answers go at once; a task and a deadline are for a client that does not take its own.
             try:
                 sent = self._sock.send(message)
@@ -139,26 +186,52 @@
                 self.wrote(1)
                 return self._written()
             self._unsent = [message[sent:]]
-            self._limit = self._deadlines.after(WRITE_MOST, self.end)
+        if self._writer is None:
             self._writer = asyncio.get_running_loop().create_task(self._write())
 
     async def _write(self) -> None:
         try:
             while self._unsent:
-                messages, self._unsent = self._unsent, []
-                await asyncio.get_running_loop().sock_sendall(self._sock, b"".join(messages))
-                self._posted -= len(messages)
-                self.wrote(len(messages))
+                messages = self._unsent
+                plain = next((n for n, one in enumerate(messages) if isinstance(one, Sent)), len(messages))
+                self._unsent = messages[plain or 1:]
+                if plain:
+                    await self._all(b"".join(one for one in messages[:plain] if isinstance(one, bytes)))
+                elif isinstance(sent := messages[0], Sent):
+                    await self._pass(sent)
+                self._posted -= plain or 1
+                self.wrote(plain or 1)
         except OSError:
             return self.end()
+        except Broken:
+            self.broke = True
+            return self.end(reset=True)  # an end in order might be taken for the answer's
         self._writer = None
-        self._deadlines.drop(self._limit)
         self._written()
 
+    async def _pass(self, sent: Sent) -> None:
+        try:
+            first = sent.head
+            while piece := await sent.flow.take():
+                await self._all(first + (chunk(piece) if sent.chunked else piece))
+                first = b""
+            if sent.chunked:
+                await self._all(chunk(b""))
+        finally:
+            sent.flow.abandon()
+
+    async def _all(self, data: bytes) -> None:
+        """Write all of it, as long as the client goes on taking some."""
+        self._limit = self._deadlines.after(WRITE_MOST, self.end)
+        try:
+            await asyncio.get_running_loop().sock_sendall(self._sock, data)
+        finally:
+            self._deadlines.drop(self._limit)
+
     def _written(self) -> None:
         """All that was to be written has left."""
         if self.ending and not self._posted and not self.owes:
-            self._limit = self._deadlines.after(LINGER, self.end)
+            self._limit = self._deadlines.after(LINGER_LONG if self.unread else LINGER, self.end)
             try:
                 self._sock.shutdown(socket.SHUT_WR)
             except OSError:
@@ -169,8 +242,12 @@
         if alive(self._sock):
             self.end()
 
-    def end(self) -> None:
+    def end(self, reset: bool = False) -> None:
         """End the connection; the reader then cleans up."""
+        if reset and not self.ended:
+            self._resets = True
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+            return self._acceptor.drop(self)
         cut(self._sock)
         if self._paused is not None:
             self._paused.cancel()
@@ -182,18 +259,19 @@
     idle_most = 10_000.0  # ms that a connection may stand idle
 
     def __init__(
-        self, listener: socket.socket, deadlines: Deadlines, scheduler: asyncio.AbstractEventLoop, most: int,
+        self, deadlines: Deadlines, scheduler: asyncio.AbstractEventLoop, most: int,
         shared: bool = False,
     ) -> None:
         """`shared` says that other processes take connections off the same listener."""
         self.deadlines, self.scheduler, self._most = deadlines, scheduler, most
         self._shared = shared
-        self._listening = Listening(listener, self.admit, deadlines, scheduler)
+        self._listening = Listening(self.admit, deadlines, scheduler)
         self._peers: dict[Peer, asyncio.Task[None]] = {}
         # Connections with nothing open and since when, longest first: those that never had anything
         # accepted, and the others.
         self._new: dict[Peer, float] = {}
         self._idle: dict[Peer, float] = {}
+        self.passing: set[Peer] = set()  # those whose long request is coming while it is sent on
         self.closing = False  # for good, to end the process
         self.draining = False  # clients are sent elsewhere, and the process runs on
         self._closed = asyncio.Event()
@@ -208,9 +286,9 @@
         """A new connection's actor; a spare one is past the budget and only turned away."""
         raise NotImplementedError
 
-    def open(self) -> None:
+    def open(self, listener: socket.socket) -> None:
         """Accept clients from now on."""
-        self._listening.open()
+        self._listening.open(listener)
         self.deadlines.after(LOOK, self._look)
 
     def admit(self, sock: socket.socket) -> None:
@@ -226,6 +304,7 @@
             sock.close()
             return
         peer = self.peer(tune(sock), len(self._peers) > self._most)
+        peer.waits_since = self._listening.waits_since
         self._peers[peer] = asyncio.get_running_loop().create_task(peer.run())
         self._new[peer] = self.deadlines.clock()
 
@@ -243,7 +322,7 @@
         """End what is silent or half said for too long; nobody holds a descriptor for nothing."""
         now = self.deadlines.clock()
         for peer, since in list(self._idle.items()):
-            if peer.begun and now - peer.begun > FIRST_MOST:
+            if peer.late(now):
                 self._overdue(peer)
             elif now - since > self.idle_most:
                 self.used(peer)
@@ -251,6 +330,9 @@
         for peer, since in list(self._new.items()):
             if now - since <= FIRST_MOST:
                 break
+            if not peer.partial or peer.late(now):
+                self._overdue(peer)
+        for peer in [one for one in self.passing if one.late(now)]:
             self._overdue(peer)
         self.deadlines.after(LOOK, self._look)
 
@@ -262,9 +344,15 @@
         else:
             peer.end()
 
+    def drop(self, peer: Peer) -> None:
+        """End a connection without a word."""
+        if peer in self._peers:
+            self._peers[peer].cancel()
+
     def left(self, peer: Peer) -> None:
         """A connection has ended."""
         self._peers.pop(peer, None)
+        self.passing.discard(peer)
         self.used(peer)
         if self.closing and not self._listening.listens:
             self._check()
--- a/hallhitch/net/config.py
+++ b/hallhitch/net/config.py
@@ -27,6 +27,7 @@
     counter: tuple[str, int] | None
     seed: int
     sockets: int
+    memory: int  # bytes
     settings: api.Settings
     zones: list[str]
     known: News | None
@@ -95,6 +96,7 @@
     sockets = int(number(section(top, "limits"), "sockets", 1024.0))
     if sockets < SOCKETS_LEAST:
         raise WireError(f"field 'sockets' is too small: {SOCKETS_LEAST} is the least")
+    memory = int(number(section(top, "limits"), "memory_mb", 64.0) * (1 << 20))
     known = top.get("known")
     ops = address("ops", "EDGE_OPS") if environ.get("EDGE_OPS") or top.get("ops") is not None else None
     descriptor = environ.get("EDGE_FD") or None
@@ -103,7 +105,7 @@
     return Config(
         environ.get("EDGE_NAME") or need(top, "name", str), address("listen", "EDGE_LISTEN"),
         address("discovery", "" if previous else "EDGE_DISCOVERY"),
-        address("counter", "") if settings.has_counter else None, seed, sockets, settings, zones,
+        address("counter", "") if settings.has_counter else None, seed, sockets, memory, settings, zones,
         news_of(known, zones, saved=True) if known is not None else None, ops,
         None if descriptor is None else int(descriptor), top,
     )
--- a/hallhitch/net/hops.py
+++ b/hallhitch/net/hops.py
@@ -15,7 +15,8 @@
 from hallhitch.core.invariants import COUNTS
 from hallhitch.core.ports import Attempt
 from hallhitch.decision import api
-from hallhitch.net.http import AnswerReader, Malformed, Message
+from hallhitch.net.flow import Broken, Flow, chunk
+from hallhitch.net.http import AnswerReader, Malformed, Message, origin_of
 from hallhitch.net.sockets import alive, connect, cut, pause
 
 REST = 2.0  # ms that a connection stays silent before it is used again: what came too much shows in that time
@@ -26,7 +27,9 @@
 STANDS = 100.0  # ms for which the longest idle time found stands, where nothing breaks
 FORGET = 30_000.0  # ms in which half of a learned share is forgotten, so that it is tried again
 BUFFER = 16_384
-
+BULK = 32_768  # bytes of a long answer read at once
+EARLY = 100.0  # ms after which the body of an answer of unknown length is passed on as it comes
+PASS_MOST = 10_000.0  # ms without a byte after which a long answer under way is given up
 
 Place = tuple[tuple[str, int], float]  # where a server listens, and when it started
 
@@ -42,7 +45,9 @@
 class Told(Protocol):
     """Where an attempt's end is reported."""
 
-    def ended(self, a: Attempt, outcome: str, payload: object = None) -> None: ...
+    def ended(self, a: Attempt, outcome: str, payload: object = None) -> bool: ...
+
+    def passes(self, a: Attempt) -> None: ...
 
 
 @dataclass(slots=True, eq=False)
@@ -51,7 +56,7 @@
 
     sock: socket.socket
     to: Place
-    reader: AnswerReader = field(default_factory=AnswerReader)
+    reader: AnswerReader = field(default_factory=lambda: AnswerReader(long=True))
     idle_since: float = 0.0
 
 
@@ -64,6 +69,7 @@
     idle: float | None = None  # how long its connection stood idle before; None for a new one
     written: bool = False
     slow: bool = False  # its answer began, and then nothing more came
+    passed: bool = False  # its long answer was passed on as it came
     over: bool = False
     task: asyncio.Task[None] | None = None
     limit: Entry | None = None
@@ -146,7 +152,7 @@
         if job.written and outcome != "cancelled":
             self._hops.idleness.learn(job.idle, outcome == "reset")
         connection, job.connection = job.connection, None
-        keep = answer is not None and answer.keep and not job.over
+        keep = answer is not None and answer.keep and (job.passed or not job.over)
         if connection is not None and not (keep and self._keep(connection)):
             self._hops.close(connection)
         self._hops.end(job, outcome, answer)
@@ -162,20 +168,72 @@
             return "void", None
         request = a.payload
         assert isinstance(request, Message)
-        await loop.sock_sendall(connection.sock, self._head(request, left))
+        upload = None
+        if request.flow is None:
+            await loop.sock_sendall(connection.sock, self._head(request, left) + request.body)
+            self._written(job)
+        else:
+            upload = loop.create_task(self._upload(job, connection, request, left))
+        try:
+            outcome, answer = await self._answer(job, connection)
+        finally:
+            if upload is not None:
+                upload.cancel()
+        if answer is not None and not job.written:
+            answer.keep = False
+        return outcome, answer
+
+    def _written(self, job: Job) -> None:
         job.written = True
         self._hops.wrote()
-        buffer = bytearray(BUFFER)
+
+    async def _upload(self, job: Job, connection: Connection, request: Message, left: float) -> None:
+        """Send a long request on as it comes; its time at the server begins with its last byte."""
+        loop, flow, first = asyncio.get_running_loop(), request.flow, self._head(request, left)
+        assert flow is not None
+        self._hops.told.passes(job.attempt)
+        try:
+            while piece := await flow.take():
+                data = chunk(piece) if request.length is None else piece
+                await loop.sock_sendall(connection.sock, first + data)
+                first = b""
+            if request.length is None:
+                await loop.sock_sendall(connection.sock, chunk(b""))
+        except (OSError, Broken):
+            return cut(connection.sock)
+        job.attempt.sent = self._hops.deadlines.clock()
+        self._written(job)
+
+    async def _answer(self, job: Job, connection: Connection) -> tuple[str, Message | None]:
+        """The answer, or its head where its long body was passed on as it came."""
+        loop, buffer, reader = asyncio.get_running_loop(), bytearray(BUFFER), connection.reader
         view = memoryview(buffer)
-        limit = None
+        limit, begun = None, 0.0
         try:
             while True:
                 size = await loop.sock_recv_into(connection.sock, buffer)
                 if not size:
                     if job.slow:
                         raise Malformed(400)
-                    return "reset", None
-                answer = read_answer(connection.reader, view[:size])
+                    answer = next((a for a in reader.end() if a.status >= 200), None)
+                    if answer is not None:
+                        return outcome_of(answer), answer
+                    return "reset" if job.written else "unreachable", None
+                answer = read_answer(reader, view[:size])
+                if answer is None and reader.begun is not None and reader.size and reader.begun.length is None:
+                    # How long it is shows at its end alone: what takes its time to come is not kept back.
+                    begun = begun or self._hops.deadlines.clock()
+                    if self._hops.deadlines.clock() - begun > EARLY:
+                        reader.pass_on()
+                        answer = read_answer(reader, view[:0])
+                if answer is not None and answer.flow is not None:
+                    if outcome_of(answer) != "ok":
+                        return outcome_of(answer), None  # nobody is served an error: the rest is not read
+                    if answer.flow.broken:
+                        raise Malformed(400)
+                    self._hops.deadlines.drop(limit)
+                    await self._pass(job, connection, answer, answer.flow)
+                    return "ok", answer
                 if answer is not None:
                     return outcome_of(answer), answer
                 # What has begun to come goes on coming, or never ends; a slow network is no reason yet.
@@ -184,16 +242,56 @@
         finally:
             self._hops.deadlines.drop(limit)
 
+    async def _pass(self, job: Job, connection: Connection, answer: Message, flow: Flow) -> None:
+        """Pass a long answer on: the attempt has ended well, the rest comes as fast as the client takes it."""
+        loop, buffer, taken = asyncio.get_running_loop(), bytearray(BULK), asyncio.Event()
+        view = memoryview(buffer)
+
+        def room() -> None:
+            taken.set()
+            if flow.abandoned and not flow.ended:
+                cut(connection.sock)
+
+        flow.taken = room
+        job.passed = True
+        self._hops.passing += 1
+        try:
+            if not self._hops.end(job, "ok", answer):
+                flow.abandon()
+            while not flow.ended and not flow.broken and not flow.abandoned:
+                while flow.waits:
+                    taken.clear()
+                    await taken.wait()
+                limit = self._hops.deadlines.after(PASS_MOST, lambda: cut(connection.sock))
+                try:
+                    size = await loop.sock_recv_into(connection.sock, buffer)
+                finally:
+                    self._hops.deadlines.drop(limit)
+                if not size:
+                    connection.reader.end()
+                    break
+                if connection.reader.feed(view[:size]) or flow.ended and connection.reader.partial:
+                    answer.keep = False  # more than belongs to it
+        except (OSError, Malformed):
+            answer.keep = False
+        finally:
+            self._hops.passing -= 1
+            flow.fail()
+            answer.keep = answer.keep and flow.ended and not flow.abandoned
+
     def _head(self, request: Message, left: float) -> bytes:
-        """The request as it goes to the server, body included."""
-        lines = [b"%s %s HTTP/1.1\r\nHost: service.internal" % (request.method, request.target)]
+        """The head of the request as it goes to the server."""
+        lines = [b"%s %s HTTP/1.1\r\nHost: service.internal" % (request.method, origin_of(request.target))]
         for name in (b"req-id", b"idempotency-key", b"content-type"):
             if name in request.headers:
                 lines.append(name.title() + b": " + request.headers[name])
         lines.append(b"Req-Deadline-Ms: %d" % left)
-        if request.body or request.method not in (b"GET", b"HEAD"):
+        if request.flow is not None:
+            lines.append(b"Transfer-Encoding: chunked" if request.length is None
+                         else b"Content-Length: %d" % request.length)
+        elif request.body or request.method not in (b"GET", b"HEAD"):
             lines.append(b"Content-Length: %d" % len(request.body))
-        return b"\r\n".join(lines) + b"\r\n\r\n" + request.body
+        return b"\r\n".join(lines) + b"\r\n\r\n"
 
     # Connections.
 
@@ -245,11 +343,12 @@
     ) -> None:
         """`wrote` is told of each attempt written whole; `most` bounds the connections."""
         self.wrote = wrote
-        self.routes, self._told, self.deadlines, self._scheduler = routes, told, deadlines, scheduler
+        self.routes, self.told, self.deadlines, self._scheduler = routes, told, deadlines, scheduler
         self._most = most
         self.retune(settings)
         self.idleness = Idleness(deadlines.clock)
         self.connections = 0  # open ones and those being opened
+        self.passing = 0  # long answers that are passed on, each on a connection
         self._hops: dict[str, Hop] = {}
         self._jobs: dict[tuple[int, int], Job] = {}
         self._prune()
@@ -283,14 +382,14 @@
         if job.task is not None:
             job.task.cancel()
 
-    def end(self, job: Job, outcome: str, answer: Message | None = None) -> None:
-        """Report an attempt's end, once."""
+    def end(self, job: Job, outcome: str, answer: Message | None = None) -> bool:
+        """Report an attempt's end, once; whether its answer was taken."""
         if job.over:
-            return
+            return False
         job.over = True
         self.deadlines.drop(job.limit)
         del self._jobs[job.attempt.exchange, job.attempt.number]
-        self._told.ended(job.attempt, outcome, answer)
+        return self.told.ended(job.attempt, outcome, answer)
 
     def close(self, connection: Connection) -> None:
         """Close one connection."""
@@ -299,7 +398,7 @@
 
     def room(self) -> bool:
         """Whether one more connection may be opened; the longest idle one makes room if need be."""
-        held = self.connections + len(self._jobs) + sum(len(h.idle) for h in self._hops.values())
+        held = self.connections + len(self._jobs) + self.passing + sum(len(h.idle) for h in self._hops.values())
         if held < self._most:
             return True
         idle = (h for h in self._hops.values() if h.idle)
--- a/hallhitch/net/http.py
+++ b/hallhitch/net/http.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import httptools
 
-BODY_MOST = 64 * 1024
+from hallhitch.net.flow import Flow
+
+BODY_MOST = 64 * 1024  # bytes of a body that is read whole
+LONG_MOST = 34 * 1024 * 1024  # and of one that passes in pieces
 HEAD_MOST = 16 * 1024
-RAW_MOST = HEAD_MOST + 8 * BODY_MOST  # bytes of one message as sent: chunks of one byte are six
 
 
 class Malformed(Exception):
@@ -29,6 +32,9 @@
     headers: dict[bytes, bytes] = field(default_factory=dict)  # names in lower case; the last of each
     twice: list[bytes] = field(default_factory=list)  # names that came more than once
     body: bytes = b""
+    flow: Flow | None = None  # the body, where it is long and passes in pieces
+    length: int | None = None  # of the body as its head says; None where it does not
+    version: str = "1.1"
     keep: bool = True
 
 
@@ -37,7 +43,12 @@
 
     parser: httptools.HttpRequestParser | httptools.HttpResponseParser
 
-    def __init__(self) -> None:
+    def __init__(self, long: bool = False, hold: Callable[[int], bool] = lambda size: False) -> None:
+        """Bodies past BODY_MOST are refused; if `long`, they pass in pieces once `hold` gives no more room for them.
+
+        A message that passes is given out where it begins to, and its flow then tells of the rest.
+        """
+        self._long_most, self._hold = LONG_MOST if long else BODY_MOST, hold
         self._message = Message()
         self._parts: list[bytes] = []
         self._size = 0
@@ -49,7 +60,19 @@
         self.partial = False  # whether a message has begun and not ended
 
     def feed(self, data: bytes | memoryview) -> list[Message]:
-        """Take what was read; what cannot be accepted raises Malformed."""
+        """Take what was read; what cannot be accepted raises Malformed, and breaks a body that passes."""
+        try:
+            return self._feed(data)
+        except Malformed:
+            self.fail()
+            raise
+
+    def fail(self) -> None:
+        """Nothing more comes: a body that passes breaks off."""
+        if self._message.flow is not None:
+            self._message.flow.fail()
+
+    def _feed(self, data: bytes | memoryview) -> list[Message]:
         self._head += len(data) if self._in_head else 0
         self._raw += len(data)
         try:
@@ -60,7 +83,8 @@
             raise self._refused or Malformed(431 if self._head > HEAD_MOST else 400) from None
         if self._in_head and self._head > HEAD_MOST:
             raise Malformed(431)
-        if self._raw > RAW_MOST:  # chunk extensions or trailers without end, in no field and no body
+        # Chunk extensions or trailers without end are in no field and no body; chunks of one byte are six.
+        if self._raw > HEAD_MOST + 8 * max(BODY_MOST, self._size):
             raise Malformed(413)
         return self.completed()
 
@@ -69,6 +93,27 @@
         done, self._done = self._done, []
         return done
 
+    @property
+    def begun(self) -> Message | None:
+        """The message whose body is coming, if one is."""
+        return self._message if self.partial and not self._in_head else None
+
+    @property
+    def size(self) -> int:
+        """Bytes of that body so far."""
+        return self._size
+
+    def pass_on(self) -> None:
+        """Let the body that is coming pass in pieces from here on."""
+        message = self._message
+        if message.flow is None:
+            message.flow = Flow()
+            for part in self._parts:
+                message.flow.put(part)
+            self._parts = []
+            self._finish(message)
+            self._done.append(message)
+
     # Called by the parser.
 
     def on_message_begin(self) -> None:
@@ -79,29 +124,45 @@
         self._fields += len(name) + len(value) + 4
         if self._fields > HEAD_MOST:
             self._refuse(431)
-        name = name.lower()
+        if not self._in_head:
+            return  # a trailer: nothing here rests on one, and none may change what the head said
+        name, value = name.lower(), value.strip(b" \t")
         if name in self._message.headers:
             self._message.twice.append(name)
         self._message.headers[name] = value
 
     def on_headers_complete(self) -> None:
         self._in_head = False
-        length = self._message.headers.get(b"content-length", b"0")
-        if len(length) > 18 or length.isdigit() and int(length) > BODY_MOST:
-            self._refuse(413)
+        length = self._message.headers.get(b"content-length")
+        if length is not None and length.isdigit():
+            self._message.length = int(length) if len(length) <= 18 else LONG_MOST + 1
+            if self._message.length > self._long_most:
+                self._refuse(413)
 
     def on_body(self, body: bytes) -> None:
         self._size += len(body)
-        if self._size > BODY_MOST:
+        if self._size > self._long_most:
             self._refuse(413)
+        if self._message.flow is not None:
+            return self._message.flow.put(body)
         self._parts.append(body)
+        if self._passes(len(body)):
+            self.pass_on()
+
+    def _passes(self, more: int) -> bool:
+        """Whether a body that has grown by so much passes in pieces from here on."""
+        return self._size > BODY_MOST and not self._hold(more)
 
     def on_message_complete(self) -> None:
         m = self._message
-        m.body = b"".join(self._parts)
         m.keep = self.parser.should_keep_alive()
-        self._finish(m)
-        self._done.append(m)
+        if m.flow is not None:
+            m.flow.end()
+        else:
+            m.body = b"".join(self._parts)
+            self._finish(m)
+            self._done.append(m)
+        self._parts = []
         self.partial, self._in_head, self._head, self._fields, self._raw = False, True, 0, 0, 0
 
     def _finish(self, message: Message) -> None:
@@ -116,35 +177,65 @@
 class RequestReader(_Reader):
     """Reads requests off one connection."""
 
-    def __init__(self) -> None:
-        super().__init__()
+    def __init__(self, long: bool = False, hold: Callable[[int], bool] = lambda size: False) -> None:
+        super().__init__(long, hold)
+        self.expects = False  # whether a client waits to be told to send its body
         self.parser = self._requests = httptools.HttpRequestParser(self)
 
     def on_url(self, url: bytes) -> None:
         self._message.target += url
 
+    def on_headers_complete(self) -> None:
+        super().on_headers_complete()
+        head = self._message.headers
+        self.expects = head.get(b"expect", b"").lower() == b"100-continue" and (
+            bool(self._message.length) or b"transfer-encoding" in head)
+
+    def on_body(self, body: bytes) -> None:
+        self.expects = False
+        super().on_body(body)
+
     def _finish(self, message: Message) -> None:
-        message.method = self._requests.get_method()
+        message.method, message.version = self._requests.get_method(), self._requests.get_http_version()
 
 
 class AnswerReader(_Reader):
     """Reads answers off one connection."""
 
-    def __init__(self) -> None:
-        super().__init__()
+    def __init__(self, long: bool = False) -> None:
+        super().__init__(long)
         self.parser = self._answers = httptools.HttpResponseParser(self)
 
+    def end(self) -> list[Message]:
+        """The connection has ended in order: so has a body that said neither its length nor chunks."""
+        message = self.begun
+        if message is None or message.length is not None or b"transfer-encoding" in message.headers:
+            return []
+        self.on_message_complete()
+        message.keep = False
+        return self.completed()
+
+    def _passes(self, more: int) -> bool:
+        # What is declared long is long from its first byte on, which is what its receiver waits for.
+        return self._size > BODY_MOST or (self._message.length or 0) > BODY_MOST
+
     def _finish(self, message: Message) -> None:
         message.status = self._answers.get_status_code()
 
 
-def path_of(target: bytes) -> bytes:
-    """The path that a request's target names, in the origin form or the absolute one."""
+def origin_of(target: bytes) -> bytes:
+    """The origin form of a request's target: what the absolute one names beside its host."""
     if not target.startswith(b"/"):
         scheme, mark, rest = target.partition(b"://")
         if mark and scheme.lower() in (b"http", b"https"):
-            target = b"/" + rest.partition(b"/")[2]
-    return target.partition(b"?")[0]
+            rest = rest[len(rest.partition(b"/")[0].partition(b"?")[0]):]
+            return rest if rest.startswith(b"/") else b"/" + rest
+    return target
+
+
+def path_of(target: bytes) -> bytes:
+    """The path that a request's target names, in the origin form or the absolute one."""
+    return origin_of(target).partition(b"?")[0]
 
 
 REASONS = {
@@ -155,8 +246,18 @@
 }
 
 
-def answer(status: int, body: bytes = b"", *, headers: bytes = b"", close: bool = False) -> bytes:
+def head(
+    status: int, length: int | None, *, headers: bytes = b"", close: bool = False, version: str = "1.1"
+) -> bytes:
+    """An answer's head; without a length, its body comes in chunks, or to the end of a connection of HTTP/1.0."""
+    ending = b"Connection: close\r\n" if close else b"Connection: keep-alive\r\n" if version == "1.0" else b""
+    size = b"Content-Length: %d\r\n" % length if length is not None else (
+        b"" if version == "1.0" else b"Transfer-Encoding: chunked\r\n")
+    return b"HTTP/1.1 %d %s\r\n%s%s%s\r\n" % (status, REASONS[status], size, headers, ending)
+
+
+def answer(
+    status: int, body: bytes = b"", *, headers: bytes = b"", close: bool = False, version: str = "1.1"
+) -> bytes:
     """One whole answer."""
-    ending = b"Connection: close\r\n" if close else b""
-    return b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n%s%s\r\n%s" % (
-        status, REASONS[status], len(body), headers, ending, body)
+    return head(status, len(body), headers=headers, close=close, version=version) + body
--- a/hallhitch/net/ingress.py
+++ b/hallhitch/net/ingress.py
@@ -6,6 +6,7 @@
 import math
 import re
 import socket
+import time
 from collections import deque
 from collections.abc import Callable
 from functools import lru_cache
@@ -14,8 +15,9 @@
 from hallhitch.core.invariants import COUNTS, invariant
 from hallhitch.core.module import Core
 from hallhitch.decision import api
-from hallhitch.net.acceptor import Acceptor, Peer
-from hallhitch.net.http import Malformed, Message, RequestReader, answer, path_of
+from hallhitch.net.acceptor import BUFFER, FIRST_MOST, Acceptor, Peer, Sent
+from hallhitch.net.flow import Flow
+from hallhitch.net.http import Malformed, Message, RequestReader, answer, head, path_of
 
 QUEUE_MOST = 8  # requests read ahead on one connection; more are left unread
 CUSTOMER = re.compile(rb"[0-9a-fA-F]{16}")
@@ -28,6 +30,9 @@
 DEADLINE_MOST = 600_000
 # ms from SIGTERM to SIGKILL: the longest deadline, counted as the first at least, and the second, less some of our own
 KILL_LEAST, KILL_AFTER = 3000.0, 700.0 - 300.0
+SLOWEST = 16.0  # bytes a ms at which a body that is kept whole has to come, after the time for a head
+WHOLE_MOST = 1 << 20  # bytes of a long body that is kept whole, where there is room
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 PAUSE, PAUSES = 100.0, 4  # ms before more is read after an error, doubled for each further one so often
 
 
@@ -84,7 +89,12 @@
     def __init__(self, ingress: Ingress, sock: socket.socket, spare: bool) -> None:
         super().__init__(ingress, sock, ingress.deadlines, ingress.scheduler)
         self._ingress, self._spare = ingress, spare
-        self._reader = RequestReader()
+        self._reader = RequestReader(long=True, hold=self._hold)
+        self._held = 0  # bytes held of long bodies, of what the ingress has room for
+        self._flow: Flow | None = None  # the body of the request that is sent on while it comes
+        self._read = 0.0  # when something last came, or was last asked for
+        self._waited = 0.0  # ms for which what was last read had surely waited, or may have
+        self._body = 0.0  # when the body that is coming began
         self._waiting: deque[tuple[Message, Terms]] = deque()
         self._exchange, self._open_id = 0, b""
         self._errors, self._slow = 0, False  # errors told here; whether the last one has it left unread
@@ -108,30 +118,98 @@
         """Whether so much waits that no more is read, or errors slow the client down."""
         # Where connections are to end, only what was read is answered: who never stops asking would never leave.
         most = 1 if self._ingress.leaving else QUEUE_MOST
-        return (len(self._waiting) >= most or self._slow) and not self.ending
+        return (len(self._waiting) >= most or self._slow or self._waits) and not self.ending
+
+    @property
+    def _waits(self) -> bool:
+        """Whether a long body waits for its server."""
+        flow = self._reader.begun.flow if self._reader.begun is not None else None
+        return flow is not None and flow.waits
+
+    @property
+    def bulky(self) -> bool:
+        """Whether a long body is coming."""
+        return self._reader.size > BUFFER
+
+    @property
+    def waited(self) -> float:
+        """The ms that the client's clock had run when the request was read, as far as is known here."""
+        return self._waited
+
+    @property
+    def unread(self) -> bool:
+        """Whether a long body is still coming."""
+        return self._reader.begun is not None and not self._broken
+
+    def late(self, now: float) -> bool:
+        """Whether what is half read has taken too long: a head by its time, a body by its progress."""
+        if self.full:
+            self._read = now  # it is not the client that is waited for
+        if self._reader.begun is None:
+            return super().late(now)
+        if now - self._read > FIRST_MOST:
+            return True
+        return self._flow is None and now - self._body > FIRST_MOST + self._reader.size / SLOWEST
+
+    def _hold(self, size: int) -> bool:
+        """Room for so many bytes more of a long body that is kept whole."""
+        if self._reader.size > WHOLE_MOST or self._ingress.held + size > self._ingress.held_most:
+            return False
+        self._held += size
+        self._ingress.held += size
+        return True
+
+    def _release(self) -> None:
+        self._ingress.held -= self._held
+        self._held = 0
 
     def overdue(self) -> None:
         """Say that the request took too long to come."""
         if not self._broken:
             self._broken = 408
+            self._reader.fail()
+            if self._flow is not None and self._exchange:  # its own request, which never comes whole
+                self._ingress.core.leave(self._exchange)
+                return self._give(408, close=True)
             self._next()
 
     def take(self, data: memoryview) -> None:
         """Read requests; what cannot be read is answered and ends the connection."""
         if self._broken:
             return
-        terms = self._ingress.terms
+        terms, self._read = self._ingress.terms, self._ingress.deadlines.clock()
+        self._waited = self._read - self.waits_since if self.waits_since else self._ingress.lag()
+        self.waits_since = 0.0
+        before = self._reader.begun
         try:
             self._waiting.extend((request, terms) for request in self._reader.feed(data))
         except Malformed as error:
             COUNTS["malformed"] += 1
             self._broken = error.status  # told in its turn, behind the answers to what came whole
             self._waiting.extend((request, terms) for request in self._reader.completed())
+        if self._reader.begun is not before:
+            self._body = self._read
+        if self._flow is not None and self._flow.ended:
+            self._whole()
+        if self._reader.expects and not self.owes and not self._broken:
+            self._reader.expects = False
+            self.now(CONTINUE)
         self._next()
 
+    def _whole(self) -> None:
+        """The long request that is being sent on has come whole: its time begins."""
+        self._flow = None
+        self._ingress.passing.discard(self)
+        if self._exchange:
+            self._ingress.core.complete(self._exchange)
+
     def left(self) -> None:
         """The client has gone: nothing more is owed."""
         self._ingress.open_ids.discard(self._open_id)
+        self._reader.fail()
+        self._release()
+        if self.broke:
+            self._outcome = "failed"
         if self._exchange:
             self._ingress.core.leave(self._exchange)
         self._over()
@@ -160,6 +238,13 @@
             try:
                 self._exchange = self._ingress.begin(request, path, self, terms)
                 self.accepted, self._open_id = True, request.headers[b"req-id"]
+                if request.flow is not None:
+                    request.flow.taken = self.proceed
+                    if request.flow.ended:
+                        self._ingress.core.complete(self._exchange)
+                    else:
+                        self._flow = request.flow
+                        self._ingress.passing.add(self)
             except Unacceptable as error:
                 self._slow_down()
                 self._give(error.status, error.text.encode())
@@ -180,10 +265,10 @@
     # The one final answer.
 
     def served(self, payload: object) -> None:
-        """Pass a server's answer on."""
+        """Pass a server's answer on, as it comes if it is long."""
         assert isinstance(payload, Message)
         kind = payload.headers.get(b"content-type")
-        self._give(200, payload.body, b"Content-Type: %s\r\n" % kind if kind else b"")
+        self._give(200, payload.body, b"Content-Type: %s\r\n" % kind if kind else b"", passes=payload)
 
     def refused(self, advice: float, status: int = 429) -> None:
         """Tell the client to come back later."""
@@ -193,17 +278,38 @@
         """Tell the client that nothing is known."""
         self._give(502)
 
-    def _give(self, status: int, body: bytes = b"", headers: bytes = b"") -> None:
-        busy = self._busy
+    def _give(
+        self, status: int, body: bytes = b"", headers: bytes = b"", close: bool = False,
+        passes: Message | None = None,
+    ) -> None:
+        busy, flow = self._busy, passes.flow if passes is not None else None
         if self.ended or not invariant(busy is not None, "an answer for an open request") or busy is None:
+            if flow is not None:
+                flow.abandon()
             return
-        close = self.ending or self._spare or not busy.keep
+        # A long request that has not come whole is not waited for.
+        close = close or self.ending or self._spare or not busy.keep or busy.flow is not None and not busy.flow.ended
+        if busy.flow is not None:
+            busy.flow.abandon()
+        if self._flow is not None:
+            self._flow = None
+            self._ingress.passing.discard(self)
+        self._release()
         close = close or self._ingress.leaving and not self._waiting and not self._broken
         self.ending, self._exchange = close, 0
         self._outcome = "served" if status == 200 else "refused" if status in REFUSALS else "failed"
         self._ingress.open_ids.discard(self._open_id)
         self._open_id = b""
-        self.post(answer(status, body, headers=headers, close=close))
+        if flow is None or passes is None:
+            body = b"" if busy.method == b"HEAD" else body
+            self.post(answer(status, body, headers=headers, close=close, version=busy.version))
+            return
+        chunked = passes.length is None and busy.version != "1.0"
+        self.ending = close = close or passes.length is None and not chunked  # else its end could not be told
+        first = head(status, passes.length, headers=headers, close=close, version=busy.version)
+        if not self.post(Sent(first, flow, chunked)):
+            flow.abandon()
+            self.end()
 
     def _over(self) -> None:
         """A request has ended: told under its class, unless its client left before it had an answer."""
@@ -229,14 +335,16 @@
     """Turns clients' requests into exchanges."""
 
     def __init__(
-        self, listener: socket.socket, core: Core, settings: api.Settings, deadlines: Deadlines,
+        self, core: Core, settings: api.Settings, deadlines: Deadlines,
         scheduler: asyncio.AbstractEventLoop, most: int, shared: bool = False,
-        welcome: Callable[[], bool] = lambda: True, tally: Callable[[str, str], None] = lambda klass, outcome: None,
+        held_most: int = 0, welcome: Callable[[], bool] = lambda: True,
+        tally: Callable[[str, str], None] = lambda klass, outcome: None,
     ) -> None:
         """`welcome` says whether health is told yes; `tally` is told each request's class and outcome at its end."""
-        super().__init__(listener, deadlines, scheduler, most, shared)
+        super().__init__(deadlines, scheduler, most, shared)
         self.core, self.terms, self.welcome, self.tally = core, Terms(settings), welcome, tally
         self._until = math.inf
+        self.held, self.held_most = 0, held_most  # bytes held of long bodies that are kept whole, and their bound
         self.in_flight = 0  # requests of known classes that have no whole answer yet
         self.open_ids: set[bytes] = set()  # Req-Ids of the exchanges that are open
 
@@ -254,6 +362,10 @@
         self._until = min(self._until, self.deadlines.clock() + max(KILL_LEAST, longest) + KILL_AFTER)
         super().close()
 
+    def lag(self) -> float:
+        """The ms since this turn of the loop began: what is read in it had come by then."""
+        return max(0.0, (time.monotonic() - self.scheduler.time()) * 1000)
+
     def _last(self) -> float:
         """The ms left for any request: a process that is to end is killed in time, answered or not."""
         return max(1.0, self._until - self.deadlines.clock())
@@ -263,8 +375,8 @@
         head = request.headers
         if not ONCE.isdisjoint(request.twice):
             raise Unacceptable(400, "a header came twice")
-        if b"expect" in head:
-            raise Unacceptable(417, "Expect is not supported")
+        if head.get(b"expect", b"100-continue").lower() != b"100-continue":
+            raise Unacceptable(417, "the expectation is not supported")
         parts = path.split(b"/")
         if len(parts) < 3 or parts[0]:
             raise Unacceptable(404, "the path is no /class/customer")
@@ -276,7 +388,7 @@
         kind = terms.settings.classes[klass]
         if request.method != (b"GET" if kind.effect == api.SAFE else b"POST"):
             raise Unacceptable(405, "the class has another method")
-        if request.body and kind.effect == api.SAFE:
+        if (request.body or request.flow) and kind.effect == api.SAFE:
             raise Unacceptable(400, "the class has no body")
         if kind.effect == api.KEYED and not KEY.fullmatch(head.get(b"idempotency-key", b"")):
             raise Unacceptable(400, "Idempotency-Key is missing or malformed")
@@ -298,4 +410,5 @@
         return self.core.begin(
             parts[-1].decode(), plan, klass, min(float(deadline), kind.deadline, self._last()), client, request,
             units=units, spread=spread, write=kind.effect != api.SAFE,
-            repeat=head.get(b"req-retry") == b"1", kind=kind)
+            repeat=head.get(b"req-retry") == b"1", kind=kind, coming=request.flow is not None,
+            waited=client.waited)
--- a/hallhitch/net/routes.py
+++ b/hallhitch/net/routes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -64,6 +65,7 @@
         self._pacing = pacing
         self.seq = 0
         self._watch: asyncio.Task[None] | None = None
+        self._heard = asyncio.Event()
         self.entries: dict[str, api.ServerEntry] = {}
         self.dials: dict[str, tuple[str, int]] = {}
 
@@ -96,6 +98,12 @@
         entry = self.entries.get(server)
         return None if entry is None else (self.dials[server], entry.started)
 
+    async def heard(self, most: float) -> None:
+        """Wait until discovery has first answered, for so many milliseconds at most."""
+        with contextlib.suppress(TimeoutError):
+            async with Within(self._deadlines, most):
+                await self._heard.wait()
+
     def retune(self, zones: list[str]) -> None:
         """Read lists by these zones from now on."""
         self._zones = zones
@@ -118,8 +126,11 @@
             try:
                 reader = AnswerReader()
                 while True:
-                    asked = await self._ask(sock, reader, address, asked)
+                    # What is known at the start may be old: discovery is not to hold its word on that back.
+                    hold = HOLD if self._heard.is_set() else 1.0
+                    asked = await self._ask(sock, reader, address, asked, hold)
                     self._pacing.answered()
+                    self._heard.set()
             except Exception as error:  # whatever discovery says, the watch goes on
                 COUNTS["watch_failed"] += 1
                 log.warning("watch failed", error=f"{type(error).__name__}: {error}")
@@ -129,10 +140,10 @@
             await pause(self._deadlines, self._pacing.failed(reached=True))
 
     async def _ask(
-        self, sock: Any, reader: AnswerReader, address: tuple[str, int], after: int
+        self, sock: Any, reader: AnswerReader, address: tuple[str, int], after: int, hold: float
     ) -> int:
         loop = asyncio.get_running_loop()
-        query = f"?from={after}&hold_ms={HOLD:.0f}" if after >= 0 else ""
+        query = f"?from={after}&hold_ms={hold:.0f}" if after >= 0 else ""
         head = f"GET /catalog/members{query} HTTP/1.1\r\nHost: {address[0]}\r\n\r\n"
         await loop.sock_sendall(sock, head.encode())
         buffer = bytearray(65536)
--- a/hallhitch/net/sockets.py
+++ b/hallhitch/net/sockets.py
@@ -62,20 +62,25 @@
     """
 
     def __init__(
-        self, listener: socket.socket, admit: Callable[[socket.socket], None], deadlines: Deadlines,
-        loop: asyncio.AbstractEventLoop,
+        self, admit: Callable[[socket.socket], None], deadlines: Deadlines, loop: asyncio.AbstractEventLoop
     ) -> None:
-        self._listener, self._admit, self._deadlines, self._loop = listener, admit, deadlines, loop
+        self._admit, self._deadlines, self._loop = admit, deadlines, loop
         self._open = False
+        self._opened = 0.0  # when, until those that came first are taken
+
+    @property
+    def waits_since(self) -> float:
+        """Since when a connection that is just being taken may have waited; 0 where it has not, to speak of."""
+        return self._opened
 
     @property
     def listens(self) -> bool:
         """Whether connections are taken."""
         return self._open
 
-    def open(self) -> None:
-        """Take connections from now on."""
-        self._open = True
+    def open(self, listener: socket.socket) -> None:
+        """Take connections off this listener from now on."""
+        self._open, self._listener, self._opened = True, listener, self._deadlines.clock()
         self._loop.add_reader(self._listener, self._ready)
 
     def close(self, rest: bool = False) -> None:
@@ -95,6 +100,7 @@
         for _ in range(ACCEPTS):
             if not self._take():
                 break
+        self._opened = 0.0
 
     def _take(self) -> bool:
         try:
--- a/hallhitch/ops/address.py
+++ b/hallhitch/ops/address.py
@@ -40,16 +40,14 @@
 class SecondAddress:
     """Answers operators' calls."""
 
-    def __init__(
-        self, listener: socket.socket, calls: Calls, deadlines: Deadlines, loop: asyncio.AbstractEventLoop
-    ) -> None:
+    def __init__(self, calls: Calls, deadlines: Deadlines, loop: asyncio.AbstractEventLoop) -> None:
         self._calls, self._deadlines, self._loop = calls, deadlines, loop
         self._callers: dict[asyncio.Task[None], bool] = {}  # oldest first; whether the call has come whole
-        self._listening = Listening(listener, self._admit, deadlines, loop)
+        self._listening = Listening(self._admit, deadlines, loop)
 
-    def open(self) -> None:
+    def open(self, listener: socket.socket) -> None:
         """Answer from now on."""
-        self._listening.open()
+        self._listening.open(listener)
 
     def close(self) -> None:
         """Answer nobody any more."""
--- a/hallhitch/resp/server.py
+++ b/hallhitch/resp/server.py
@@ -258,10 +258,10 @@
     idle_most = math.inf
 
     def __init__(
-        self, listener: socket.socket, core: Core, settings: api.Settings, deadlines: Deadlines,
+        self, core: Core, settings: api.Settings, deadlines: Deadlines,
         scheduler: asyncio.AbstractEventLoop, most: int,
     ) -> None:
-        super().__init__(listener, deadlines, scheduler, most)
+        super().__init__(deadlines, scheduler, most)
         self.core, self.settings = core, settings
 
     def retune(self, settings: api.Settings) -> None:
