At the tightest limits: descriptors divided in one place, the quiet give way to the slow

Room is made first by who was idle for 2 s after an answer, then by who said nothing for longest, in a request or before it, and last by who had an answer only now.

--- a/hallhitch/decision/policy.py
+++ b/hallhitch/decision/policy.py
@@ -377,8 +377,8 @@
         return min(self.set.gateways, math.ceil(FEW * max(1.0, self.set.gateways / len(self.pool))))
 
     def avoided(self) -> int:
-        """How many listed servers get nothing now: not up, or set aside for failures."""
-        return sum(s.entry.state != "up" or s.aside.get(ALL, 0.0) > self.now for s in self.servers.values())
+        """How many listed servers get nothing: not up, or set aside for more than a moment."""
+        return len(self.servers) - sum(s.fails < 3 or s.aside.get(ALL, 0.0) <= self.now for s in self.pool)
 
     def takes(self, s: Server, r: Open) -> bool:
         """Whether a server may get this request now; one that turns a plan away may have room for others."""
--- a/hallhitch/gateway.py
+++ b/hallhitch/gateway.py
@@ -27,14 +27,13 @@
 from hallhitch.decision.policy import Gateway
 from hallhitch.decision.settings import WireError
 from hallhitch.net import config
-from hallhitch.net.acceptor import SPARE
+from hallhitch.net.budget import budget
 from hallhitch.net.counter import CounterClient, CounterCodec, HttpCounterCodec
 from hallhitch.net.hops import Hops
 from hallhitch.net.ingress import Ingress
 from hallhitch.net.pacing import Pacing
 from hallhitch.net.routes import RouteTable
 from hallhitch.net.sockets import address_of, inherited, listen
-from hallhitch.ops.address import MOST as OPS_MOST
 from hallhitch.ops.address import Reply, SecondAddress
 from hallhitch.ops.figures import CONTENT_TYPE, Figures
 from hallhitch.ops.state import Call, Drain
@@ -43,7 +42,6 @@
     from hallhitch.resp.config import RespConfig
     from hallhitch.resp.server import LimitServer
 
-KEPT = 32  # descriptors for the counter, discovery, listeners and the process itself
 MOVES = {"discovery", "counter", "settings", "zones", "file", "known", "seed"}  # what SIGHUP changes, or a start alone
 STAYS = {"name", "listen", "sockets", "memory", "ops", "inherited"}  # what holds until the next start
 FIRST_LIST = 500.0  # ms to wait at a start for discovery's word: the list held so far may name servers long gone
@@ -100,12 +98,9 @@
     pacing = Pacing(settings.gateways, not settings.push_list, told.seed)
     figures, drain = Figures(kind.name for kind in settings.classes), Drain()
     routes = RouteTable(loop, deadlines, told.zones, core.post, pacing)
-    # Usual clients hold at most a third of the descriptors. A quarter is for hops, the rest for clients, so
-    # that others crowd them out later, with room for the counter, discovery, connections past the budget
-    # that are only turned away, and the process itself.
-    quarter = (told.sockets - KEPT) // 4
-    clients = told.sockets - KEPT - quarter - SPARE - (OPS_MOST if told.ops else 0)
-    core.hop = hops = Hops(routes, core, deadlines, loop, settings, quarter, figures.attempted)
+    shares = budget(told.sockets, told.ops is not None)
+    clients, spare = shares.clients, shares.spare
+    core.hop = hops = Hops(routes, core, deadlines, loop, settings, shares.hops, figures.attempted)
     if told.known is not None:
         routes.post(told.known)
     fronts: dict[Ingress | LimitServer, Callable[[], socket.socket]] = {}  # and where each gets its listener
@@ -114,12 +109,12 @@
         limits.hop = GrantHop(limits)
         limits.post(ROUTE)
         most = min(resp.connections, clients // 2)
-        clients -= most + SPARE
+        clients -= most + spare
         from hallhitch.resp.server import LimitServer
 
-        fronts[LimitServer(limits, settings, deadlines, loop, most)] = partial(
+        fronts[LimitServer(limits, settings, deadlines, loop, most, spare)] = partial(
             bound, "listen (RESP)", address_of(resp.listen))
-    ingress = Ingress(core, settings, deadlines, loop, clients, told.inherited is not None,
+    ingress = Ingress(core, settings, deadlines, loop, clients, spare, told.inherited is not None,
                       told.memory // HELD_SHARE, lambda: drain.welcome, figures.ended)
     fronts[ingress] = partial(bound, "listen", told.listen) if told.inherited is None else partial(
         bound, "EDGE_FD", told.inherited)
@@ -149,7 +144,7 @@
             ("GET", "/api/telemetry"): lambda: Reply(200, figures.text(), CONTENT_TYPE),
             ("PUT", "/api/evacuate"): lambda: evacuate(Call.EVACUATE),
             ("PUT", "/api/rejoin"): lambda: evacuate(Call.REJOIN),
-        }, deadlines, loop)
+        }, deadlines, loop, shares.ops)
         second.open(bound("ops", told.ops))
 
     def close() -> None:
--- a/hallhitch/net/acceptor.py
+++ b/hallhitch/net/acceptor.py
@@ -16,13 +16,14 @@
 
 BUFFER = 8192
 BULK = 32_768  # bytes read at once of a long body
-SPARE = 32  # connections past the budget that are still accepted, to be turned away in words
 WRITE_MOST = 10_000.0  # ms for a client to take an answer, or the next piece of a long one
 LINGER = 500.0  # ms to go on reading after an answer that ends a connection, so that it arrives
 RESET = struct.pack("ii", 1, 0)  # close with a reset
 LINGER_LONG, LINGER_LONG_MOST = 2000.0, 1 << 26  # both, where a long request was still coming
 LINGER_MOST = 65_536  # bytes read and dropped in that time; who sends more is not read any more
 FIRST_MOST = 2500.0  # ms for a whole request: from connecting, from an error, or from its first byte
+IDLE_LEAST = 2000.0  # ms for which an idle connection is spared while others may make room
+MUTE_LEAST = 300.0  # ms of silence in or before a request for which a connection is spared likewise
 LOOK = 250.0  # ms between looks at the connections with nothing open
 ACCEPT_AFTER_TERM = 500.0  # ms to go on accepting after SIGTERM
 # ms after SIGTERM for which idle connections stay open where another process takes the new ones: nearly all end with
@@ -52,6 +53,7 @@
         self.ended = False
         self.accepted = False  # whether anything it asked for was accepted
         self.waits_since = 0.0  # since when it may have waited to be taken, until it is first read
+        self.heard = deadlines.clock()  # when something last came, or the connection
         self.begun = 0.0  # when what is half read began to come; 0 if nothing is
         self._limit: Entry | None = None
         self._writer: asyncio.Task[None] | None = None
@@ -133,6 +135,7 @@
                     buffer = bytearray(BULK)
                     buffer[:size] = first
                     view = memoryview(buffer)
+                self.heard = self._deadlines.clock()
                 if not self.ending:
                     self.take(view[:size])
                     self.begun = (self.begun or self._deadlines.clock()) if self.partial else 0.0
@@ -260,9 +263,13 @@
 
     def __init__(
         self, deadlines: Deadlines, scheduler: asyncio.AbstractEventLoop, most: int,
-        shared: bool = False,
+        spare: int, shared: bool = False,
     ) -> None:
-        """`shared` says that other processes take connections off the same listener."""
+        """Take `most` clients, and `spare` ones past that, only to turn them away in words.
+
+        `shared` says that other processes take connections off the same listener.
+        """
+        self._spare = spare
         self.deadlines, self.scheduler, self._most = deadlines, scheduler, most
         self._shared = shared
         self._listening = Listening(self.admit, deadlines, scheduler)
@@ -293,13 +300,11 @@
 
     def admit(self, sock: socket.socket) -> None:
         """Take in a connection."""
-        standing = self._new or self._idle
-        if len(self._peers) >= self._most and standing:
-            COUNTS["new_shed" if standing is self._new else "idle_shed"] += 1
-            longest = next(iter(standing))
-            del standing[longest]
-            longest.end()
-        if len(self._peers) >= self._most + SPARE:
+        if len(self._peers) >= self._most and (gives := self._gives()) is not None:
+            COUNTS["new_shed" if gives in self._new else "idle_shed"] += 1
+            self.used(gives)
+            gives.end()
+        if len(self._peers) >= self._most + self._spare:
             COUNTS["clients_full"] += 1
             sock.close()
             return
@@ -308,6 +313,16 @@
         self._peers[peer] = asyncio.get_running_loop().create_task(peer.run())
         self._new[peer] = self.deadlines.clock()
 
+    def _gives(self) -> Peer | None:
+        """Whose connection makes room: who is owed least, and of these who has stood for longest."""
+        # Idle for a while after an answer: ends as it may. Then who has said nothing for longest, in the middle of a
+        # request or before it: a slow client goes on. Last who had an answer only now and will ask again.
+        now, longest = self.deadlines.clock(), next(iter(self._idle), None)
+        if longest is not None and now - self._idle[longest] > IDLE_LEAST:
+            return longest
+        mute = min(self._new, key=lambda peer: peer.heard, default=None)
+        return mute if mute is not None and (longest is None or now - mute.heard > MUTE_LEAST) else longest
+
     def used(self, peer: Peer) -> None:
         """A connection has something open."""
         self._new.pop(peer, None)
--- a/hallhitch/net/config.py
+++ b/hallhitch/net/config.py
@@ -10,11 +10,11 @@
 
 from hallhitch.decision import api
 from hallhitch.decision.settings import WireError, need, number, section, settings_of
+from hallhitch.net.budget import LEAST
 from hallhitch.net.routes import News, news_of
 from hallhitch.net.sockets import address_of
 
 OPTIONAL = ("aim-stretch",)  # keys that may be absent anywhere
-SOCKETS_LEAST = 256  # descriptors that leave some for everybody
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,8 +94,8 @@
     except ValueError as error:
         raise WireError("field 'seed' is no hexadecimal number") from error
     sockets = int(number(section(top, "limits"), "sockets", 1024.0))
-    if sockets < SOCKETS_LEAST:
-        raise WireError(f"field 'sockets' is too small: {SOCKETS_LEAST} is the least")
+    if sockets < LEAST:
+        raise WireError(f"field 'sockets' is too small: {LEAST} is the least")
     memory = int(number(section(top, "limits"), "memory_mb", 64.0) * (1 << 20))
     known = top.get("known")
     ops = address("ops", "EDGE_OPS") if environ.get("EDGE_OPS") or top.get("ops") is not None else None
--- a/hallhitch/net/ingress.py
+++ b/hallhitch/net/ingress.py
@@ -336,12 +336,12 @@
 
     def __init__(
         self, core: Core, settings: api.Settings, deadlines: Deadlines,
-        scheduler: asyncio.AbstractEventLoop, most: int, shared: bool = False,
+        scheduler: asyncio.AbstractEventLoop, most: int, spare: int, shared: bool = False,
         held_most: int = 0, welcome: Callable[[], bool] = lambda: True,
         tally: Callable[[str, str], None] = lambda klass, outcome: None,
     ) -> None:
         """`welcome` says whether health is told yes; `tally` is told each request's class and outcome at its end."""
-        super().__init__(deadlines, scheduler, most, shared)
+        super().__init__(deadlines, scheduler, most, spare, shared)
         self.core, self.terms, self.welcome, self.tally = core, Terms(settings), welcome, tally
         self._until = math.inf
         self.held, self.held_most = 0, held_most  # bytes held of long bodies that are kept whole, and their bound
--- a/hallhitch/ops/address.py
+++ b/hallhitch/ops/address.py
@@ -18,7 +18,6 @@
 from hallhitch.net.http import Malformed, RequestReader, answer, path_of
 from hallhitch.net.sockets import Listening, Within, cut, tune
 
-MOST = 24  # connections held at once; past that the oldest that has not made its call makes room
 LISTEN = 5000.0  # ms that a caller may take over its call
 WRITE = 1000.0  # ms for a caller to take its answer
 LINGER = 250.0  # ms to go on reading behind an answer, so that it arrives
@@ -40,7 +39,9 @@
 class SecondAddress:
     """Answers operators' calls."""
 
-    def __init__(self, calls: Calls, deadlines: Deadlines, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, calls: Calls, deadlines: Deadlines, loop: asyncio.AbstractEventLoop, most: int) -> None:
+        """Hold `most` callers at once; past that the oldest that has not made its call makes room."""
+        self._most = most
         self._calls, self._deadlines, self._loop = calls, deadlines, loop
         self._callers: dict[asyncio.Task[None], bool] = {}  # oldest first; whether the call has come whole
         self._listening = Listening(self._admit, deadlines, loop)
@@ -56,7 +57,7 @@
             task.cancel()
 
     def _admit(self, sock: socket.socket) -> None:
-        if len(self._callers) >= MOST:
+        if len(self._callers) >= self._most:
             COUNTS["ops_shed"] += 1
             oldest = next((task for task, whole in self._callers.items() if not whole), None)
             if oldest is None:
--- a/hallhitch/resp/server.py
+++ b/hallhitch/resp/server.py
@@ -259,9 +259,9 @@
 
     def __init__(
         self, core: Core, settings: api.Settings, deadlines: Deadlines,
-        scheduler: asyncio.AbstractEventLoop, most: int,
+        scheduler: asyncio.AbstractEventLoop, most: int, spare: int,
     ) -> None:
-        super().__init__(deadlines, scheduler, most)
+        super().__init__(deadlines, scheduler, most, spare)
         self.core, self.settings = core, settings
 
     def retune(self, settings: api.Settings) -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -902,3 +902,22 @@
         bench.do(api.NewSettings(replace(old, classes=strict, attempts=attempts)))
         acts = bench.do(api.AttemptEnded(first.id, 0, first.server, "error", 5.0, False))
         assert len(only(acts, api.Send)) == repeats
+
+
+def test_only_what_is_avoided_for_more_than_a_moment_is_told_so() -> None:
+    """Guards against a figure of excluded servers that flickers with each broken attempt."""
+    bench = Bench(listed=api.ServerList("full", (
+        api.ServerEntry("s0", "up"), api.ServerEntry("s1", "drain"), api.ServerEntry("s2", "up"))))
+    assert bench.gateway.avoided() == 1
+    told = []
+    for n in range(4):
+        s = bench.gateway.servers["s0"]
+        s.aside, s.out = {}, set()
+        bench.ask(f"k{n}")
+        for send in bench.sent[-1:]:
+            bench.do(api.AttemptEnded(send.id, 0, "s0", "unreachable", 5.0, False))
+        told.append(bench.gateway.avoided())
+    assert told == [1, 1, 2, 2]
+    bench.now += 60_000.0
+    bench.do()
+    assert bench.gateway.avoided() == 1
