Who goes on with a slow request is spared longest when connections must make room

Change: silence decides among those without an accepted request, with a second more for who has gone on after a pause.

--- a/hallhitch/net/acceptor.py
+++ b/hallhitch/net/acceptor.py
@@ -23,7 +23,7 @@
 LINGER_MOST = 65_536  # bytes read and dropped in that time; who sends more is not read any more
 FIRST_MOST = 2500.0  # ms for a whole request: from connecting, from an error, or from its first byte
 IDLE_LEAST = 2000.0  # ms for which an idle connection is spared while others may make room
-MUTE_LEAST = 300.0  # ms of silence in or before a request for which a connection is spared likewise
+GOING_ON = 1000.0  # ms more of silence for who has gone on with a request after a pause before
 LOOK = 250.0  # ms between looks at the connections with nothing open
 ACCEPT_AFTER_TERM = 500.0  # ms to go on accepting after SIGTERM
 # ms after SIGTERM for which idle connections stay open where another process takes the new ones: nearly all end with
@@ -53,6 +53,7 @@
         self.ended = False
         self.accepted = False  # whether anything it asked for was accepted
         self.waits_since = 0.0  # since when it may have waited to be taken, until it is first read
+        self.goes_on = False  # whether what is half read came in more than one piece
         self.heard = deadlines.clock()  # when something last came, or the connection
         self.begun = 0.0  # when what is half read began to come; 0 if nothing is
         self._limit: Entry | None = None
@@ -136,6 +137,7 @@
                     buffer[:size] = first
                     view = memoryview(buffer)
                 self.heard = self._deadlines.clock()
+                self.goes_on = bool(self.begun) and self.partial
                 if not self.ending:
                     self.take(view[:size])
                     self.begun = (self.begun or self._deadlines.clock()) if self.partial else 0.0
@@ -320,8 +322,8 @@
         now, longest = self.deadlines.clock(), next(iter(self._idle), None)
         if longest is not None and now - self._idle[longest] > IDLE_LEAST:
             return longest
-        mute = min(self._new, key=lambda peer: peer.heard, default=None)
-        return mute if mute is not None and (longest is None or now - mute.heard > MUTE_LEAST) else longest
+        mute = min(self._new, key=lambda peer: peer.heard + (GOING_ON if peer.goes_on else 0.0), default=None)
+        return longest if mute is None else mute
 
     def used(self, peer: Peer) -> None:
         """A connection has something open."""
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -127,6 +127,22 @@
         for _, writer in usual + crowd:
             writer.close()
 
+    async def test_who_goes_on_slowly_is_spared_for_who_says_nothing_more(self) -> None:
+        """Guards against clients that are slow over a head losing it to a crowd that never ends one."""
+        slow = [await self.program.connect() for _ in range(10)]
+        for part in (self.request()[:20], self.request()[20:40]):
+            for _, writer in slow:
+                writer.write(part)
+            self.assertIn(" 200 ", (await self.ask(b"GET /_health HTTP/1.1\r\n\r\n"))[0])  # read by now
+        crowd = [await self.program.connect() for _ in range(200)]
+        for _, writer in crowd:
+            writer.write(b"GET /insp")
+        for reader, writer in slow:
+            writer.write(self.request()[40:])
+            self.assertRegex((await soon(read_http(reader)))[0], " (200|429) ")
+        for _, writer in slow + crowd:
+            writer.close()
+
 
 class BadServers(GatewayCase):
     """Answers that are spoilt, or bring more than belongs to them."""
