Two processes of one gateway see each other, share its limits, and hand over what was learned

Need: while a process is replaced, limits on memory and descriptors see both as one; each had the whole budget. And the new one began with a third of a class's aim as its usual answer time.

Change: ops/neighbour.py, locks on bytes of one file in $TMPDIR, gone with their holder. While another process lives, each takes half of the clients and hops; while it serves too, who is past its half leaves newcomers in the listener's line instead of turning them away. ops/handover.py: usual answer times by class, what servers bear and the share of counted requests, written once a second, read at a start beside a living process; missing, old, foreign or damaged it says nothing. All of it only where the listener is inherited: no file, no lock elsewhere.

Ruled out: counts of customers in the note.

--- a/hallhitch/net/acceptor.py
+++ b/hallhitch/net/acceptor.py
@@ -272,6 +272,7 @@
         `shared` says that other processes take connections off the same listener.
         """
         self._spare = spare
+        self._half = self._leaves = False  # whether another process lives; whether it takes clients too
         self.deadlines, self.scheduler, self._most = deadlines, scheduler, most
         self._shared = shared
         self._listening = Listening(self.admit, deadlines, scheduler)
@@ -302,18 +303,19 @@
 
     def admit(self, sock: socket.socket) -> None:
         """Take in a connection."""
-        if len(self._peers) >= self._most and (gives := self._gives()) is not None:
+        if len(self._peers) >= self.most and (gives := self._gives()) is not None:
             COUNTS["new_shed" if gives in self._new else "idle_shed"] += 1
             self.used(gives)
             gives.end()
-        if len(self._peers) >= self._most + self._spare:
+        if len(self._peers) >= self.most + self._spare:
             COUNTS["clients_full"] += 1
             sock.close()
             return
-        peer = self.peer(tune(sock), len(self._peers) > self._most)
+        peer = self.peer(tune(sock), len(self._peers) > self.most)
         peer.waits_since = self._listening.waits_since
         self._peers[peer] = asyncio.get_running_loop().create_task(peer.run())
         self._new[peer] = self.deadlines.clock()
+        self._leave()
 
     def _gives(self) -> Peer | None:
         """Whose connection makes room: who is owed least, and of these who has stood for longest."""
@@ -325,6 +327,20 @@
         mute = min(self._new, key=lambda peer: peer.heard + (GOING_ON if peer.goes_on else 0.0), default=None)
         return longest if mute is None else mute
 
+    def share(self, lives: bool, serves: bool) -> None:
+        """Another process of this gateway lives, and serves clients, or not: both keep to half while it does."""
+        self._half, self._leaves = lives, serves
+        self._leave()
+
+    def _leave(self) -> None:
+        # Past its half a process turns nobody away, but leaves them to the other.
+        self._listening.rest(self._leaves and len(self._peers) >= self.most)
+
+    @property
+    def most(self) -> int:
+        """The clients to hold."""
+        return self._most // 2 if self._half else self._most
+
     def used(self, peer: Peer) -> None:
         """A connection has something open."""
         self._new.pop(peer, None)
@@ -370,6 +386,7 @@
         """A connection has ended."""
         self._peers.pop(peer, None)
         self.passing.discard(peer)
+        self._leave()
         self.used(peer)
         if self.closing and not self._listening.listens:
             self._check()
--- a/hallhitch/net/hops.py
+++ b/hallhitch/net/hops.py
@@ -344,7 +344,7 @@
         """`wrote` is told of each attempt written whole; `most` bounds the connections."""
         self.wrote = wrote
         self.routes, self.told, self.deadlines, self._scheduler = routes, told, deadlines, scheduler
-        self._most = most
+        self._most, self._half = most, False
         self.retune(settings)
         self.idleness = Idleness(deadlines.clock)
         self.connections = 0  # open ones and those being opened
@@ -357,6 +357,10 @@
         """Keep connections by other settings."""
         self.connect_timeout, self._idle_most = settings.connect_timeout, settings.keepalive * IDLE_SHARE
 
+    def share(self, lives: bool) -> None:
+        """Another process of this gateway lives, or not: both keep to half of the connections while it does."""
+        self._half = lives
+
     def start(self, attempt: Attempt) -> None:
         """Begin an attempt."""
         job = Job(attempt)
@@ -399,7 +403,7 @@
     def room(self) -> bool:
         """Whether one more connection may be opened; the longest idle one makes room if need be."""
         held = self.connections + len(self._jobs) + self.passing + sum(len(h.idle) for h in self._hops.values())
-        if held < self._most:
+        if held < (self._most // 2 if self._half else self._most):
             return True
         idle = (h for h in self._hops.values() if h.idle)
         oldest = min(idle, key=lambda h: h.idle[0].idle_since, default=None)
--- a/hallhitch/net/sockets.py
+++ b/hallhitch/net/sockets.py
@@ -66,6 +66,7 @@
     ) -> None:
         self._admit, self._deadlines, self._loop = admit, deadlines, loop
         self._open = False
+        self._resting = False
         self._opened = 0.0  # when, until those that came first are taken
 
     @property
@@ -83,6 +84,15 @@
         self._open, self._listener, self._opened = True, listener, self._deadlines.clock()
         self._loop.add_reader(self._listener, self._ready)
 
+    def rest(self, resting: bool) -> None:
+        """Leave connections where they wait for a while, for another process that takes them too; or go on."""
+        if self._open and resting != self._resting:
+            self._resting = resting
+            if resting:
+                self._loop.remove_reader(self._listener)
+            else:
+                self._loop.add_reader(self._listener, self._ready)
+
     def close(self, rest: bool = False) -> None:
         """Take none any more, but for those that wait if `rest` says so.
 
@@ -98,7 +108,7 @@
 
     def _ready(self) -> None:
         for _ in range(ACCEPTS):
-            if not self._take():
+            if self._resting or not self._take():
                 break
         self._opened = 0.0
 
@@ -119,7 +129,7 @@
         return True
 
     def _again(self) -> None:
-        if self._open:
+        if self._open and not self._resting:
             self._loop.add_reader(self._listener, self._ready)
 
 
--- /dev/null
+++ b/tests/ops/test_handover.py
@@ -0,0 +1,117 @@
+"""What one process leaves for the next, and how they see each other, apart from any gateway."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from types import SimpleNamespace
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hallhitch.ops import handover
+from hallhitch.ops.neighbour import LIVES, SERVES, Neighbour
+
+HOLD = """
+import sys
+from hallhitch.ops.neighbour import Neighbour
+n = Neighbour(sys.argv[1])
+print("lives", flush=True)
+sys.stdin.readline()
+n.serves()
+print("serves", flush=True)
+sys.stdin.readline()
+"""
+
+
+def learner(**changes: object) -> SimpleNamespace:
+    """What a module has learned."""
+    base: dict[str, object] = {"work": {"a": 40.0}, "learned": {"a": 900.0}, "failing": {"a": 0.1}, "depth": 6.0,
+                               "asks": 0.8}
+    return SimpleNamespace(**(base | changes))
+
+
+class Handover(unittest.TestCase):
+    """The file."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder, self.path = folder.name, Path(folder.name) / handover.NAME
+
+    def test_what_is_known_by_name_goes_on_and_nothing_else(self) -> None:
+        """Guards against times learned of a class that is gone, or forgotten of one that stays."""
+        handover.write(self.folder, learner(), 1000.0)
+        told = handover.read(self.folder, 1500.0)
+        assert told is not None
+        new = learner(work={"a": 300.0, "b": 300.0}, learned={}, failing={}, depth=0.0, asks=1.0)
+        handover.take(told, new)
+        self.assertEqual((new.work, new.learned), ({"a": 40.0, "b": 300.0}, {"a": 900.0}))
+        self.assertEqual((new.depth, new.asks), (6.0, 0.8))
+        handover.take(told, gone := learner(work={"b": 300.0}, learned={}, failing={}))
+        self.assertEqual(gone.learned, {})
+
+    def test_old_foreign_and_missing_say_nothing(self) -> None:
+        """Guards against what held minutes ago, or in another machine's clock, taken for now."""
+        self.assertIsNone(handover.read(self.folder, 0.0))
+        handover.write(self.folder, learner(), 1000.0)
+        for now in (999.0, 1000.0 + handover.AGE_MOST + 1):
+            self.assertIsNone(handover.read(self.folder, now))
+        handover.write(f"{self.folder}/missing", learner(), 1000.0)
+        wrongs: list[dict[str, object]] = [
+            {"work": {"a": 0.0}}, {"work": {"a": float("nan")}}, {"depth": -1.0}, {"asks": 2.0}, {"asks": True},
+            {"failing": {"a": 7.0}}, {"learned": {"a": 5000.0}}]
+        for wrong in wrongs:
+            handover.write(self.folder, learner(**wrong), 1000.0)
+            self.assertIsNone(handover.read(self.folder, 1000.0), wrong)
+
+    @settings(max_examples=200, deadline=None)
+    @given(st.integers(0, 400), st.binary(max_size=4))
+    def test_any_damage_is_ignored_or_harmless(self, at: int, put: bytes) -> None:
+        """Guards against a start that fails, or goes on from nonsense, for a damaged file."""
+        handover.write(self.folder, learner(), 1000.0)
+        text = self.path.read_bytes()
+        self.path.write_bytes(text[:at] + put + text[at + len(put):] if put else text[:at])
+        told = handover.read(self.folder, 1000.0)
+        if told is not None:
+            handover.take(told, new := learner())
+            json.dumps(vars(new), allow_nan=False)
+            self.assertTrue(all(work > 0 for work in new.work.values()))
+
+
+class Locks(unittest.TestCase):
+    """Two processes."""
+
+    def test_the_other_is_there_until_it_ends_however_it_does(self) -> None:
+        """Guards against a dead process that halves the living one's budget for good."""
+        with tempfile.TemporaryDirectory() as folder:
+            mine = Neighbour(folder)
+            self.addCleanup(mine.close)
+            self.assertFalse(mine.other(LIVES))
+            for _ in range(2):  # one after the other
+                process = subprocess.Popen([sys.executable, "-c", HOLD, folder], stdin=subprocess.PIPE,
+                                           stdout=subprocess.PIPE, text=True)
+                assert process.stdout is not None and process.stdin is not None
+                self.assertEqual(process.stdout.readline(), "lives\n")
+                self.assertEqual((mine.other(LIVES), mine.other(SERVES)), (True, False))
+                process.stdin.write("\n")
+                process.stdin.flush()
+                self.assertEqual(process.stdout.readline(), "serves\n")
+                self.assertTrue(mine.other(SERVES))
+                process.kill()
+                process.wait()
+                process.stdout.close()
+                process.stdin.close()
+                self.assertEqual((mine.other(LIVES), mine.other(SERVES)), (False, False))
+
+    def test_without_a_folder_it_is_alone(self) -> None:
+        """Guards against a start that fails for want of a place to look."""
+        for folder in (None, "/nowhere/at/all", "/proc/self/mem"):
+            alone = Neighbour(folder)
+            alone.serves()
+            self.assertFalse(alone.other(LIVES))
+            alone.close()
--- a/tests/ops/test_replacement.py
+++ b/tests/ops/test_replacement.py
@@ -9,9 +9,13 @@
 import subprocess
 import sys
 import tempfile
+from pathlib import Path
 
+from hallhitch.net.budget import budget
 from tests.stand_ins import GUARD, ROOT, GatewayCase, Program, free_port, http, read_http, soon
 
+LATE = 2  # clients that one may take before it hears of the other
+
 
 class Replacement(GatewayCase):
     """The platform holds the listener; each process inherits it."""
@@ -19,6 +23,9 @@
     ops = True
 
     async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.shared = folder.name
         self.listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self.addCleanup(self.listener.close)
         await super().asyncSetUp()
@@ -27,16 +34,18 @@
         """Have a program take its clients from the inherited listener."""
         program.listen = f"127.0.0.1:{self.listener.getsockname()[1]}"
         program.inherits = (self.listener.fileno(),)
-        program.environ["EDGE_FD"] = str(self.listener.fileno())
+        program.environ |= {"EDGE_FD": str(self.listener.fileno()), "TMPDIR": self.shared}
 
-    async def second(self) -> Program:
-        """The replacement, ready."""
+    async def second(self, says: str = "") -> Program:
+        """The replacement, ready; it says this first."""
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         program = Program(folder.name, self.discovery.address, self.counter.address, self.nodes, self.give_up)
         program.config["ops"] = f"127.0.0.1:{free_port()}"
         self.started(program)
         await program.start()
+        if says:
+            await program.logged(says)
         await program.logged('"serving"')
         self.assertEqual((await program.call("/api/ready"))[0], 200)
         return program
@@ -73,6 +82,44 @@
         self.assertEqual(set(asked) - {"200", "429"}, set())
         self.program = new
 
+    async def test_what_was_learned_goes_on_and_damage_is_ignored(self) -> None:
+        """Guards against a replacement that starts from nothing, and against one that cannot start for a bad file."""
+        path = Path(self.shared) / "hallhitch.learned"
+        new = await self.second("goes on from what another process learned")
+        self.assertEqual(json.loads(path.read_text())["version"], 1)
+        await new.stop()
+        self.shared = f"{self.shared}/missing"
+        for text in (None, "{", "[]", '{"version": 1}', json.dumps({"version": 2}), "x" * 100_000):
+            if text is not None:
+                path.write_text(text)
+            new = await self.second()
+            new.process.kill()
+            await new.process.wait()
+
+    async def test_past_its_half_a_process_leaves_clients_to_the_other(self) -> None:
+        """Guards against clients turned away, or descriptors of two processes past the limit of one."""
+        self.program.config["limits"] = {"sockets": 128}
+        await self.program.stop()
+        await self.program.start()
+        await self.program.logged('"serving"')
+        new = await self.second()
+        held = []
+        for n in range(30):  # as many as both together may hold
+            reader, writer = await self.program.connect()
+            self.addCleanup(writer.close)
+            writer.write(self.request(customer=f"{n:016x}"))
+            self.assertIn(" 200 ", (await soon(read_http(reader)))[0])
+            held.append((reader, writer))
+        for n, (reader, writer) in enumerate(held):
+            writer.write(self.request(customer=f"{n:016x}"))
+            self.assertIn(" 200 ", (await soon(read_http(reader)))[0])
+        served = [f['svc_requests{class="inspect",outcome="served"}']
+                  for f in (await self.program.figures(), await new.figures())]
+        self.assertEqual(sum(served), 60)
+        self.assertLessEqual(max(served), 2 * budget(128, True).clients // 2 + 2 * LATE)
+        old, self.program = self.program, new
+        self.assertEqual((await old.stop())[0], 0)
+
     async def test_one_that_dies_before_its_yes_costs_nothing(self) -> None:
         """Guards against a first process that stops serving before the second one can."""
         new = await self.second()
