--- a/hallhitch/gateway.py
+++ b/hallhitch/gateway.py
@@ -157,7 +157,8 @@
     neighbour = Neighbour(folder)
     if folder is not None and neighbour.other(LIVES) and (left := handover.read(folder, deadlines.clock())):
         handover.take(left, core.gateway)
-        log.info("goes on from what another process learned", classes=list(left["classes"]))
+        log.info("goes on from what another process learned", classes=list(left["classes"]),
+                 customers=len(left["customers"]))
 
     def look() -> None:
         lives = neighbour.other(LIVES)
--- a/hallhitch/net/acceptor.py
+++ b/hallhitch/net/acceptor.py
@@ -31,6 +31,7 @@
 SHARED_IDLE = 2000.0
 # ms of a drain: before idle connections end (who sends clients here must hear the no first), over which they end, and
 # between the looks at them.
+DRAIN_NEW = 200.0  # ms for who has connected during a drain to ask
 DRAIN_HEARD, DRAIN_SPREAD, DRAIN_LOOK = 500.0, 800.0, 40.0
 
 
@@ -405,7 +406,8 @@
 
     def _part(self, looks: float) -> None:
         """End a part of the idle connections, all that are left once `looks` looks have passed."""
-        idle = [p for p in self._peers if p.idle]
+        since = self.deadlines.clock() - DRAIN_NEW
+        idle = [p for p in self._peers if p.idle and p.heard < since]
         for peer in idle[:math.ceil(len(idle) / max(1.0, looks))]:
             peer.part()
         self._looks = self.deadlines.after(DRAIN_LOOK, lambda: self._part(looks - 1))
