--- a/hallhitch/net/acceptor.py
+++ b/hallhitch/net/acceptor.py
@@ -144,7 +144,7 @@
                     self.begun = (self.begun or self._deadlines.clock()) if self.partial else 0.0
                 else:  # lingering
                     dropped += size
-                while self.full or dropped > (LINGER_LONG_MOST if self.unread else LINGER_MOST):
+                while self.full or dropped > LINGER_MOST and (not self.unread or dropped > LINGER_LONG_MOST):
                     self._paused = loop.create_future()
                     await self._paused
         except (OSError, asyncio.CancelledError):
--- a/hallhitch/net/hops.py
+++ b/hallhitch/net/hops.py
@@ -175,7 +175,7 @@
         else:
             upload = loop.create_task(self._upload(job, connection, request, left))
         try:
-            outcome, answer = await self._answer(job, connection)
+            outcome, answer = await self._hear(job, connection)
         finally:
             if upload is not None:
                 upload.cancel()
@@ -204,7 +204,7 @@
         job.attempt.sent = self._hops.deadlines.clock()
         self._written(job)
 
-    async def _answer(self, job: Job, connection: Connection) -> tuple[str, Message | None]:
+    async def _hear(self, job: Job, connection: Connection) -> tuple[str, Message | None]:
         """The answer, or its head where its long body was passed on as it came."""
         loop, buffer, reader = asyncio.get_running_loop(), bytearray(BUFFER), connection.reader
         view = memoryview(buffer)
--- a/hallhitch/net/ingress.py
+++ b/hallhitch/net/ingress.py
@@ -93,6 +93,7 @@
         self._held = 0  # bytes held of long bodies, of what the ingress has room for
         self._flow: Flow | None = None  # the body of the request that is sent on while it comes
         self._read = 0.0  # when something last came, or was last asked for
+        self._coming: Message | None = None  # the request whose body is coming
         self._waited = 0.0  # ms for which what was last read had surely waited, or may have
         self._body = 0.0  # when the body that is coming began
         self._waiting: deque[tuple[Message, Terms]] = deque()
@@ -118,18 +119,15 @@
         """Whether so much waits that no more is read, or errors slow the client down."""
         # Where connections are to end, only what was read is answered: who never stops asking would never leave.
         most = 1 if self._ingress.leaving else QUEUE_MOST
-        return (len(self._waiting) >= most or self._slow or self._waits) and not self.ending
-
-    @property
-    def _waits(self) -> bool:
-        """Whether a long body waits for its server."""
-        flow = self._reader.begun.flow if self._reader.begun is not None else None
-        return flow is not None and flow.waits
+        if self.ending:
+            return False
+        flow = self._coming.flow if self._coming is not None else None  # a long body waits for its server
+        return len(self._waiting) >= most or self._slow or flow is not None and flow.waits
 
     @property
     def bulky(self) -> bool:
         """Whether a long body is coming."""
-        return self._reader.size > BUFFER
+        return self._coming is not None and self._reader.size > BUFFER
 
     @property
     def waited(self) -> float:
@@ -139,13 +137,13 @@
     @property
     def unread(self) -> bool:
         """Whether a long body is still coming."""
-        return self._reader.begun is not None and not self._broken
+        return self._coming is not None and not self._broken
 
     def late(self, now: float) -> bool:
         """Whether what is half read has taken too long: a head by its time, a body by its progress."""
         if self.full:
             self._read = now  # it is not the client that is waited for
-        if self._reader.begun is None:
+        if self._coming is None:
             return super().late(now)
         if now - self._read > FIRST_MOST:
             return True
@@ -180,14 +178,14 @@
         terms, self._read = self._ingress.terms, self._ingress.deadlines.clock()
         self._waited = self._read - self.waits_since if self.waits_since else self._ingress.lag()
         self.waits_since = 0.0
-        before = self._reader.begun
         try:
             self._waiting.extend((request, terms) for request in self._reader.feed(data))
         except Malformed as error:
             COUNTS["malformed"] += 1
             self._broken = error.status  # told in its turn, behind the answers to what came whole
             self._waiting.extend((request, terms) for request in self._reader.completed())
-        if self._reader.begun is not before:
+        before, self._coming = self._coming, self._reader.begun
+        if self._coming is not None and self._coming is not before:
             self._body = self._read
         if self._flow is not None and self._flow.ended:
             self._whole()
