A client that asks ahead leaves in a drain too; more of the hard cases have their tests

Found by a test written for it: of 400 pipelined requests during a drain all 400 were answered on their connection, as reading went on while one was open, so one always waited behind it and no answer could say close. At fault: Client.full, which looked at the requests that wait at that moment alone. Change: a client that has asked before it had its answer is read no more while connections are to end. Tests: that; a rejoin in the middle of a drain; signals in a row; replacements one after the other, after a kill, during a drain and a reload, with a long body coming to the old process; the module after any settings equals one begun with the last (property). Ruled out: dropping what waits behind the open request, as it was taken.

--- a/hallhitch/net/ingress.py
+++ b/hallhitch/net/ingress.py
@@ -93,6 +93,7 @@
         self._held = 0  # bytes held of long bodies, of what the ingress has room for
         self._flow: Flow | None = None  # the body of the request that is sent on while it comes
         self._read = 0.0  # when something last came, or was last asked for
+        self._piped = False  # whether the client asks before it has its answer
         self._coming: Message | None = None  # the request whose body is coming
         self._waited = 0.0  # ms for which what was last read had surely waited, or may have
         self._body = 0.0  # when the body that is coming began
@@ -117,12 +118,14 @@
     @property
     def full(self) -> bool:
         """Whether so much waits that no more is read, or errors slow the client down."""
-        # Where connections are to end, only what was read is answered: who never stops asking would never leave.
-        most = 1 if self._ingress.leaving else QUEUE_MOST
         if self.ending:
             return False
         flow = self._coming.flow if self._coming is not None else None  # a long body waits for its server
-        return len(self._waiting) >= most or self._slow or flow is not None and flow.waits
+        if len(self._waiting) >= QUEUE_MOST or self._slow or flow is not None and flow.waits:
+            return True
+        # Where connections are to end, who asks ahead is read no more: only what was read is answered, as who never
+        # stops would never leave.
+        return self._piped and self.owes and self._coming is None and self._ingress.leaving
 
     @property
     def bulky(self) -> bool:
@@ -193,6 +196,7 @@
             self._reader.expects = False
             self.now(CONTINUE)
         self._next()
+        self._piped = self._piped or self._busy is not None and bool(self._waiting)
 
     def _whole(self) -> None:
         """The long request that is being sent on has come whole: its time begins."""
--- a/tests/ops/test_replacement.py
+++ b/tests/ops/test_replacement.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import json
+import signal
 import socket
 import subprocess
 import sys
@@ -145,6 +146,44 @@
         self.assertEqual(await soon(old.process.wait()), 0)
         self.program = new
 
+    async def test_one_after_the_other_and_after_one_that_was_killed(self) -> None:
+        """Guards against a lock, a note or a listener that outlives its process and stops the next."""
+        for end in ("terminate", "kill", "terminate"):
+            new, old = await self.second(), self.program
+            getattr(old.process, end)()
+            await soon(old.process.wait())
+            self.program = new
+            self.assertIn(" 200 ", (await self.ask(self.request()))[0])
+            self.assertEqual((await new.call("/api/ready"))[0], 200)
+
+    async def test_in_the_middle_of_a_drain_and_a_reload(self) -> None:
+        """Guards against a state of the old process that the new one inherits, or that keeps the old from ending."""
+        await self.program.call("/api/evacuate", "PUT")
+        new, old = await self.second(), self.program
+        old.process.send_signal(signal.SIGHUP)
+        await old.logged("configuration taken")
+        old.process.terminate()
+        self.assertEqual(await soon(old.process.wait()), 0)
+        self.program = new
+        self.assertIn(" 200 ", (await self.ask(b"GET /_health HTTP/1.1\r\n\r\n"))[0])
+
+    async def test_a_long_body_that_comes_to_the_old_one_is_served_there(self) -> None:
+        """Guards against an upload lost because its process was told to end in the middle of it."""
+        body = bytes(300_000)
+        head, _, _ = self.request("reject", 1500).partition(b"\r\n\r\n")
+        reader, writer = await self.program.connect()
+        self.addCleanup(writer.close)
+        writer.write(head.replace(b"Content-Length: 4", b"Content-Length: 300000") + b"\r\n\r\n" + body[:200_000])
+        self.assertIn(" 200 ", (await self.ask(b"GET /_health HTTP/1.1\r\n\r\n"))[0])
+        new, old = await self.second(), self.program
+        old.process.terminate()
+        await old.logged('"ending"')
+        writer.write(body[200_000:])
+        line, headers, _ = await soon(read_http(reader))
+        self.assertEqual((line.split()[1], headers["connection"]), ("200", "close"))
+        self.assertEqual(await soon(old.process.wait()), 0)
+        self.program = new
+
     async def test_a_descriptor_that_is_no_listener_is_one_line(self) -> None:
         """Guards against a gateway that starts and serves nobody."""
         with tempfile.TemporaryDirectory() as folder, socket.socket() as other:
--- a/tests/ops/test_second_address.py
+++ b/tests/ops/test_second_address.py
@@ -109,6 +109,34 @@
         self.assertIn(" 200 ", (await self.ask(HEALTH))[0])
         await self.client()
 
+    async def test_a_rejoin_in_the_middle_of_a_drain_keeps_who_is_still_there(self) -> None:
+        """Guards against a drain that goes on ending connections after it was taken back."""
+        kept = [await self.client() for _ in range(10)]
+        await self.program.call("/api/evacuate", "PUT")
+        self.assertEqual((await self.program.call("/api/rejoin", "PUT"))[1], "serving\n")
+        for reader, writer in kept:
+            writer.write(self.request(customer="0000000000000002"))
+            line, headers, _ = await soon(read_http(reader))
+            self.assertEqual(headers.get("connection"), None, line)
+
+    async def test_who_never_stops_asking_leaves_too(self) -> None:
+        """Guards against a drain that one pipelining client, or one that comes again at once, holds up for ever."""
+        reader, writer = await self.program.connect()
+        self.addCleanup(writer.close)
+        await self.program.call("/api/evacuate", "PUT")
+        for n in range(400):
+            writer.write(self.request(customer=f"{n:016x}"))
+        statuses = []
+        while True:
+            line, headers, _ = await soon(read_http(reader))
+            statuses.append(line.split()[1])
+            if headers.get("connection") == "close":
+                break
+        self.assertLess(len(statuses), 400, "what was not read yet is left")
+        for _ in range(5):
+            _, headers, _ = await self.ask(self.request(customer="0000000000000003"))
+            self.assertEqual(headers["connection"], "close")
+
     async def client_half(self) -> tuple[Reader, Writer]:
         """A client in the middle of sending a request."""
         reader, writer = await self.program.connect()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -10,6 +10,8 @@
 from typing import Any, TypeVar
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from hallhitch.decision import Gateway, api, policy
 from hallhitch.decision.state import Customer, Open
@@ -921,3 +923,22 @@
     bench.now += 60_000.0
     bench.do()
     assert bench.gateway.avoided() == 1
+
+
+@given(st.lists(st.tuples(st.lists(st.sampled_from("abcd"), min_size=1, max_size=3, unique=True),
+                          st.integers(1, 5), st.sampled_from((1.0, 3.0))), min_size=1, max_size=6))
+def test_after_any_settings_it_is_as_one_begun_with_the_last(files: list[tuple[list[str], int, float]]) -> None:
+    """Guards against anything of earlier settings that stays, but for what was learned."""
+    def told(names: list[str], attempts: int, rate: float) -> api.Settings:
+        kinds = tuple(api.RequestClass(name, 400.0 + ord(name), 4000.0, effect=api.SAFE) for name in names)
+        return make(classes=kinds, attempts=attempts, plan=api.Plan("p", rate=rate, burst=2 * rate))
+
+    gateway, fresh = Gateway(told(*files[0]), SEED), Gateway(told(*files[-1]), SEED)
+    for n, file in enumerate(files[1:]):
+        gateway.handle(1000.0 + n, [api.NewSettings(told(*file))])
+    assert (gateway.set, gateway.shortest) == (fresh.set, fresh.shortest)
+    assert {name: gateway.work[name] for name in fresh.work} == fresh.work
+    for one in (gateway, fresh):
+        one.handle(2000.0, [servers()])
+        one.handle(2001.0, [api.Request(1, "k", 0, 0, 1.0, 2000.0)])
+    assert gateway.customers == fresh.customers and gateway.open[1].kind == fresh.open[1].kind
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -5,6 +5,8 @@
 import asyncio
 import copy
 import json
+import signal
+from pathlib import Path
 from typing import Any
 
 from tests.stand_ins import (
@@ -135,6 +137,20 @@
         self.assertRegex((await self.ask(self.request()))[0], " (429|502|503) ")
         self.assertEqual(sum(node.taken for node in self.nodes), 1)
 
+    async def test_signals_in_a_row_end_with_the_last_file(self) -> None:
+        """Guards against a file read for one signal while the next is lost."""
+        for names in (("a", "b"), ("c", "d")):
+            for name in names:
+                settings = self.settings()
+                settings["classes"][0]["name"] = name
+                path = Path(self.program._folder) / "config.json"
+                path.with_suffix(".new").write_text(json.dumps(self.program.config | {"settings": settings}))
+                path.with_suffix(".new").replace(path)
+                self.program.process.send_signal(signal.SIGHUP)
+            while f'"{names[-1]}"' not in await self.program.logged("configuration taken"):
+                pass
+            self.assertIn(" 200 ", (await self.ask(self.request().replace(b"/inspect/", f"/{names[-1]}/".encode())))[0])
+
     async def test_files_taken_and_turned_down_are_counted(self) -> None:
         """Guards against staff who cannot see that a file was not taken."""
         await self.retune(self.settings(send_cap=2))
