One pump for long bodies, one look at a request's class, one reading of the clock for a read

Flow.size was read by nobody, three properties only passed a field on. Behaviour is the same, and so are the tests.

--- a/hallhitch/core/module.py
+++ b/hallhitch/core/module.py
@@ -74,9 +74,9 @@
         lay unread here, while its client's clock ran.
         """
         self._last += 1
-        patience = max(1.0, deadline - waited - min(MARGIN, MARGIN_SHARE * deadline))
-        x = Exchange(self._last, self.clock() + (COMING_MOST if coming else patience), answer, payload, patience)
-        patience = COMING_MOST if coming else patience
+        own = max(1.0, deadline - waited - min(MARGIN, MARGIN_SHARE * deadline))
+        patience = COMING_MOST if coming else own
+        x = Exchange(self._last, self.clock() + patience, answer, payload, own)
         ask = api.Request(x.id, spelled(customer), plan, klass, units, patience, spread, write, repeat, kind)
         if not self.post(ask):
             answer.refused(1000.0)
@@ -107,11 +107,14 @@
 
     def _let_go(self, x: Exchange) -> None:
         # Of these the module calls nothing off: to it they are the client's.
-        for number in range(x.sends):
-            attempt = self._out.get((x.id, number))
-            if attempt is not None and attempt.passing:
+        for attempt in self._attempts(x):
+            if attempt.passing:
                 self.hop.cancel(attempt)
 
+    def _attempts(self, x: Exchange) -> list[Attempt]:
+        """Those of an exchange that are out."""
+        return [attempt for number in range(x.sends) if (attempt := self._out.get((x.id, number)))]
+
     def ended(
         self, a: Attempt, outcome: str, payload: object = None, lag: float | None = None
     ) -> bool:
@@ -221,10 +224,8 @@
         x = self.open.pop(exchange, None)
         if x is not None:
             self.deadlines.drop(x.backup)
-            for number in range(x.sends):
-                attempt = self._out.get((exchange, number))
-                if attempt is not None:
-                    attempt.wanted = False
+            for attempt in self._attempts(x):
+                attempt.wanted = False
         return x
 
     def _final(self, exchange: int, answer: Callable[[Exchange], None]) -> None:
--- a/hallhitch/net/acceptor.py
+++ b/hallhitch/net/acceptor.py
@@ -11,7 +11,7 @@
 from hallhitch.core.actor import Actor
 from hallhitch.core.deadlines import Deadlines, Entry, Scheduler
 from hallhitch.core.invariants import COUNTS
-from hallhitch.net.flow import Broken, Flow, chunk
+from hallhitch.net.flow import Broken, Flow
 from hallhitch.net.sockets import Listening, alive, cut, tune
 
 BUFFER = 8192
@@ -61,8 +61,7 @@
         self._writer: asyncio.Task[None] | None = None
         self._posted = 0  # messages handed over and not yet written
         self._unsent: list[bytes | Sent] = []
-        self.broke = False  # whether a long answer broke off under way
-        self._resets = False  # whether the connection is to end with a reset
+        self.broke = False  # whether a long answer broke off under way, and the connection ends with a reset
         self._paused: asyncio.Future[None] | None = None
 
     @property
@@ -141,7 +140,7 @@
                 self.goes_on = bool(self.begun) and self.partial
                 if not self.ending:
                     self.take(view[:size])
-                    self.begun = (self.begun or self._deadlines.clock()) if self.partial else 0.0
+                    self.begun = (self.begun or self.heard) if self.partial else 0.0
                 else:  # lingering
                     dropped += size
                 while self.full or dropped > LINGER_MOST and (not self.unread or dropped > LINGER_LONG_MOST):
@@ -160,7 +159,7 @@
             for one in self._unsent:
                 if isinstance(one, Sent):
                     one.flow.abandon()
-            if not self._resets:
+            if not self.broke:
                 cut(self._sock)
             self._sock.close()
             self._acceptor.left(self)
@@ -210,19 +209,14 @@
         except OSError:
             return self.end()
         except Broken:
-            self.broke = True
-            return self.end(reset=True)  # an end in order might be taken for the answer's
+            return self._break()
         self._writer = None
         self._written()
 
     async def _pass(self, sent: Sent) -> None:
         try:
-            first = sent.head
-            while piece := await sent.flow.take():
-                await self._all(first + (chunk(piece) if sent.chunked else piece))
-                first = b""
-            if sent.chunked:
-                await self._all(chunk(b""))
+            async for data in sent.flow.written(sent.head, sent.chunked):
+                await self._all(data)
         finally:
             sent.flow.abandon()
 
@@ -248,12 +242,14 @@
         if alive(self._sock):
             self.end()
 
-    def end(self, reset: bool = False) -> None:
+    def _break(self) -> None:
+        """End the connection with a reset: an end in order might be taken for the answer's."""
+        self.broke = True
+        self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        self._acceptor.drop(self)
+
+    def end(self) -> None:
         """End the connection; the reader then cleans up."""
-        if reset and not self.ended:
-            self._resets = True
-            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-            return self._acceptor.drop(self)
         cut(self._sock)
         if self._paused is not None:
             self._paused.cancel()
@@ -313,7 +309,7 @@
             sock.close()
             return
         peer = self.peer(tune(sock), len(self._peers) > self.most)
-        peer.waits_since = self._listening.waits_since
+        peer.waits_since = self._listening.opened
         self._peers[peer] = asyncio.get_running_loop().create_task(peer.run())
         self._new[peer] = self.deadlines.clock()
         self._leave()
--- a/hallhitch/net/flow.py
+++ b/hallhitch/net/flow.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 
 class Broken(Exception):
@@ -20,7 +20,6 @@
 
     def __init__(self) -> None:
         self._pieces: deque[bytes] = deque()
-        self.size = 0  # bytes that have come
         self.ended = False  # whether it came whole
         self.broken = False  # whether it never will
         self.abandoned = False  # whether nobody takes it any more
@@ -34,7 +33,6 @@
 
     def put(self, piece: bytes) -> None:
         """The next piece has come."""
-        self.size += len(piece)
         if not self.abandoned:
             self._pieces.append(piece)
             self._wake()
@@ -70,6 +68,17 @@
             self.taken()
         return pieces[0] if len(pieces) == 1 else b"".join(pieces)
 
+    async def written(self, head: bytes, chunked: bool) -> AsyncIterator[bytes]:
+        """The message as it goes out: its head with the first piece, the others, the end if it is chunked.
+
+        Raises Broken.
+        """
+        while piece := await self.take():
+            yield head + (chunk(piece) if chunked else piece)
+            head = b""
+        if chunked:
+            yield chunk(b"")
+
     def _wake(self) -> None:
         if self._came is not None and not self._came.done():
             self._came.set_result(None)
--- a/hallhitch/net/hops.py
+++ b/hallhitch/net/hops.py
@@ -15,7 +15,7 @@
 from hallhitch.core.invariants import COUNTS
 from hallhitch.core.ports import Attempt
 from hallhitch.decision import api
-from hallhitch.net.flow import Broken, Flow, chunk
+from hallhitch.net.flow import Broken, Flow
 from hallhitch.net.http import AnswerReader, Malformed, Message, origin_of
 from hallhitch.net.sockets import alive, connect, cut, pause
 
@@ -189,16 +189,12 @@
 
     async def _upload(self, job: Job, connection: Connection, request: Message, left: float) -> None:
         """Send a long request on as it comes; its time at the server begins with its last byte."""
-        loop, flow, first = asyncio.get_running_loop(), request.flow, self._head(request, left)
+        loop, flow = asyncio.get_running_loop(), request.flow
         assert flow is not None
         self._hops.told.passes(job.attempt)
         try:
-            while piece := await flow.take():
-                data = chunk(piece) if request.length is None else piece
-                await loop.sock_sendall(connection.sock, first + data)
-                first = b""
-            if request.length is None:
-                await loop.sock_sendall(connection.sock, chunk(b""))
+            async for data in flow.written(self._head(request, left), chunked=request.length is None):
+                await loop.sock_sendall(connection.sock, data)
         except (OSError, Broken):
             return cut(connection.sock)
         job.attempt.sent = self._hops.deadlines.clock()
--- a/hallhitch/net/http.py
+++ b/hallhitch/net/http.py
@@ -82,8 +82,7 @@
         if status:
             self.fail()
             raise Malformed(status)
-        done, self._done = self._done, []
-        return done
+        return self.completed()
 
     def fail(self) -> None:
         """Nothing more comes: a body that passes breaks off."""
@@ -269,8 +268,4 @@
     status: int, body: bytes = b"", *, headers: bytes = b"", close: bool = False, version: str = "1.1"
 ) -> bytes:
     """One whole answer."""
-    if version == "1.0":
-        return head(status, len(body), headers=headers, close=close, version=version) + body
-    ending = b"Connection: close\r\n" if close else b""
-    return b"HTTP/1.1 %d %s\r\nContent-Length: %d\r\n%s%s\r\n%s" % (
-        status, REASONS[status], len(body), headers, ending, body)
+    return head(status, len(body), headers=headers, close=close, version=version) + body
--- a/hallhitch/net/ingress.py
+++ b/hallhitch/net/ingress.py
@@ -73,14 +73,13 @@
 
     def __init__(self, settings: api.Settings) -> None:
         self.settings = settings
-        self.classes = {c.name.encode(): n for n, c in enumerate(settings.classes)}
+        self.classes = {c.name.encode(): (n, c) for n, c in enumerate(settings.classes)}
         self.plans = {p.name.encode(): n for n, p in enumerate(settings.plans)}
 
-    def named(self, path: bytes) -> str:
-        """The class that a path names; empty where there is none of that name."""
+    def named(self, path: bytes) -> tuple[int, api.RequestClass] | None:
+        """The class that a path names, with its number; None where there is none of that name."""
         parts = path.split(b"/", 2)
-        number = self.classes.get(parts[1]) if len(parts) == 3 and not parts[0] else None
-        return "" if number is None else self.settings.classes[number].name
+        return self.classes.get(parts[1]) if len(parts) == 3 and not parts[0] else None
 
 
 class Client(Peer):
@@ -95,7 +94,7 @@
         self._read = 0.0  # when something last came, or was last asked for
         self._piped = False  # whether the client asks before it has its answer
         self._coming: Message | None = None  # the request whose body is coming
-        self._waited = 0.0  # ms for which what was last read had surely waited, or may have
+        self.waited = 0.0  # ms for which what was last read had surely waited, or may have
         self._body = 0.0  # when the body that is coming began
         self._waiting: deque[tuple[Message, Terms]] = deque()
         self._exchange, self._open_id = 0, b""
@@ -132,11 +131,6 @@
         """Whether a long body is coming."""
         return self._coming is not None and self._reader.size > BUFFER
 
-    @property
-    def waited(self) -> float:
-        """The ms that the client's clock had run when the request was read, as far as is known here."""
-        return self._waited
-
     @property
     def unread(self) -> bool:
         """Whether a long body is still coming."""
@@ -178,8 +172,8 @@
         """Read requests; what cannot be read is answered and ends the connection."""
         if self._broken:
             return
-        terms, self._read = self._ingress.terms, self._ingress.deadlines.clock()
-        self._waited = self._read - self.waits_since if self.waits_since else self._ingress.lag()
+        terms, self._read = self._ingress.terms, self.heard
+        self.waited = self._read - self.waits_since if self.waits_since else self._ingress.lag()
         self.waits_since = 0.0
         try:
             self._waiting.extend((request, terms) for request in self._reader.feed(data))
@@ -232,13 +226,15 @@
         if path == b"/_health":
             welcome = self._ingress.welcome()
             return self._give(200 if welcome else 503, b"ok" if welcome else b"draining")
-        self._klass = terms.named(path)
-        self._ingress.in_flight += bool(self._klass)
+        named = terms.named(path)
+        if named is not None:
+            self._klass = named[1].name
+            self._ingress.in_flight += 1
         if self._spare:
             self.refused(1000.0, status=503)
         else:
             try:
-                self._exchange = self._ingress.begin(request, path, self, terms)
+                self._exchange = self._ingress.begin(request, path, self, terms, named)
                 self.accepted, self._open_id = True, request.headers[b"req-id"]
                 if request.flow is not None:
                     request.flow.taken = self.proceed
@@ -372,7 +368,10 @@
         """The ms left for any request: a process that is to end is killed in time, answered or not."""
         return max(1.0, self._until - self.deadlines.clock())
 
-    def begin(self, request: Message, path: bytes, client: Client, terms: Terms) -> int:
+    def begin(
+        self, request: Message, path: bytes, client: Client, terms: Terms,
+        named: tuple[int, api.RequestClass] | None,
+    ) -> int:
         """Open an exchange for a request; nothing is counted or learned of one that is not acceptable."""
         head = request.headers
         if not ONCE.isdisjoint(request.twice):
@@ -382,12 +381,11 @@
         parts = path.split(b"/")
         if len(parts) < 3 or parts[0]:
             raise Unacceptable(404, "the path is no /class/customer")
-        klass = terms.classes.get(parts[1])
-        if klass is None:
+        if named is None:
             raise Unacceptable(404, "the path names no known class")
         if not CUSTOMER.fullmatch(parts[-1]) or int(parts[-1], 16) >= CUSTOMER_MOST:
             raise Unacceptable(404, "the path names no customer")
-        kind = terms.settings.classes[klass]
+        klass, kind = named
         if request.method != (b"GET" if kind.effect == api.SAFE else b"POST"):
             raise Unacceptable(405, "the class has another method")
         if (request.body or request.flow) and kind.effect == api.SAFE:
--- a/hallhitch/net/sockets.py
+++ b/hallhitch/net/sockets.py
@@ -1,4 +1,4 @@
-"""Sockets as every part of the program opens and closes them, and the budget of descriptors."""
+"""Sockets as every part of the program opens, takes and closes them."""
 
 from __future__ import annotations
 
@@ -67,12 +67,8 @@
         self._admit, self._deadlines, self._loop = admit, deadlines, loop
         self._open = False
         self._resting = False
-        self._opened = 0.0  # when, until those that came first are taken
-
-    @property
-    def waits_since(self) -> float:
-        """Since when a connection that is just being taken may have waited; 0 where it has not, to speak of."""
-        return self._opened
+        # Since when a connection that is just being taken may have waited; 0 once those that came first are taken.
+        self.opened = 0.0
 
     @property
     def listens(self) -> bool:
@@ -81,7 +77,7 @@
 
     def open(self, listener: socket.socket) -> None:
         """Take connections off this listener from now on."""
-        self._open, self._listener, self._opened = True, listener, self._deadlines.clock()
+        self._open, self._listener, self.opened = True, listener, self._deadlines.clock()
         self._loop.add_reader(self._listener, self._ready)
 
     def rest(self, resting: bool) -> None:
@@ -110,7 +106,7 @@
         for _ in range(ACCEPTS):
             if self._resting or not self._take():
                 break
-        self._opened = 0.0
+        self.opened = 0.0
 
     def _take(self) -> bool:
         try:
--- a/hallhitch/ops/handover.py
+++ b/hallhitch/ops/handover.py
@@ -11,7 +11,7 @@
 import os
 from collections.abc import Mapping
 from pathlib import Path
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from hallhitch.decision import api
 from hallhitch.decision.state import Customer, Name
@@ -23,6 +23,30 @@
 AGE_MOST = 10_000.0  # ms after which it says nothing of now
 
 
+class Kept(NamedTuple):
+    """What is known of one customer, and of its window: a row of the file."""
+
+    name: str
+    plan: str
+    key: int
+    read: float
+    at: float
+    spread: float
+    others: float
+    store: float
+    ceiling: float
+    guess: float
+    part: float
+    started: float
+    last: float
+
+    def sound(self, now: float) -> bool:
+        """Whether a row that was read can be one; ValueError if a number is none."""
+        return (isinstance(self.name, str) and isinstance(self.plan, str) and isinstance(self.key, int)
+                and number(self.read) <= now and number(self.at) <= now and number(self.spread) >= 1
+                and number(self.others) >= 0 and math.isfinite(sum(map(number, self[7:]))))
+
+
 class Learner(Protocol):
     """What of the module is handed over."""
 
@@ -67,12 +91,7 @@
             and number(told["depth"]) >= 0 and 0 < number(told["asks"]) <= 1
             and all(number(work) > 0 and number(when) <= now and 0 <= number(failing) <= 1
                     for work, when, failing in told["classes"].values())
-            and all(isinstance(name, str) and isinstance(plan, str) and isinstance(key, int)
-                    and number(read) <= now and number(at) <= now and number(spread) >= 1 and number(others) >= 0
-                    and math.isfinite(number(store) + number(ceiling) + number(guess) + number(part)
-                                      + number(started) + number(last))
-                    for name, plan, key, read, at, spread, others, store, ceiling, guess, part, started, last
-                    in told["customers"]))
+            and all(Kept(*row).sound(now) for row in told["customers"]))
         return told if sound else None
     except (OSError, ValueError, KeyError, TypeError, AttributeError):
         return None
@@ -85,20 +104,21 @@
         if name in gateway.work:
             gateway.work[name], gateway.learned[name], gateway.failing[name] = work, when, failing
     plans = {plan.name: plan for plan in gateway.set.plans}
-    for name, plan, key, read, at, spread, others, store, ceiling, guess, part, started, last in told["customers"]:
-        if plan in plans:
-            c = Customer(name, plans[plan], min(store, plans[plan].burst), min(ceiling, plans[plan].ceiling_burst), at,
-                         read, spread, key, others=others, guess=guess, part=min(part, plans[plan].burst))
-            gateway.bind(c, plans[plan])
-            gateway.customers[name], gateway.names[key] = c, Name(c, started, last)
+    for k in (Kept(*row) for row in told["customers"]):
+        plan = plans.get(k.plan)
+        if plan is not None:
+            c = Customer(k.name, plan, min(k.store, plan.burst), min(k.ceiling, plan.ceiling_burst), k.at, k.read,
+                         k.spread, k.key, others=k.others, guess=k.guess, part=min(k.part, plan.burst))
+            gateway.bind(c, plan)
+            gateway.customers[k.name], gateway.names[k.key] = c, Name(c, k.started, k.last)
 
 
-def customers_of(gateway: Learner) -> list[list[Any]]:
+def customers_of(gateway: Learner) -> list[Kept]:
     """What is known of customers, those last read; nothing of whom nothing holds any more."""
     known = [c for c in gateway.customers.values() if c.key in gateway.names and not gateway.stranger(c)]
     known.sort(key=lambda c: -c.read)
-    return [[c.name, c.plan.name, c.key, c.read, c.at, c.spread, c.others, c.store, c.ceiling, c.guess, c.part,
-             gateway.names[c.key].started, gateway.names[c.key].last] for c in known[:CUSTOMERS_MOST]]
+    return [Kept(c.name, c.plan.name, c.key, c.read, c.at, c.spread, c.others, c.store, c.ceiling, c.guess, c.part,
+                 gateway.names[c.key].started, gateway.names[c.key].last) for c in known[:CUSTOMERS_MOST]]
 
 
 def number(value: Any) -> float:
--- a/hallhitch/resp/server.py
+++ b/hallhitch/resp/server.py
@@ -189,9 +189,10 @@
             raise Wrong("deadline is not a whole number of milliseconds")
         if not 0 < int(deadline) <= DEADLINE_MOST:
             raise Wrong("deadline is out of range")
-        kind = settings.classes[classes.index(klass)]
+        number = classes.index(klass)
+        kind = settings.classes[number]
         slot.exchange = core.begin(
-            customer, plans.index(plan), classes.index(klass), float(deadline), slot, kind,
+            customer, plans.index(plan), number, float(deadline), slot, kind,
             units=amount, spread=float(settings.gateways), write=kind.effect != api.SAFE, kind=kind)
         return None
 
