Tests and benchmarks share one reader of heads and bodies, and one of a process's memory

A message's head was parsed in three places of the tests, chunks in two; VmRSS was read in five of the benchmarks. The long-body test reads what the gateway sends by its own head now, and checks that its framing is the one expected; a configuration file is put in place whole.

--- a/benchmarks/control_plane.py
+++ b/benchmarks/control_plane.py
@@ -27,6 +27,7 @@
 
 import numpy as np
 
+from benchmarks.resident import resident
 from hallhitch.control.backups import backup
 from hallhitch.control.opening import open_store
 from hallhitch.control.settings import ControlSettings
@@ -154,8 +155,7 @@
         if '"serving"' in line:
             break
     took = time.perf_counter() - began
-    status = Path(f"/proc/{process.pid}/status").read_text()
-    return process, took, int(status.partition("VmRSS:")[2].split()[0])
+    return process, took, resident(process.pid)
 
 
 def stop(process: subprocess.Popen[str]) -> None:
--- a/benchmarks/counted_gateway.py
+++ b/benchmarks/counted_gateway.py
@@ -13,9 +13,9 @@
 import sys
 import time
 from collections import Counter
-from pathlib import Path
 from typing import Any
 
+from benchmarks.resident import resident
 from hallhitch import gateway
 from hallhitch.core.module import Core
 
@@ -24,11 +24,6 @@
 _cores: list[Core] = []
 
 
-def resident() -> int:
-    """KiB."""
-    return int(Path("/proc/self/status").read_text().partition("VmRSS:")[2].split()[0])
-
-
 def told(began: float) -> dict[str, Any]:
     """One line; what can be collected has been, so that what is counted is held by somebody."""
     before = resident()
--- a/benchmarks/long_messages.py
+++ b/benchmarks/long_messages.py
@@ -15,17 +15,13 @@
 from pathlib import Path
 
 from benchmarks.memory_by_trouble import QuietCounter
+from benchmarks.resident import resident
 from tests.stand_ins import Backend, Discovery, Program, Reader, Writer
 
 LIMITS = {"sockets": 1024, "memory_mb": 64}
 CALM = 30.0  # s for all to come; the end of a wait in vain
 
 
-def resident(pid: int, field: str) -> float:
-    """MiB of a process by /proc: VmRSS now, VmHWM at most."""
-    return int(Path(f"/proc/{pid}/status").read_text().partition(f"{field}:")[2].split()[0]) / 1024
-
-
 class Sender(Backend):
     """A node that answers with so many bytes, however slowly they are taken, and reads any body first."""
 
@@ -80,15 +76,15 @@
         await program.start(optimised=True)
         await program.logged('"serving"')
         pid, began, go = program.process.pid, time.monotonic(), asyncio.Event()
-        before = resident(pid, "VmRSS")
+        before = resident(pid) / 1024
         clients = [asyncio.create_task(client(program, n, body, go)) for n in range(many)]
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(asyncio.gather(*map(asyncio.shield, clients)), 3.0)
-        standing = resident(pid, "VmRSS")
+        standing = resident(pid) / 1024
         go.set()
         done = await asyncio.wait_for(asyncio.gather(*clients, return_exceptions=True), CALM + many * size / 1e8)
         whole = sum(count == size // 65_536 * 65_536 for count in done) / many
-        found = [before, standing, resident(pid, "VmHWM"), whole, time.monotonic() - began]
+        found = [before, standing, resident(pid, "VmHWM") / 1024, whole, time.monotonic() - began]
         await program.stop()
     for stand_in in (*nodes, counter, discovery):
         await stand_in.stop()
--- a/benchmarks/memory_by_trouble.py
+++ b/benchmarks/memory_by_trouble.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from benchmarks.resident import resident
 from tests.stand_ins import Backend, Counter, Discovery, Program, http, read_http, soon
 
 CALLERS = 40
@@ -66,8 +67,7 @@
         await program.logged('"serving"')
         assert program.process.stderr is not None
         drain = asyncio.create_task(program.process.stderr.read())
-        status = Path(f"/proc/{program.process.pid}/status")
-        sizes = [int(status.read_text().partition("VmRSS:")[2].split()[0])]
+        sizes = [resident(program.process.pid)]
         left, stamp = 0, time.monotonic_ns()
 
         async def caller(number: int, until: int) -> None:
@@ -106,7 +106,7 @@
             await asyncio.gather(*(caller(n, requests * third // 3) for n in range(CALLERS)))
             if kind == "replaced nodes":
                 replacing.cancel()
-            sizes.append(int(status.read_text().partition("VmRSS:")[2].split()[0]))
+            sizes.append(resident(program.process.pid))
         program.process.terminate()
         await soon(program.process.wait())
         drain.cancel()
--- a/tests/stand_ins.py
+++ b/tests/stand_ins.py
@@ -43,11 +43,27 @@
     return await asyncio.wait_for(what, GUARD)
 
 
+async def read_head(reader: Reader) -> tuple[str, dict[str, str]]:
+    """A message's first line, and its headers in lower case."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    return head[0], {n.strip().lower(): v.strip() for n, _, v in (line.partition(":") for line in head[1:] if line)}
+
+
+async def read_body(reader: Reader, headers: dict[str, str]) -> bytes:
+    """A message's body, in chunks or as long as its head says."""
+    if headers.get("transfer-encoding") != "chunked":
+        return await reader.readexactly(int(headers.get("content-length", "0")))
+    body = b""
+    while size := int(await reader.readuntil(b"\r\n"), 16):
+        body += (await reader.readexactly(size + 2))[:-2]
+    await reader.readexactly(2)
+    return body
+
+
 async def read_http(reader: Reader) -> tuple[str, dict[str, str], bytes]:
     """One message: first line, headers in lower case, body."""
-    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
-    headers = {n.strip().lower(): v.strip() for n, _, v in (line.partition(":") for line in head[1:] if line)}
-    return head[0], headers, await reader.readexactly(int(headers.get("content-length", "0")))
+    first, headers = await read_head(reader)
+    return first, headers, await read_body(reader, headers)
 
 
 def http(status: int, body: bytes = b"", **headers: str) -> bytes:
@@ -284,10 +300,16 @@
 
     async def reload(self, text: str, said: str) -> None:
         """Replace its configuration file and have it read again."""
-        (Path(self._folder) / "config.json").write_text(text)
-        self.process.send_signal(signal.SIGHUP)
+        self.replace(text)
         await self.logged(said)
 
+    def replace(self, text: str) -> None:
+        """Put another configuration file in place of its own, whole, and tell it so."""
+        beside = Path(self._folder) / "config.new"
+        beside.write_text(text)
+        beside.replace(Path(self._folder) / "config.json")
+        self.process.send_signal(signal.SIGHUP)
+
     async def connect(self, address: str = "") -> tuple[Reader, Writer]:
         """A connection to it."""
         host, port = (address or self.listen).split(":")
--- a/tests/test_long.py
+++ b/tests/test_long.py
@@ -6,24 +6,11 @@
 import contextlib
 import hashlib
 
-from tests.stand_ins import Backend, GatewayCase, Reader, Writer, http, read_http, soon
+from tests.stand_ins import Backend, GatewayCase, Reader, Writer, http, read_body, read_head, read_http, soon
 
 LONG = hashlib.shake_256(b"part").digest(3_000_000)
 
 
-async def read_any(reader: Reader) -> tuple[str, dict[str, str], bytes]:
-    """One message of any framing but the connection's end."""
-    head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
-    headers = {n.strip().lower(): v.strip() for n, _, v in (line.partition(":") for line in head[1:] if line)}
-    if headers.get("transfer-encoding") != "chunked":
-        return head[0], headers, await reader.readexactly(int(headers.get("content-length", "0")))
-    body = b""
-    while size := int(await reader.readuntil(b"\r\n"), 16):
-        body += (await reader.readexactly(size + 2))[:-2]
-    await reader.readexactly(2)
-    return head[0], headers, body
-
-
 class Scripted(Backend):
     """A check node that reads a request's head, and leaves the rest to the test."""
 
@@ -34,9 +21,8 @@
 
     async def serve(self, number: int, reader: Reader, writer: Writer) -> None:
         """Hand over what follows a head."""
-        head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+        _, headers = await read_head(reader)
         self.taken += 1
-        headers = {n.strip().lower(): v.strip() for n, _, v in (line.partition(":") for line in head[1:] if line)}
         self.met.put_nowait((headers, reader, writer))
         await self.done.wait()
 
@@ -85,7 +71,7 @@
             _, _, writer = await soon(self.node.met.get())
             writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n" + answer)
             writer.write_eof()
-            self.assertEqual((await soon(read_any(reader)))[2], LONG)
+            self.assertEqual((await soon(read_http(reader)))[2], LONG)
         self.assertEqual(await self.served(), (3, 0, 0))
 
     async def test_a_long_answer_is_passed_on_as_it_comes_and_a_drain_does_not_cut_it(self) -> None:
@@ -130,23 +116,14 @@
         for chunked in (False, True):
             for body in (LONG[:200_000], LONG):
                 reader, client = await self.sent(self.post(body, chunked))
-                _, upstream, writer = await soon(self.node.met.get())
-                head = "chunked" if chunked and len(body) > 1 << 20 else "length"
-                got = await self.body_of(upstream, len(body), head == "chunked")
+                headers, upstream, writer = await soon(self.node.met.get())
+                self.assertEqual("transfer-encoding" in headers, chunked and len(body) > 1 << 20)
+                got = await soon(read_body(upstream, headers))
                 self.assertEqual(hashlib.sha256(got).digest(), hashlib.sha256(body).digest())
                 writer.write(http(200, b"scored", Connection="close"))
                 self.assertEqual((await soon(read_http(reader)))[2], b"scored")
                 client.close()
 
-    async def body_of(self, reader: Reader, size: int, chunked: bool) -> bytes:
-        """The body of a request."""
-        if not chunked:
-            return await soon(reader.readexactly(size))
-        body = b""
-        while length := int(await soon(reader.readuntil(b"\r\n")), 16):
-            body += (await soon(reader.readexactly(length + 2)))[:-2]
-        return body
-
     async def test_a_long_body_is_begun_once_and_its_time_begins_at_its_end(self) -> None:
         """Guards against a half sent body made again elsewhere, and against a deadline that runs during it."""
         reader, client = await self.sent(self.post(LONG, Req_Deadline_Ms="300")[:-1_000_000])
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -5,8 +5,6 @@
 import asyncio
 import copy
 import json
-import signal
-from pathlib import Path
 from typing import Any
 
 from tests.stand_ins import (
@@ -143,10 +141,7 @@
             for name in names:
                 settings = self.settings()
                 settings["classes"][0]["name"] = name
-                path = Path(self.program._folder) / "config.json"
-                path.with_suffix(".new").write_text(json.dumps(self.program.config | {"settings": settings}))
-                path.with_suffix(".new").replace(path)
-                self.program.process.send_signal(signal.SIGHUP)
+                self.program.replace(json.dumps(self.program.config | {"settings": settings}))
             while f'"{names[-1]}"' not in await self.program.logged("configuration taken"):
                 pass
             self.assertIn(" 200 ", (await self.ask(self.request().replace(b"/inspect/", f"/{names[-1]}/".encode())))[0])
