A process asks anew for the other before an idle client gives way; cold budget and idle times shared

Seen: on a loaded machine a test of the replacement failed: "IncompleteReadError: 0 bytes read" on a client's idle connection. Cause: a process that knows of another, but not yet that it takes clients (looks are 250 ms apart), keeps to half of its descriptors and has an idle client give way to each newcomer (Acceptor.admit), though the other would have taken that one. Ruled out: the idle time of 2 s (the test is over in under one), the bound itself (30 held, 36 allowed).

Now: Acceptor.admit asks anew before anybody gives way, and leaves the listener to the other. The module's settings tell how many processes of its gateway take clients: the floor of a cold server's budget (one send by all in the time of a fall) is shared by them, where each took it whole before. Idle times that break go to the next process too. A retune that found the mailbox full is repeated with the newest settings, not with its own.

--- a/hallhitch/core/module.py
+++ b/hallhitch/core/module.py
@@ -139,9 +139,10 @@
         self.post(api.CounterAnswer(name, outcome, total, lag))
 
     def retune(self, settings: api.Settings) -> None:
-        """Go by other settings, for requests that come from now on."""
+        """Go by other settings, for requests that come from now on; if the mailbox is full, by those last asked for."""
+        self._asked = settings
         if not self.post(api.NewSettings(settings)):
-            self.deadlines.after(1.0, lambda: self.retune(settings))
+            self.deadlines.after(1.0, lambda: self.retune(self._asked))
 
     # The turn.
 
--- a/hallhitch/decision/api.py
+++ b/hallhitch/decision/api.py
@@ -71,11 +71,18 @@
     fall_time: float = 1000.0
     fall_multiple: float = 1.0
     index: int = 0  # this gateway's number, from 0
+    processes: int = 1  # of this gateway that take clients at once, each with its own module
+
+    @property
+    def senders(self) -> int:
+        """The modules that send, if each gateway has as many as this one: each sees its own part alone."""
+        return self.gateways * self.processes
 
     def __post_init__(self) -> None:
         """Refuse settings that no decision could be built on, and name the culprit."""
         checks = [
             ("gateways", self.gateways >= 1),
+            ("processes", self.processes >= 1),
             ("classes", len(self.classes) > 0),
             ("attempts", self.attempts >= 1),
             ("counter_timeout", self.counter_timeout > 0 or not self.has_counter),
--- a/hallhitch/decision/policy.py
+++ b/hallhitch/decision/policy.py
@@ -397,8 +397,8 @@
             return 0.0
         fleet = sum(o.entry.weight * self.warmth(o) for o in self.servers.values())
         served = sum(t > self.now - self.set.fall_time for o in self.servers.values() for t in o.served)
-        part = served * self.set.gateways * s.entry.weight * self.warmth(s) * self.set.fall_multiple / fleet
-        return self.set.fall_time * self.keepers() / max(1, part * COLD_MARGIN)
+        part = served * self.set.senders * s.entry.weight * self.warmth(s) * self.set.fall_multiple / fleet
+        return self.set.fall_time * self.keepers() * self.set.processes / max(1, part * COLD_MARGIN)
 
     def fits(self, r: Open, to: api.ServerEntry) -> bool:
         """Where a repeat may go: keyed only in its group and window, unsafe nowhere once it may have run."""
--- a/hallhitch/gateway.py
+++ b/hallhitch/gateway.py
@@ -35,10 +35,9 @@
 from hallhitch.net.pacing import Pacing
 from hallhitch.net.routes import RouteTable
 from hallhitch.net.sockets import address_of, inherited, listen
-from hallhitch.ops import handover
 from hallhitch.ops.address import Reply, SecondAddress
+from hallhitch.ops.beside import Beside
 from hallhitch.ops.figures import CONTENT_TYPE, Figures
-from hallhitch.ops.neighbour import LIVES, SERVES, Neighbour
 from hallhitch.ops.state import Call, Drain
 
 if TYPE_CHECKING:
@@ -47,8 +46,6 @@
 
 MOVES = {"discovery", "counter", "settings", "zones", "file", "known", "seed"}  # what SIGHUP changes, or a start alone
 STAYS = {"name", "listen", "sockets", "memory", "ops", "inherited"}  # what holds until the next start
-LOOK = 250.0  # ms between looks for another process of this gateway
-LEAVE = 1000.0  # ms between the notes that a next process finds of what this one learned
 FIRST_LIST = 500.0  # ms to wait at a start for discovery's word: the list held so far may name servers long gone
 HELD_SHARE = 16  # of the memory, as one part: bytes of long requests that are kept whole until they have come
 log = structlog.get_logger()
@@ -153,28 +150,22 @@
         second.open(bound("ops", told.ops))
 
     # Only where the platform may start a process beside this one.
-    folder = os.environ.get("TMPDIR") if told.inherited is not None else None
-    neighbour = Neighbour(folder)
-    if folder is not None and neighbour.other(LIVES) and (left := handover.read(folder, deadlines.clock())):
-        handover.take(left, core.gateway)
-        log.info("goes on from what another process learned", classes=list(left["classes"]),
-                 customers=len(left["customers"]))
-
-    def look() -> None:
-        lives = neighbour.other(LIVES)
-        for front in fronts:
-            front.share(lives, lives and neighbour.other(SERVES))
-        hops.share(lives)
-        deadlines.after(LOOK, look)
+    beside = Beside(os.environ.get("TMPDIR") if told.inherited is not None else None, deadlines, core.gateway,
+                    hops.idleness)
+    beside.take_over()
+    ingress.ask = beside.look
+
+    processes = 1
 
-    def leave(into: str) -> None:
-        if not drain.ending:
-            handover.write(into, core.gateway, deadlines.clock())
-            deadlines.after(LEAVE, lambda: leave(into))
+    def share(lives: bool, serves: bool) -> None:
+        nonlocal processes
+        processes = 1 + serves
+        core.retune(replace(told.settings, processes=processes))
 
     def close() -> None:
         if drain.take(Call.TERM):
             log.info("ending")
+            beside.ends()
         for front in fronts:
             front.close()
 
@@ -191,11 +182,12 @@
         kept = [f.name for f in fields(told) if f.name not in MOVES and getattr(told, f.name) != getattr(
             fresh, f.name)]
         moved = fresh.discovery != told.discovery or fresh.zones != told.zones
+        tuned = fresh.settings != told.settings
         told = replace(fresh, **{f.name: getattr(told, f.name) for f in fields(told) if f.name in STAYS})
-        if fresh.settings != cores[0].gateway.set:
+        if tuned:
             figures.know(kind.name for kind in fresh.settings.classes)
             for one in cores:
-                one.retune(fresh.settings)
+                one.retune(replace(fresh.settings, processes=processes))
             for front in fronts:
                 front.retune(fresh.settings)
             hops.retune(fresh.settings)
@@ -226,17 +218,14 @@
     for front, listener in fronts.items() if not drain.ending else ():
         front.open(listener())
         serving = True
-    neighbour.serves()
-    if folder is not None:
-        look()
-        leave(folder)
+    beside.serves([*(front.share for front in fronts), hops.share, share])
     log.info("serving", gateway=told.name, listen=f"{told.listen[0]}:{told.listen[1]}")
     for front in fronts:
         await front.closed()
     routes.close()
     if second is not None:
         second.close()
-    neighbour.close()
+    beside.close()
     log.info("ended", counts=dict(COUNTS))
 
 
--- a/hallhitch/net/acceptor.py
+++ b/hallhitch/net/acceptor.py
@@ -7,6 +7,7 @@
 import math
 import socket
 import struct
+from collections.abc import Callable
 
 from hallhitch.core.actor import Actor
 from hallhitch.core.deadlines import Deadlines, Entry, Scheduler
@@ -279,6 +280,7 @@
         self._new: dict[Peer, float] = {}
         self._idle: dict[Peer, float] = {}
         self.passing: set[Peer] = set()  # those whose long request is coming while it is sent on
+        self.ask: Callable[[], None] = lambda: None  # asks anew for another process, and `share` is told
         self.closing = False  # for good, to end the process
         self.draining = False  # clients are sent elsewhere, and the process runs on
         self._closed = asyncio.Event()
@@ -300,7 +302,10 @@
 
     def admit(self, sock: socket.socket) -> None:
         """Take in a connection."""
-        if len(self._peers) >= self.most and (gives := self._gives()) is not None:
+        if self._half and not self._leaves and len(self._peers) >= self.most:
+            self.ask()
+        # One that came before it was known that another process takes clients too is one more, at nobody's cost.
+        if len(self._peers) >= self.most + self._leaves and (gives := self._gives()) is not None:
             COUNTS["new_shed" if gives in self._new else "idle_shed"] += 1
             self.used(gives)
             gives.end()
--- a/hallhitch/net/hops.py
+++ b/hallhitch/net/hops.py
@@ -6,7 +6,7 @@
 import math
 import socket
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -102,6 +102,15 @@
             for less in [known for known in self._shares if known <= order]:
                 self._shares[less] = self._share(less) * (1 - IDLE_SAMPLE), self._clock()
 
+    def told(self) -> list[tuple[int, float, float]]:
+        """What was learned, for a next process: the order of an idle time, its share and when that held (ms)."""
+        return [(order, share, when) for order, (share, when) in self._shares.items()]
+
+    def take(self, rows: Iterable[tuple[int, float, float]]) -> None:
+        """Go on from what another process learned."""
+        self._shares = {order: (share, when) for order, share, when in rows}
+        self._until = -math.inf
+
     def _share(self, order: int) -> float:
         share, when = self._shares.get(order, (0.0, 0.0))
         return float(share * 0.5 ** ((self._clock() - when) / FORGET))
@@ -353,7 +362,7 @@
         """Keep connections by other settings."""
         self.connect_timeout, self._idle_most = settings.connect_timeout, settings.keepalive * IDLE_SHARE
 
-    def share(self, lives: bool) -> None:
+    def share(self, lives: bool, serves: bool) -> None:
         """Another process of this gateway lives, or not: both keep to half of the connections while it does."""
         self._half = lives
 
--- a/hallhitch/ops/handover.py
+++ b/hallhitch/ops/handover.py
@@ -1,6 +1,7 @@
 """What one process of a gateway learned, left in a file for the next: small, versioned, checked, never trusted.
 
-It holds what takes traffic to learn: how long answers take, what servers bear, and of customers whose window is not
+It holds what takes traffic to learn: how long answers take, what servers bear, how long connections to them may stand
+idle, and of customers whose window is not
 over what was last read of their use. What the first process adds meanwhile, the next one reads as others' use.
 """
 
@@ -9,7 +10,7 @@
 import json
 import math
 import os
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from pathlib import Path
 from typing import Any, NamedTuple, Protocol
 
@@ -17,9 +18,10 @@
 from hallhitch.decision.state import Customer, Name
 
 NAME = "hallhitch.learned"
-VERSION = 1
+VERSION = 2
 CUSTOMERS_MOST = 1000  # customers told of, those last read
 SIZE_MOST = 1 << 19  # bytes; what is larger was not written here
+ORDER_MOST = 64  # of an idle time in ms: more than any clock counts
 AGE_MOST = 10_000.0  # ms after which it says nothing of now
 
 
@@ -64,12 +66,20 @@
     def stranger(self, c: Customer) -> bool: ...
 
 
-def write(folder: str, gateway: Learner, now: float) -> None:
+class Idleness(Protocol):
+    """What of the hops is handed over: rows of an idle time's order, the share that breaks, and when that held."""
+
+    def told(self) -> list[tuple[int, float, float]]: ...
+
+    def take(self, rows: Iterable[tuple[int, float, float]]) -> None: ...
+
+
+def write(folder: str, gateway: Learner, idleness: Idleness, now: float) -> None:
     """Leave what was learned by `now` (Unix ms); a file that cannot be written is none."""
     text = json.dumps({
         "version": VERSION, "at": now, "depth": gateway.depth, "asks": gateway.asks,
         "classes": {name: [gateway.work[name], gateway.learned[name], gateway.failing[name]] for name in gateway.work},
-        "customers": customers_of(gateway),
+        "idle": idleness.told(), "customers": customers_of(gateway),
     })
     path = Path(folder) / NAME
     try:
@@ -91,14 +101,17 @@
             and number(told["depth"]) >= 0 and 0 < number(told["asks"]) <= 1
             and all(number(work) > 0 and number(when) <= now and 0 <= number(failing) <= 1
                     for work, when, failing in told["classes"].values())
+            and all(type(order) is int and 0 <= order <= ORDER_MOST and 0 <= number(share) <= 1 and number(when) <= now
+                    for order, share, when in told["idle"])
             and all(Kept(*row).sound(now) for row in told["customers"]))
         return told if sound else None
     except (OSError, ValueError, KeyError, TypeError, AttributeError):
         return None
 
 
-def take(told: Mapping[str, Any], gateway: Learner) -> None:
+def take(told: Mapping[str, Any], gateway: Learner, idleness: Idleness) -> None:
     """Go on from there, for the classes that there are now."""
+    idleness.take(told["idle"])
     gateway.depth, gateway.asks = told["depth"], told["asks"]
     for name, (work, when, failing) in told["classes"].items():
         if name in gateway.work:
--- a/tests/ops/test_handover.py
+++ b/tests/ops/test_handover.py
@@ -14,6 +14,7 @@
 from hypothesis import strategies as st
 
 from hallhitch.decision import Gateway, api
+from hallhitch.net.hops import Idleness
 from hallhitch.ops import handover
 from hallhitch.ops.neighbour import LIVES, SERVES, Neighbour
 
@@ -36,6 +37,11 @@
     return SimpleNamespace(**({"set": SimpleNamespace(plans=())} | base | changes))
 
 
+def idle(clock: float = 0.0) -> Idleness:
+    """What hops have learned of idle connections."""
+    return Idleness(lambda: clock)
+
+
 def gateway_of(plans: tuple[api.Plan, ...]) -> Gateway:
     """A module that knows a few servers."""
     gateway = Gateway(api.Settings(2, (api.RequestClass("a", 500.0, 900.0, effect=api.SAFE),), plans), 3)
@@ -53,16 +59,27 @@
 
     def test_what_is_known_by_name_goes_on_and_nothing_else(self) -> None:
         """Guards against times learned of a class that is gone, or forgotten of one that stays."""
-        handover.write(self.folder, learner(), 1000.0)
+        handover.write(self.folder, learner(), idle(), 1000.0)
         told = handover.read(self.folder, 1500.0)
         assert told is not None
         new = learner(work={"a": 300.0, "b": 300.0}, learned={}, failing={}, depth=0.0, asks=1.0)
-        handover.take(told, new)
+        handover.take(told, new, idle())
         self.assertEqual((new.work, new.learned), ({"a": 40.0, "b": 300.0}, {"a": 900.0}))
         self.assertEqual((new.depth, new.asks), (6.0, 0.8))
-        handover.take(told, gone := learner(work={"b": 300.0}, learned={}, failing={}))
+        handover.take(told, gone := learner(work={"b": 300.0}, learned={}, failing={}), idle())
         self.assertEqual(gone.learned, {})
 
+    def test_idle_times_that_break_are_not_learned_again(self) -> None:
+        """Guards against requests lost on dropped connections with each replacement, until that is learned anew."""
+        old, new = idle(1000.0), idle(1500.0)
+        for _ in range(2):
+            old.learn(300.0, True)
+        handover.write(self.folder, learner(), old, 1000.0)
+        told = handover.read(self.folder, 1500.0)
+        assert told is not None
+        handover.take(told, learner(), new)
+        self.assertEqual((old.most(), new.most()), (256.0, 256.0))
+
     def test_a_customers_quota_is_taken_over_and_not_begun_anew(self) -> None:
         """Guards against a burst for every customer with each replacement, and against units counted twice."""
         plans = (api.Plan("p", rate=2.0, burst=4.0), api.Plan("gone", rate=2.0, burst=4.0))
@@ -75,11 +92,11 @@
         call, = old.handle(1001.0, [api.Request(9, "other", 1, 0, 1.0, 800.0, 2.0)])[-1:]
         assert isinstance(call, api.Count)
         old.handle(1002.0, [api.CounterAnswer(call.name, "ok", 1.0, 1.0)])
-        handover.write(self.folder, old, 1002.0)
+        handover.write(self.folder, old, idle(), 1002.0)
         told = handover.read(self.folder, 1010.0)
         assert told is not None
         new = gateway_of(plans[:1])
-        handover.take(told, new)
+        handover.take(told, new, idle())
         self.assertEqual(list(new.customers), ["k"])
         self.assertLess(abs(new.customers["k"].store - old.customers["k"].store), 0.1)
         sent, left = [], int(old.customers["k"].store)
@@ -95,27 +112,30 @@
     def test_old_foreign_and_missing_say_nothing(self) -> None:
         """Guards against what held minutes ago, or in another machine's clock, taken for now."""
         self.assertIsNone(handover.read(self.folder, 0.0))
-        handover.write(self.folder, learner(), 1000.0)
+        handover.write(self.folder, learner(), idle(), 1000.0)
         for now in (999.0, 1000.0 + handover.AGE_MOST + 1):
             self.assertIsNone(handover.read(self.folder, now))
-        handover.write(f"{self.folder}/missing", learner(), 1000.0)
+        handover.write(f"{self.folder}/missing", learner(), idle(), 1000.0)
         wrongs: list[dict[str, object]] = [
             {"work": {"a": 0.0}}, {"work": {"a": float("nan")}}, {"depth": -1.0}, {"asks": 2.0}, {"asks": True},
             {"failing": {"a": 7.0}}, {"learned": {"a": 5000.0}}]
         for wrong in wrongs:
-            handover.write(self.folder, learner(**wrong), 1000.0)
+            handover.write(self.folder, learner(**wrong), idle(), 1000.0)
             self.assertIsNone(handover.read(self.folder, 1000.0), wrong)
+        for row in ((0.5, 0.1, 0.0), (True, 0.1, 0.0), (65, 0.1, 0.0), (3, 1.5, 0.0), (3, 0.1, 5000.0), (3, 0.1)):
+            handover.write(self.folder, learner(), SimpleNamespace(told=lambda row=row: [row]), 1000.0)
+            self.assertIsNone(handover.read(self.folder, 1000.0), row)
 
     @settings(max_examples=200, deadline=None)
     @given(st.integers(0, 400), st.binary(max_size=4))
     def test_any_damage_is_ignored_or_harmless(self, at: int, put: bytes) -> None:
         """Guards against a start that fails, or goes on from nonsense, for a damaged file."""
-        handover.write(self.folder, learner(), 1000.0)
+        handover.write(self.folder, learner(), idle(), 1000.0)
         text = self.path.read_bytes()
         self.path.write_bytes(text[:at] + put + text[at + len(put):] if put else text[:at])
         told = handover.read(self.folder, 1000.0)
         if told is not None:
-            handover.take(told, new := learner())
+            handover.take(told, new := learner(), idle())
             json.dumps([new.work, new.learned, new.failing, new.depth, new.asks], allow_nan=False)
             self.assertTrue(all(work > 0 for work in new.work.values()))
 
--- a/tests/ops/test_replacement.py
+++ b/tests/ops/test_replacement.py
@@ -13,6 +13,8 @@
 from pathlib import Path
 
 from hallhitch.net.budget import budget
+from hallhitch.ops.handover import VERSION
+from hallhitch.ops.neighbour import Neighbour
 from tests.stand_ins import GUARD, ROOT, GatewayCase, Program, free_port, http, read_http, soon
 
 LATE = 2  # clients that one may take before it hears of the other
@@ -87,10 +89,10 @@
         """Guards against a replacement that starts from nothing, and against one that cannot start for a bad file."""
         path = Path(self.shared) / "hallhitch.learned"
         new = await self.second("goes on from what another process learned")
-        self.assertEqual(json.loads(path.read_text())["version"], 1)
+        self.assertEqual(json.loads(path.read_text())["version"], VERSION)
         await new.stop()
         self.shared = f"{self.shared}/missing"
-        for text in (None, "{", "[]", '{"version": 1}', json.dumps({"version": 2}), "x" * 100_000):
+        for text in (None, "{", "[]", json.dumps({"version": VERSION}), '{"version": 1}', "x" * 100_000):
             if text is not None:
                 path.write_text(text)
             new = await self.second()
@@ -104,6 +106,7 @@
         await self.program.start()
         await self.program.logged('"serving"')
         new = await self.second()
+        await self.program.logged('"other_takes_clients": true')
         held = []
         for n in range(30):  # as many as both together may hold
             reader, writer = await self.program.connect()
@@ -121,6 +124,29 @@
         old, self.program = self.program, new
         self.assertEqual((await old.stop())[0], 0)
 
+    async def test_nobody_gives_way_to_who_the_other_can_take(self) -> None:
+        """Guards against idle clients let go in the moment in which the other has just begun to take clients."""
+        self.program.config["limits"] = {"sockets": 128}
+        await self.program.stop()
+        await self.program.start()
+        await self.program.logged('"serving"')
+        other = Neighbour(self.shared)  # a process of this gateway, as far as the first can see
+        self.addCleanup(other.close)
+        await self.program.logged('"other_takes_clients": false')
+        held = []
+        for n in range(budget(128, True).clients // 2):
+            held.append(await self.program.connect())
+            self.addCleanup(held[n][1].close)
+            held[n][1].write(self.request(customer=f"{n:016x}"))
+            self.assertIn(" 200 ", (await soon(read_http(held[n][0])))[0])
+        other.serves()
+        for _ in range(3):
+            self.addCleanup((await self.program.connect())[1].close)
+        for n, (reader, writer) in enumerate(held):
+            writer.write(self.request(customer=f"{n:016x}"))
+            self.assertIn(" 200 ", (await soon(read_http(reader)))[0])
+        other.close()
+
     async def test_one_that_dies_before_its_yes_costs_nothing(self) -> None:
         """Guards against a first process that stops serving before the second one can."""
         new = await self.second()
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import subprocess
 import sys
 from collections.abc import Sequence
@@ -600,6 +601,19 @@
     assert max(cold.values()) <= 10, "of 200 in a second, a twentieth each would be an even share"
 
 
+def test_processes_of_one_gateway_share_a_cold_servers_budget() -> None:
+    """Guards against a cold server pushed over by two processes of each gateway that know themselves alone."""
+    rates: dict[tuple[int, int], float] = {}
+    for processes, busy in itertools.product((1, 2), (0, 40)):
+        bench = Bench(make(gateways=20, processes=processes), servers(3))
+        bench.do(api.ServerList("changes", (api.ServerEntry("cold", "up", started=bench.now),)))
+        for n in range(busy // processes):  # each its part of the gateway's work
+            bench.ask(f"k{n}")
+            bench.serve()
+        rates[processes, busy] = processes / bench.gateway.cold_pause(bench.gateway.servers["cold"])
+    assert rates[2, 0] <= rates[1, 0] and rates[2, 40] <= rates[1, 40] * 1.05, rates
+
+
 @pytest.mark.parametrize("gateways", [1, 2, 400])
 def test_the_same_quota_holds_for_any_number_of_gateways(gateways: int) -> None:
     bench = Bench(make(gateways=gateways))
