--- a/benchmarks/flood.py
+++ b/benchmarks/flood.py
@@ -119,7 +119,7 @@
     lines = [
         "# In a flood: the loop's lag, and the second address", "",
         f"    python -m benchmarks.flood --seconds {given.seconds:g}", "",
-        f"Limits {LIMITS}; a crowd holds up to {CROWD} connections at once, about 1,500 new ones a second. The gateway has",
+        f"Limits {LIMITS}; a crowd holds up to {CROWD} connections, about 1,500 new a second. The gateway has",
         "a whole core. Lag is by how much a timer due every 5 ms is late; a call is `GET /api/telemetry`, from",
         "connecting to the end of its answer.", "",
         "| a second | cores used | served | lag, ms: p50 / p99 / p99.9 / most | call, ms: p50 / most | calls |",
