--- a/benchmarks/long_messages.py
+++ b/benchmarks/long_messages.py
@@ -1,8 +1,10 @@
 """Memory of the real gateway while many long answers pass to slow readers, and long bodies come from slow writers.
 
-    python -m benchmarks.long_messages [--many 40] [--megabytes 32] [--write docs/measured/long-messages.md]
+    python -m benchmarks.long_messages [--many 40] [--megabytes 32] [--enforce 64] [--write FILE]
 
-Every client asks at once; answers are all under way before any client reads on. Nodes and counter are in this process.
+With --enforce the kernel gives the gateway no more data than takes it to so many MiB resident: what it asks for
+past that fails. Every client asks at once; answers are all under way before any client reads on. Nodes and counter are
+in this process.
 """
 
 from __future__ import annotations
@@ -10,6 +12,7 @@
 import argparse
 import asyncio
 import contextlib
+import resource
 import tempfile
 import time
 from pathlib import Path
@@ -62,8 +65,15 @@
     return count
 
 
-async def measure(many: int, size: int, body: int) -> list[float]:
-    """MiB before, with all under way, and at most; the share that came whole; seconds."""
+def enforce(pid: int, megabytes: int) -> None:
+    """Let a process have no more data (private memory that it can write) than takes it to so many MiB resident."""
+    more = (megabytes << 10) - resident(pid)
+    most = (resident(pid, "VmData") + more) << 10
+    resource.prlimit(pid, resource.RLIMIT_DATA, (most, most))
+
+
+async def measure(many: int, size: int, body: int, most: int = 0) -> list[float]:
+    """MiB before, with all under way, at most; the share come whole; seconds. `most` MiB are enforced, if not 0."""
     # As many nodes as clients: how much a node may be given at once is not what is measured here.
     nodes, counter, discovery = [Sender(f"b{n}") for n in range(many)], QuietCounter(), Discovery()
     for node in nodes:
@@ -77,6 +87,8 @@
         await program.logged('"serving"')
         pid, began, go = program.process.pid, time.monotonic(), asyncio.Event()
         before = resident(pid) / 1024
+        if most:
+            enforce(pid, most)
         clients = [asyncio.create_task(client(program, n, body, go)) for n in range(many)]
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(asyncio.gather(*map(asyncio.shield, clients)), 3.0)
@@ -96,15 +108,17 @@
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
     parser.add_argument("--many", type=int, default=40)
     parser.add_argument("--megabytes", type=int, default=32)
+    parser.add_argument("--enforce", type=int, default=0, metavar="MIB")
     parser.add_argument("--write", type=Path)
     given = parser.parse_args()
     size = given.megabytes << 20
     lines = ["# Long messages: memory", "", f"    python -m benchmarks.long_messages --many {given.many} "
-             f"--megabytes {given.megabytes}", "",
-             f"{given.many} at once, limits {LIMITS}; readers stand still until all are under way. MiB resident.", "",
+             f"--megabytes {given.megabytes}" + (f" --enforce {given.enforce}" if given.enforce else ""), "",
+             f"{given.many} at once, limits {LIMITS}; readers stand still until all are under way. MiB resident"
+             + (f", {given.enforce} at most by the kernel." if given.enforce else "."), "",
              "| case | before | all under way | at most | came whole | s |", "| --- | --- | --- | --- | --- | --- |"]
     for case, answer, body in (("answers", size, 0), ("answers, and bodies of a 32nd", size, size // 32)):
-        row = asyncio.run(measure(given.many, answer, body))
+        row = asyncio.run(measure(given.many, answer, body, given.enforce))
         lines.append(f"| {case} | {row[0]:.1f} | {row[1]:.1f} | {row[2]:.1f} | {row[3]:.0%} | {row[4]:.1f} |")
     text = "\n".join(lines) + "\n"
     print(text)
