One way to tell all modules their settings; an end counted once in the slices of a read

Read once more, behaviour the same: gateway.serve told settings to modules in two places, one of which left out the RESP front's module, to which the number of processes means nothing; both call one function now. Peer.run counted the end of a slice twice. Beside kept three names of one stem for a note, its leaving and its end.

--- a/hallhitch/gateway.py
+++ b/hallhitch/gateway.py
@@ -157,10 +157,14 @@
 
     processes = 1
 
+    def retune() -> None:
+        for one in cores:
+            one.retune(replace(told.settings, processes=processes))
+
     def share(lives: bool, serves: bool) -> None:
         nonlocal processes
         processes = 1 + serves
-        core.retune(replace(told.settings, processes=processes))
+        retune()
 
     def close() -> None:
         if drain.take(Call.TERM):
@@ -186,8 +190,7 @@
         told = replace(fresh, **{f.name: getattr(told, f.name) for f in fields(told) if f.name in STAYS})
         if tuned:
             figures.know(kind.name for kind in fresh.settings.classes)
-            for one in cores:
-                one.retune(replace(fresh.settings, processes=processes))
+            retune()
             for front in fronts:
                 front.retune(fresh.settings)
             hops.retune(fresh.settings)
--- a/hallhitch/net/acceptor.py
+++ b/hallhitch/net/acceptor.py
@@ -143,9 +143,9 @@
                 self.goes_on = bool(self.begun) and self.partial
                 taken = 0
                 while taken < size and not self.ending:
-                    step = size if self.unread else taken + SLICE
-                    self.take(view[taken:min(step, size)])
-                    taken = min(step, size)
+                    end = size if self.unread else min(size, taken + SLICE)
+                    self.take(view[taken:end])
+                    taken = end
                     while taken < size and self.full:
                         await self._pause(loop)
                 if not self.ending:
--- a/hallhitch/ops/beside.py
+++ b/hallhitch/ops/beside.py
@@ -31,7 +31,8 @@
         self._neighbour = Neighbour(folder)
         self._seen = (False, False)
         self._sharers: list[Share] = []
-        self._leaves = self._left = True  # whether notes are to be left, and whether the last one could be
+        self._ending = False  # and leaves nothing more
+        self._left = True  # whether the last note could be left
 
     def take_over(self) -> None:
         """Go on from what another process that lives has left, if it left anything."""
@@ -63,7 +64,7 @@
 
     def ends(self) -> None:
         """Nothing more is left for a next process."""
-        self._leaves = False
+        self._ending = True
 
     def close(self) -> None:
         """Be gone, for the other."""
@@ -74,7 +75,7 @@
         self._deadlines.after(LOOK, self._again)
 
     def _leave(self, folder: str) -> None:
-        if self._leaves:
+        if not self._ending:
             left = handover.write(folder, self._learner, self._idleness, self._deadlines.clock())
             if self._left and not left:
                 log.warning("nothing is left for a next process", folder=folder)
--- a/hallhitch/ops/handover.py
+++ b/hallhitch/ops/handover.py
@@ -1,8 +1,8 @@
 """What one process of a gateway learned, left in a file for the next: small, versioned, checked, never trusted.
 
 It holds what takes traffic to learn: how long answers take, what servers bear, how long connections to them may stand
-idle, and of customers whose window is not
-over what was last read of their use. What the first process adds meanwhile, the next one reads as others' use.
+idle, and of customers whose window is not over what was last read of their use. What the first process adds meanwhile,
+the next one reads as others' use.
 """
 
 from __future__ import annotations
