The lab tells each gateway its own number

Every modelled gateway was told that it is number 0, so in fleets of more than 16 nodes all kept to the same few. Ruled out: scenarios in the repository, which all have 16 nodes or fewer.

--- a/hallhitch/lab/world.py
+++ b/hallhitch/lab/world.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from hallhitch.lab.hopping import Ask, ModelGateway, Network
 from hallhitch.lab.journal import Journal
@@ -86,7 +86,8 @@
     def _gateway(self, number: int) -> None:
         self._starts += 1
         stream = self.streams.of(f"gateway {number} start {self._starts}")
-        made = ModelGateway(number, self.settings, self.seed * 1000 + self._starts, self.scenario.world, self.time,
+        settings = replace(self.settings, index=number)
+        made = ModelGateway(number, settings, self.seed * 1000 + self._starts, self.scenario.world, self.time,
                             self.nodes, self.counter, self.network, self.journal, stream, self._first_list)
         if self._mutant is not None:
             self._mutant(made)
--- a/tests/lab/test_world.py
+++ b/tests/lab/test_world.py
@@ -7,6 +7,7 @@
 import subprocess
 import sys
 import unittest
+from collections import Counter
 from pathlib import Path
 
 import msgspec
@@ -15,7 +16,7 @@
 from hallhitch.lab.figures import figures
 from hallhitch.lab.scenario import Scenario, replaced
 from hallhitch.lab.streams import Streams
-from hallhitch.lab.world import Result, play
+from hallhitch.lab.world import Result, Run, play
 from hallhitch.settings_file import read
 from tests.stand_ins import ROOT
 
@@ -48,6 +49,20 @@
                     self.assertEqual(found.missed, 0)
 
 
+class Places(unittest.TestCase):
+    """What a gateway of a large fleet is told of itself."""
+
+    def test_each_gateway_has_a_number_of_its_own_and_no_node_is_left_alone(self) -> None:
+        """Guards against a lab whose gateways all take themselves for the first, and keep to the same few nodes."""
+        base = replaced(short(ROOT / "scenarios" / "calm.toml"), {"world.gateways": 12, "world.nodes": 40})
+        run = Run(base, 3)
+        modules = [gateway.core.gateway for gateway in run.gateways.values() if gateway is not None]
+        self.assertEqual([module.set.index for module in modules], list(range(12)))
+        run.time.run(run.time.now + 1.0)
+        near = Counter(s.entry.server for module in modules for s in module.near)
+        self.assertEqual(set(near), set(run.nodes))
+
+
 class Same(unittest.TestCase):
     """What makes two runs comparable."""
 
