Gateways know each other: SWIM members over UDP, places by names, damped budgets

A gateway knew the fleet by two numbers it was started with, and nothing noticed when they were wrong or when most of the fleet was gone. New package membership/: a state machine without I/O or clock (probes through others, suspicion that shrinks with independent accusers, refutation, distrust of oneself, bounded news, exchanges of views), a UDP link beside it, places by rendezvous of names, and a roster that damps what places and budgets follow. The module hears of it by one event, Peers; without it the settings' numbers hold as before.

Ruled out: a failure told that is believed at once (after a split every side would fail its own).

--- a/hallhitch/control/serve.py
+++ b/hallhitch/control/serve.py
@@ -26,8 +26,9 @@
 from hallhitch.control.secrets import Checker
 from hallhitch.control.settings import ApiSettings, ControlSettings
 from hallhitch.control.writer import Writer
+from hallhitch.core.addresses import address_of
 from hallhitch.core.invariants import COUNTS
-from hallhitch.net.sockets import address_of, listen
+from hallhitch.net.sockets import listen
 from hallhitch.tls.certificates import Certificates, fingerprint
 
 HANDSHAKE = 5.0  # seconds for TLS
--- a/hallhitch/control/settings.py
+++ b/hallhitch/control/settings.py
@@ -7,7 +7,7 @@
 
 from msgspec import Meta, Struct
 
-from hallhitch.net.sockets import address_of
+from hallhitch.core.addresses import address_of
 from hallhitch.settings_file import checked
 
 Count = Annotated[int, Meta(ge=1, le=1_000_000)]
--- a/hallhitch/decision/api.py
+++ b/hallhitch/decision/api.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 SAFE, KEYED, UNSAFE = "safe", "keyed", "unsafe"
@@ -73,11 +74,6 @@
     index: int = 0  # this gateway's number, from 0
     processes: int = 1  # of this gateway that take clients at once, each with its own module
 
-    @property
-    def senders(self) -> int:
-        """The modules that send, if each gateway has as many as this one: each sees its own part alone."""
-        return self.gateways * self.processes
-
     def __post_init__(self) -> None:
         """Refuse settings that no decision could be built on, and name the culprit."""
         checks = [
@@ -212,9 +208,21 @@
     text: str
 
 
+@dataclass(frozen=True, slots=True)
+class Peers:
+    """Who is there: the gateways that places are shared by, those that budgets are, and this one's places.
+
+    `seen` is at most `counted`; `rank` gives this gateway's place, from 0, in a server's own order of those seen.
+    """
+
+    seen: int
+    counted: int
+    rank: Callable[[str], int]
+
+
 Event = (
     ServerList | Request | RequestGone | StreamStarted | AttemptEnded | ProbeEnded | CounterAnswer
-    | TimerFired | PeerMessage | NewSettings
+    | TimerFired | PeerMessage | NewSettings | Peers
 )
 
 
--- a/hallhitch/decision/policy.py
+++ b/hallhitch/decision/policy.py
@@ -12,6 +12,7 @@
 import random
 from collections import defaultdict
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from hallhitch.decision import api
@@ -59,9 +60,7 @@
         self.slowed, self.turned = 0.0, 0.0  # when that share was last cut; when the streak began
         self.cut = 0.0  # when that bound was last lowered
         self.pressed = False  # whether that bound refused anything since it was last raised
-        self.redraw = math.inf  # when one of them is tried again
         self.depth = 0.0  # attempts out at a server, over all gateways, that are believed not to slow it
-        self.near: list[Server] = []  # the few of them that this gateway keeps to
         self.closed, self.closed_at = 0.0, 0.0  # share of new connections that came to nothing
         self.out, self.sent, self.watching, self.retries = 0, 0.0, False, RETRY_STORE
         self.actions: list[api.Action] = [] if settings.push_list else [api.WatchList()]
@@ -70,12 +69,15 @@
             api.TimerFired: self.look_over, api.ServerList: self.listed,
             api.RequestGone: lambda e: self.finish(e.id), api.StreamStarted: self.streams,
             api.ProbeEnded: lambda e: None, api.PeerMessage: lambda e: None,  # nothing here asks for these
-            api.NewSettings: lambda e: self.tune(e.settings),
+            api.NewSettings: lambda e: self.tune(e.settings), api.Peers: self.meet,
         }
         self.tune(settings)
 
     def tune(self, settings: api.Settings) -> None:
         """Go by these settings: what was learned stays by name, requests under way keep their class."""
+        if settings is self.set or settings.gateways != self.set.gateways:  # till it is told
+            count = settings.gateways
+            self.meet(api.Peers(count, count, partial(place, settings.index, count)))
         self.set, self.shortest = settings, min(kind.aim for kind in settings.classes)
         self.work = {kind.name: kind.aim / STALL for kind in settings.classes} | self.work
         for c in self.customers.values():
@@ -196,12 +198,10 @@
         age, growth = (self.now - name.started) / 1000, prior - name.last
         if growth < -self.set.most_units * c.spread:
             growth = prior  # lost counts (flush, back empty): all there is now is new, no fresh window
-        if not self.stranger(c):
-            gap = self.now - c.read
-            c.others += (max(0.0, growth) - c.others * gap) / (gap + MEMORY)
-        self.refill(c, 0.0 if self.stranger(c) else growth)
-        if self.stranger(c):
-            c.others = 0.0
+        gap, stranger = self.now - c.read, self.stranger(c)
+        c.others = 0.0 if stranger else c.others + (max(0.0, growth) - c.others * gap) / (gap + MEMORY)
+        self.refill(c, 0.0 if stranger else growth)
+        if stranger:
             # A first look, or as good as one (restart, one gateway of many): what the window can have left,
             # begun with as much of a burst as is worth the risk of passing beyond the quota.
             c.store = min(c.plan.burst, c.plan.burst / (1 + c.risk) + c.plan.rate * age - prior)
@@ -300,7 +300,7 @@
                 self.servers.pop(entry.server, None)
             elif s is None or s.entry.started != entry.started:
                 s = self.servers[entry.server] = Server(entry, self.now)
-                s.rank = place(entry.server, self.set.index, self.set.gateways)
+                s.rank = self.peers.rank(entry.server)
                 # Gateways hear of a cold start together: each begins at a moment of its own.
                 first = max(self.set.fall_time, self.cold_pause(s)) if self.warmth(s) < 1 else 0.0
                 s.rests = self.now + self.rng.random() * first
@@ -357,24 +357,24 @@
 
     def draw(self) -> None:
         """Choose the few servers that this gateway keeps to."""
-        # Hundreds of gateways that connect everywhere fill every server's table of connections, and learn
-        # little of any. Each server takes the same number of gateways, by its own order of their numbers:
-        # nobody is left out, and one that comes back is kept to by the same again, whatever became of others.
-        good, self.redraw = [], math.inf
-        for s in self.pool:
-            if s.linked or s.aside.get(ALL, 0.0) <= self.now:
-                good.append(s)
-            else:
-                self.redraw = min(self.redraw, s.aside[ALL])
-        good.sort(key=lambda s: (s.rank, s.entry.server))
-        most = self.keepers()
+        # Connections of hundreds fill every server's table and teach little. Each server takes as many of the
+        # gateways by an order of its own: nobody is left out, who comes back is kept to by the same again.
+        shut = {s for s in self.pool if not s.linked and s.aside.get(ALL, 0.0) > self.now}
+        self.redraw = min((s.aside[ALL] for s in shut), default=math.inf)  # when these are
+        good, most = sorted(set(self.pool) - shut, key=lambda s: (s.rank, s.entry.server)), self.keepers()
         self.near = [s for n, s in enumerate(good) if s.rank < most or n < FEW]
 
     def keepers(self) -> int:
         """How many gateways keep to a server: all in a small fleet; else FEW, or as many as give each FEW."""
-        if len(self.pool) <= WHOLE:
-            return self.set.gateways
-        return min(self.set.gateways, math.ceil(FEW * max(1.0, self.set.gateways / len(self.pool))))
+        few = math.ceil(FEW * max(1.0, self.peers.seen / max(1, len(self.pool))))
+        return self.peers.seen if len(self.pool) <= WHOLE else min(self.peers.seen, few)
+
+    def meet(self, peers: api.Peers) -> None:
+        """Follow who is there: places among those seen, budgets over all that may be there."""
+        self.peers = peers
+        for s in self.servers.values():
+            s.rank = peers.rank(s.entry.server)
+        self.draw()
 
     def avoided(self) -> int:
         """How many listed servers get nothing: not up, or set aside for more than a moment."""
@@ -387,7 +387,7 @@
 
     def each(self, out: float) -> float:
         """What is out at a server if every gateway has so much out."""
-        return out * self.set.gateways / max(1, len(self.servers))
+        return out * self.peers.counted / max(1, len(self.servers))
 
     def cold_pause(self, s: Server) -> float:
         """How long a server rests after a send: none when warm, else so that it gets its part, evenly."""
@@ -397,8 +397,9 @@
             return 0.0
         fleet = sum(o.entry.weight * self.warmth(o) for o in self.servers.values())
         served = sum(t > self.now - self.set.fall_time for o in self.servers.values() for t in o.served)
-        part = served * self.set.senders * s.entry.weight * self.warmth(s) * self.set.fall_multiple / fleet
-        return self.set.fall_time * self.keepers() * self.set.processes / max(1, part * COLD_MARGIN)
+        seen, share = self.peers.seen * self.set.processes, self.peers.counted / self.peers.seen
+        part = served * seen * s.entry.weight * self.warmth(s) * self.set.fall_multiple / fleet
+        return self.set.fall_time * share * self.keepers() * self.set.processes / max(1, part * COLD_MARGIN)
 
     def fits(self, r: Open, to: api.ServerEntry) -> bool:
         """Where a repeat may go: keyed only in its group and window, unsafe nowhere once it may have run."""
@@ -607,7 +608,7 @@
     return int.from_bytes(hashlib.sha256(text.encode()).digest()[:8], "big") >> 1
 
 
-def place(server: str, index: int, count: int) -> int:
+def place(index: int, count: int, server: str) -> int:
     """A gateway's place in a server's own order of all gateways, from 0: a start and a step through them."""
     seed = digest(server)
     step = next(n for n in itertools.count(1 + seed // count) if math.gcd(n, count) == 1)
--- a/hallhitch/gateway.py
+++ b/hallhitch/gateway.py
@@ -1,6 +1,7 @@
 """One real gateway: `python -m hallhitch`.
 
-The RESP front is imported only where it is asked for: its settings file needs what the platform does not install.
+The RESP front and membership are imported only where they are asked for: their settings files need what the platform
+does not install.
 """
 
 from __future__ import annotations
@@ -9,6 +10,7 @@
 import asyncio
 import gc
 import os
+import random
 import signal
 import socket
 import sys
@@ -20,11 +22,13 @@
 import structlog
 import uvloop
 
-from hallhitch import logs
+from hallhitch import __version__, logs
+from hallhitch.core.addresses import address_of
 from hallhitch.core.deadlines import Clock, Deadlines
 from hallhitch.core.grants import ROUTE, GrantHop
 from hallhitch.core.invariants import COUNTS
 from hallhitch.core.module import Core
+from hallhitch.decision import api
 from hallhitch.decision.policy import Gateway
 from hallhitch.decision.settings import WireError
 from hallhitch.net import config
@@ -34,13 +38,15 @@
 from hallhitch.net.ingress import Ingress
 from hallhitch.net.pacing import Pacing
 from hallhitch.net.routes import RouteTable
-from hallhitch.net.sockets import address_of, inherited, listen
+from hallhitch.net.sockets import inherited, listen
 from hallhitch.ops.address import Reply, SecondAddress
 from hallhitch.ops.beside import Beside
 from hallhitch.ops.figures import CONTENT_TYPE, Figures
 from hallhitch.ops.state import Call, Drain
 
 if TYPE_CHECKING:
+    from hallhitch.membership.roster import Counted
+    from hallhitch.membership.service import Members
     from hallhitch.resp.config import RespConfig
     from hallhitch.resp.server import LimitServer
 
@@ -73,9 +79,10 @@
     return resp_config.read(path)
 
 
-async def serve(told: config.Config, resp_file: str | None) -> None:
+async def serve(told: config.Config, resp_file: str | None, peers_file: str | None = None) -> None:
     """Wire the parts together and run until SIGTERM; SIGHUP has the files read again."""
     resp = read_resp(resp_file)
+    processes, shared = 1, os.environ.get("TMPDIR") if told.inherited is not None else None
     loop = asyncio.get_running_loop()
     deadlines = Deadlines(Clock(), loop)
     settings = told.settings
@@ -96,7 +103,12 @@
 
     cores: list[Core] = []
 
+    def counts(found: Counted) -> None:
+        for one in cores:
+            one.post(api.Peers(found.seen, found.counted, found.rank))
+
     core = core_for("module", told.seed)
+    members = None if peers_file is None else members_of(peers_file, told, shared, deadlines, loop, counts)
     pacing = Pacing(settings.gateways, not settings.push_list, told.seed)
     figures, drain = Figures(kind.name for kind in settings.classes), Drain()
     routes = RouteTable(loop, deadlines, told.zones, core.post, pacing)
@@ -133,33 +145,41 @@
                 front.rejoin()
             else:
                 front.drain()
+        if members is not None:
+            if drain.welcome:
+                members.rejoin()
+            else:
+                members.leave()
         return Reply(200, drain.state.value + "\n")
 
     def ready() -> Reply:
         yes = serving and not drain.ending
         return Reply(200 if yes else 503, ("ready" if yes else "not ready") + "\n")
 
+    calls = {
+        ("GET", "/api/ready"): ready,
+        ("GET", "/api/telemetry"): lambda: Reply(200, figures.text(), CONTENT_TYPE),
+        ("PUT", "/api/evacuate"): lambda: evacuate(Call.EVACUATE),
+        ("PUT", "/api/rejoin"): lambda: evacuate(Call.REJOIN),
+    }
+    if members is not None:
+        figures.also = members.figures
+        calls["GET", "/api/members"] = lambda: Reply(200, members.text(), "application/json")
     second = None
     if told.ops is not None:
-        second = SecondAddress({
-            ("GET", "/api/ready"): ready,
-            ("GET", "/api/telemetry"): lambda: Reply(200, figures.text(), CONTENT_TYPE),
-            ("PUT", "/api/evacuate"): lambda: evacuate(Call.EVACUATE),
-            ("PUT", "/api/rejoin"): lambda: evacuate(Call.REJOIN),
-        }, deadlines, loop, shares.ops)
+        second = SecondAddress(calls, deadlines, loop, shares.ops)
         second.open(bound("ops", told.ops))
 
     # Only where the platform may start a process beside this one.
-    beside = Beside(os.environ.get("TMPDIR") if told.inherited is not None else None, deadlines, core.gateway,
-                    hops.idleness)
+    beside = Beside(shared, deadlines, core.gateway, hops.idleness)
     beside.take_over()
     ingress.ask = beside.look
 
-    processes = 1
-
     def retune() -> None:
         for one in cores:
             one.retune(replace(told.settings, processes=processes))
+        if members is not None:  # who is there goes before how many the settings speak of
+            members.again()
 
     def share(lives: bool, serves: bool) -> None:
         nonlocal processes
@@ -170,6 +190,8 @@
         if drain.take(Call.TERM):
             log.info("ending")
             beside.ends()
+            if members is not None:
+                members.leave()
         for front in fronts:
             front.close()
 
@@ -211,6 +233,11 @@
     loop.add_signal_handler(signal.SIGTERM, close)
     loop.add_signal_handler(signal.SIGINT, close)
     loop.add_signal_handler(signal.SIGHUP, reread)
+    if members is not None:
+        try:
+            members.start()
+        except OSError as error:
+            raise WireError(f"{peers_file}: field 'listen': {error}") from error
     routes.watch(told.discovery)
     gc.collect()
     gc.freeze()
@@ -225,6 +252,8 @@
     log.info("serving", gateway=told.name, listen=f"{told.listen[0]}:{told.listen[1]}")
     for front in fronts:
         await front.closed()
+    if members is not None:
+        members.close()
     routes.close()
     if second is not None:
         second.close()
@@ -232,6 +261,22 @@
     log.info("ended", counts=dict(COUNTS))
 
 
+def members_of(
+    path: str, told: config.Config, shared: str | None, deadlines: Deadlines, loop: asyncio.AbstractEventLoop,
+    counts: Callable[[Counted], None],
+) -> Members:
+    """This gateway among the others, as the file says; `shared` is the folder of all processes of this gateway."""
+    from hallhitch.membership.kin import kin_of
+    from hallhitch.membership.service import Members
+    from hallhitch.membership.settings import read
+
+    try:
+        return Members(read(path), told.name, __version__, told.settings.gateways, kin_of(shared), deadlines, loop,
+                       random.Random(), counts)
+    except ValueError as error:
+        raise WireError(f"field 'name': {error}") from error
+
+
 def bound(field: str, place: tuple[str, int] | int) -> socket.socket:
     """A listener at an address or of a descriptor, or a word on why there is none."""
     try:
@@ -244,11 +289,12 @@
     """Start; a bad configuration is one line and exit code 2."""
     parser = argparse.ArgumentParser(prog="hallhitch", description="One gateway, configured by EDGE_CONFIG.")
     parser.add_argument("--resp", metavar="FILE", help="also answer RESP commands for limits, as FILE says")
+    parser.add_argument("--peers", metavar="FILE", help="know the other gateways, as FILE says")
     arguments = parser.parse_args()
     logs.configure()
     try:
         told = config.read()
-        uvloop.run(serve(told, arguments.resp))
+        uvloop.run(serve(told, arguments.resp, arguments.peers))
     except WireError as error:
         print(f"hallhitch: {error}", file=sys.stderr)
         return 2
--- a/hallhitch/net/config.py
+++ b/hallhitch/net/config.py
@@ -8,11 +8,11 @@
 from dataclasses import dataclass
 from typing import Any
 
+from hallhitch.core.addresses import address_of
 from hallhitch.decision import api
 from hallhitch.decision.settings import WireError, need, number, section, settings_of
 from hallhitch.net.budget import LEAST
 from hallhitch.net.routes import News, news_of
-from hallhitch.net.sockets import address_of
 
 OPTIONAL = ("aim-stretch",)  # keys that may be absent anywhere
 
--- a/hallhitch/net/routes.py
+++ b/hallhitch/net/routes.py
@@ -12,13 +12,14 @@
 import structlog
 
 from hallhitch.core.actor import Actor
+from hallhitch.core.addresses import address_of
 from hallhitch.core.deadlines import Deadlines, Scheduler
 from hallhitch.core.invariants import COUNTS
 from hallhitch.decision import api
 from hallhitch.decision.settings import WireError, need, number, word
 from hallhitch.net.http import AnswerReader
 from hallhitch.net.pacing import Pacing
-from hallhitch.net.sockets import Within, address_of, connect, cut, pause
+from hallhitch.net.sockets import Within, connect, cut, pause
 
 HOLD = 1000.0  # ms a watch waits at discovery: a connection that is dead without a word is noticed after that
 GRACE = 5000.0  # ms past that at which a silent watch is given up: a crowded discovery takes its watches in turn
--- a/hallhitch/net/sockets.py
+++ b/hallhitch/net/sockets.py
@@ -19,14 +19,6 @@
 log = structlog.get_logger()
 
 
-def address_of(text: str) -> tuple[str, int]:
-    """Host and port of `host:port`."""
-    host, colon, port = text.rpartition(":")
-    if not colon or not host or not port.isdigit() or not 0 <= int(port) < 65536:
-        raise ValueError(f"'{text}' is no host:port")
-    return host.strip("[]"), int(port)
-
-
 def tune(sock: socket.socket) -> socket.socket:
     """Settings of every connection."""
     sock.setblocking(False)
--- a/hallhitch/ops/figures.py
+++ b/hallhitch/ops/figures.py
@@ -27,6 +27,7 @@
         self.requests: Counter[tuple[str, str]] = Counter()  # by class and outcome
         self.attempts = self.reloads_ok = self.reloads_failed = 0
         self.levels: dict[str, Callable[[], int]] = {}  # by name, asked at each reading
+        self.also: Callable[[], str] = str  # lines of parts that may be off
         self.know(classes)
 
     def know(self, classes: Iterable[str]) -> None:
@@ -51,7 +52,7 @@
         counts = {"attempts": self.attempts, "reloads_ok": self.reloads_ok, "reloads_failed": self.reloads_failed}
         for name, value in (counts | {name: level() for name, level in self.levels.items()}).items():
             lines += [*self._header(name), f"{PREFIX}_{name} {value}"]
-        return "\n".join(lines) + "\n"
+        return "\n".join(lines) + "\n" + self.also()
 
     def _header(self, name: str) -> tuple[str, str]:
         kind, text = HELP[name]
--- a/hallhitch/resp/config.py
+++ b/hallhitch/resp/config.py
@@ -6,7 +6,7 @@
 
 from msgspec import Meta, Struct
 
-from hallhitch.net.sockets import address_of
+from hallhitch.core.addresses import address_of
 from hallhitch.settings_file import checked
 from hallhitch.settings_file import read as read_file
 
