--- a/hallhitch/lab/hopping.py
+++ b/hallhitch/lab/hopping.py
@@ -297,6 +297,10 @@
         """Something reaches the process: now, or once it goes on."""
         self._time.run(callback)
 
+    def meet(self, peers: api.Peers) -> None:
+        """Word of the other gateways."""
+        self._time.run(self.core.post, peers)
+
     def stop(self) -> None:
         """The process is stopped."""
         self._time.stop()
--- a/hallhitch/lab/scenario.py
+++ b/hallhitch/lab/scenario.py
@@ -68,6 +68,8 @@
     counter_queue: Count = 200
     counter_timeout: Positive = 50.0
     attempts: Count = 5
+    peers: bool = False  # whether gateways know each other (in virtual time; real processes: lab/fleet)
+    numbers: Literal["own", "zero"] = "own"  # what each gateway is told to be: its own number, or all the first
     counter_form: Literal["http", "resp"] = "http"  # what the counter speaks; on sockets alone it matters
 
 
@@ -99,7 +101,7 @@
 
     kind: Literal["slow", "quick_failures", "stall", "crash", "replace", "drain", "spoilt", "twice", "reset", "stale",
                   "gateways_die", "gateways_stop", "gateways_reload", "counter_down", "counter_silent", "counter_slow",
-                  "counter_empty", "counter_part", "discovery_down", "burst", "flash"]
+                  "counter_empty", "counter_part", "discovery_down", "burst", "flash", "gateways_split"]
     at_s: Natural
     for_s: Natural = 0.0
     part: Share = 0.1
--- a/hallhitch/lab/world.py
+++ b/hallhitch/lab/world.py
@@ -5,6 +5,9 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
+from hallhitch.decision import api
+from hallhitch.lab.fleet.cluster import Cluster
+from hallhitch.lab.fleet.timeline import Trouble
 from hallhitch.lab.hopping import Ask, ModelGateway, Network
 from hallhitch.lab.journal import Journal
 from hallhitch.lab.node import NODE_FAULTS, Node, Pod
@@ -13,6 +16,7 @@
 from hallhitch.lab.streams import Streams
 from hallhitch.lab.traffic import Intent, Traffic, draw
 from hallhitch.lab.virtual import EPOCH, VirtualTime
+from hallhitch.membership.roster import Counted
 
 AFTER = 1_500.0  # ms past the longest deadline for which a run goes on once nothing new is asked
 FRONT_BLIND = (900.0, 3_500.0)  # ms for which requests go on coming to a gateway that is dead
@@ -55,8 +59,11 @@
         self._first_list = tuple(self.discovery.entries.values())
         self._starts = 0
         self.gateways: dict[int, ModelGateway | None] = {}
+        self.cluster = Cluster(w.gateways, seed, self.time, follow=self._follow) if w.peers else None
         for number in range(w.gateways):
             self._gateway(number)
+        if self.cluster is not None:
+            self.cluster.settled()
         self._blind: dict[int, float] = {}  # until when requests still come to a dead gateway, or one that stands
         self._stopped: set[int] = set()
 
@@ -86,13 +93,21 @@
     def _gateway(self, number: int) -> None:
         self._starts += 1
         stream = self.streams.of(f"gateway {number} start {self._starts}")
-        settings = replace(self.settings, index=number)
+        settings = replace(self.settings, index=number if self.scenario.world.numbers == "own" else 0)
         made = ModelGateway(number, settings, self.seed * 1000 + self._starts, self.scenario.world, self.time,
                             self.nodes, self.counter, self.network, self.journal, stream, self._first_list)
         if self._mutant is not None:
             self._mutant(made)
         self.gateways[number] = made
         self.discovery.watch(number, made.told)
+        if self.cluster is not None and number in self.cluster.peers:
+            self.cluster.start(number)
+
+    def _follow(self, number: int, counted: Counted) -> None:
+        """A gateway hears of places and budgets, if it lives."""
+        gateway = self.gateways.get(number)
+        if gateway is not None:
+            gateway.meet(api.Peers(counted.seen, counted.counted, counted.rank))
 
     # Clients.
 
@@ -172,6 +187,9 @@
             self._go(fault, whom)
         elif kind == "gateways_die":
             self._kill(fault)
+        elif kind == "gateways_split":
+            if self.cluster is not None:
+                self.cluster.begin(Trouble("split", 0.0, parts=(fault.part, 1 - fault.part)), fault.for_s * 1000)
         elif kind in ("gateways_stop", "gateways_reload"):
             for number in self._picked(fault.part):
                 self._stop(number, fault) if kind == "gateways_stop" else self.journal.add(
@@ -226,11 +244,15 @@
         assert gateway is not None
         gateway.stop()
         self._stopped.add(number)
+        if self.cluster is not None:
+            self.cluster.stop(number)
         self._blind[number] = self.time.now + min(fault.for_s * 1000, self._faults.between(*FRONT_BLIND))
 
         def go_on() -> None:
             self._stopped.discard(number)
             gateway.go_on()
+            if self.cluster is not None and self.cluster.peers[number].alive:
+                self.cluster.go_on(number)
 
         self.time.after(fault.for_s * 1000, go_on)
 
@@ -239,6 +261,8 @@
             gateway = self.gateways[number]
             assert gateway is not None
             gateway.kill()
+            if self.cluster is not None:
+                self.cluster.kill(number)
             self.discovery.leave(number)
             self.gateways[number] = None
             self._blind[number] = self.time.now + min(fault.for_s * 1000, self._faults.between(*FRONT_BLIND))
--- a/tests/membership/test_processes.py
+++ b/tests/membership/test_processes.py
@@ -159,6 +159,39 @@
             self.assertEqual(self.failed(f, 3), [])
 
 
+class Shown(Case):
+    """What people see."""
+
+    def command(self, *words: str) -> subprocess.Popen[str]:
+        return subprocess.Popen([sys.executable, "-m", "hallhitch", *words], cwd=ROOT, text=True,
+                                stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+
+    async def test_the_command_shows_the_view_and_says_where_there_is_none(self) -> None:
+        """Guards against operators who see something else than the gateway does."""
+        async with fleet(3) as f:
+            await f.agreed()
+            address = f"{own(1)}:{f.ops_port}"
+            out, _ = await asyncio.to_thread(self.command("members", address).communicate)
+            self.assertIn("3 alive", out)
+            self.assertEqual([line.split()[:2] for line in out.splitlines()[2:]],
+                             [["n0", "alive"], ["n1", "alive"], ["n2", "alive"]])
+            out, _ = await asyncio.to_thread(self.command("members", address, "--json").communicate)
+            self.assertEqual(len(json.loads(out)["members"]), 3)
+            watched = self.command("members", address, "--watch", "--every", "0.1")
+            assert watched.stdout is not None
+            await asyncio.to_thread(watched.stdout.readline)
+            await f.ends(2, planned=True, back=None)
+            while "1 left" not in (line := await asyncio.to_thread(watched.stdout.readline)):
+                self.assertTrue(line, "ended before it saw the change")
+            watched.kill()
+            watched.communicate()
+        async with fleet(1, peers=False) as f:
+            done = self.command("members", f"{own(0)}:{f.ops_port}")
+            _, said = await asyncio.to_thread(done.communicate)
+            self.assertEqual((done.returncode, len(said.splitlines())), (1, 1))
+            self.assertIn("without --peers", said)
+
+
 class Links(Case):
     """What comes between them, under traffic where traffic may suffer."""
 
