A gateway that waits for a newcomer does not spin; damping and noise measured

Found by measuring places in a release: a gateway asked to be looked at in 0 ms for ever, as 'now - since >= wait' and 'since + wait' round differently.

--- a/benchmarks/membership.py
+++ b/benchmarks/membership.py
@@ -4,6 +4,8 @@
     python -m benchmarks.membership processes --sizes 10,50,200
     python -m benchmarks.membership service [--seeds 10]
     python -m benchmarks.membership moves
+    python -m benchmarks.membership damping
+    python -m benchmarks.membership noise
 
 Each prints the table that docs/measured/membership.md holds.
 """
@@ -17,6 +19,7 @@
 import math
 import multiprocessing
 import os
+import socket
 import time
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor
@@ -31,11 +34,14 @@
 from hallhitch.lab.experiments import interval
 from hallhitch.lab.figures import figures
 from hallhitch.lab.fleet.cluster import Cluster
-from hallhitch.lab.fleet.processes import Fleet, states
+from hallhitch.lab.fleet.processes import Fleet, own, states
 from hallhitch.lab.fleet.timeline import Trouble
 from hallhitch.lab.scenario import Fault, Scenario, replaced
-from hallhitch.membership.model import State
+from hallhitch.lab.virtual import VirtualTime
+from hallhitch.membership.messages import FORM, Ping, encode
+from hallhitch.membership.model import Record, State
 from hallhitch.membership.places import Places
+from hallhitch.membership.roster import Counted, Damping
 from hallhitch.settings_file import read
 
 ROOT = Path(__file__).parents[1] / "scenarios"
@@ -247,10 +253,89 @@
         print(f"| {count} | {sum(map(len, before.values()))} | {mean(moved)} | {mean(least)} |")
 
 
+def damping() -> None:
+    """Print how places and budgets move in a release, in a mass death and behind a split: damped and as it comes."""
+    size, servers = 60, [f"node-{n}" for n in range(100)]
+    few = math.ceil(FEW * max(1.0, size / len(servers)))
+    settings = {"damped": Damping(), "as it comes": Damping(0.0, 0.0, 200.0, 1.0, 0.0, 1.0)}
+
+    def release(c: Cluster) -> None:
+        for tenth in range(10):
+            some = Trouble("term", 0.0, 1.0, (f"g{tenth * 6}-g{tenth * 6 + 5}",))
+            c.time.after(5_000 + tenth * 10_000, c.begin, some, 1_000.0)
+
+    def die(c: Cluster) -> None:
+        c.time.after(5_000, c.begin, Trouble("kill", 0.0, 5.0, ("g0-g41",)), 5_000.0)
+
+    def split(c: Cluster) -> None:
+        c.time.after(5_000, c.begin, Trouble("split", 0.0, parts=(0.5, 0.5)), 30_000.0)
+
+    print("| what happens to 60 | | servers taken up or left a gateway | most in one second | times | least and most "
+          "that budgets are divided by |")
+    print("| --- | --- | --- | --- | --- | --- |")
+    for name, happens in (("a tenth restarted each 10 s", release), ("seven in ten die, back 5 s later", die),
+                          ("halves for 30 s", split)):
+        for how, told in settings.items():
+            kept: dict[int, set[str]] = {}
+            moved: dict[int, dict[int, int]] = {}
+            budgets: list[int] = []
+
+            clock = VirtualTime()
+            began = clock.now
+
+            def follow(number: int, counted: Counted, kept: dict[int, set[str]] = kept, began: float = began,
+                       moved: dict[int, dict[int, int]] = moved, budgets: list[int] = budgets,
+                       clock: VirtualTime = clock) -> None:
+                now = {server for server in servers if counted.rank(server) < few}
+                if clock.now - began > 4_500:
+                    second = int(clock.now / 1000)
+                    change = len(now ^ kept.get(number, now))
+                    moved.setdefault(number, {})[second] = moved.setdefault(number, {}).get(second, 0) + change
+                    budgets.append(counted.counted)
+                kept[number] = now
+
+            c = Cluster(size, 1, clock, damping=told, follow=follow)
+            c.settled()
+            happens(c)
+            c.time.run(began + 160_000)
+            whole = [float(sum(by.values())) for by in moved.values()]
+            worst = max(change for by in moved.values() for change in by.values())
+            times = sum(change > 0 for by in moved.values() for change in by.values()) / len(moved)
+            numbers = f"{min(budgets)}, {max(budgets)}"
+            print(f"| {name} | {how} | {mean(whole)} | {worst} | {times:.1f} | {numbers} |", flush=True)
+
+
+async def noise_run() -> None:
+    """Processor time of a gateway under noise, and whether its view held."""
+    told = replaced(read(str(ROOT / "calm.toml"), Scenario), {"world.gateways": 3, "world.nodes": 4})
+    print("| datagrams a second | what | processor, % of a core | dropped as flood | view |")
+    print("| --- | --- | --- | --- | --- |")
+    async with Fleet(told, 1) as f:
+        await f.agreed()
+        process = f._processes[0]
+        assert process is not None
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            for what, data in (("noise", os.urandom(400)), ("well formed, another cluster", encode(Ping(
+                    FORM, "other", Record("x", 1, 0, State.ALIVE, "127.0.0.1:1", 1), 0, (), 1, 1)))):
+                for rate in (0, 1_000, 20_000):
+                    used, loop = cpu_of(process.pid), asyncio.get_running_loop()
+                    began, sent = loop.time(), 0
+                    while (past := loop.time() - began) < 5.0:
+                        while sent < rate * past:
+                            sock.sendto(data, (own(0), f.port))
+                            sent += 1
+                        await asyncio.sleep(0.002)
+                    used = (cpu_of(process.pid) - used) / 5.0 * 100
+                    figures_ = await f.view(0, "/api/telemetry")
+                    flood = figures_.split('reason="flood"} ')[1].split()[0]
+                    alive = sum(state == "alive" for state in states(await f.view(0)).values())
+                    print(f"| {rate} | {what} | {used:.1f} | {flood} | {alive} alive |", flush=True)
+
+
 def main() -> None:
     """Measure what is asked for."""
     parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
-    parser.add_argument("what", choices=["members", "processes", "service", "moves"])
+    parser.add_argument("what", choices=["members", "processes", "service", "moves", "damping", "noise"])
     parser.add_argument("--seeds", type=int, default=20)
     parser.add_argument("--sizes", default="10,50,200")
     parser.add_argument("--seconds", type=float, default=20.0)
@@ -264,8 +349,13 @@
         processes(sizes, told.seconds)
     elif told.what == "service":
         service(told.seeds, told.workers, told.only)
-    else:
+    elif told.what == "moves":
         moves()
+    elif told.what == "damping":
+        damping()
+    else:
+        quiet()
+        asyncio.run(noise_run())
 
 
 if __name__ == "__main__":
--- a/hallhitch/membership/roster.py
+++ b/hallhitch/membership/roster.py
@@ -122,7 +122,7 @@
         self.wake = now + d.step if self._missing or self._short(there, now) else math.inf
         held = self.places.names & there | {mine}
         ready = self._ready(there - held, now)
-        if now - self._stepped >= d.step and (ready or held != self.places.names):
+        if now >= self._stepped + d.step and (ready or held != self.places.names):
             most = len(ready) if self._fresh(now) else max(1, math.floor(d.part * len(held)))
             self.places.become(mine)
             self.places.follow(held | set(sorted(ready, key=order)[:most]))
@@ -150,7 +150,7 @@
         return self.damping.pause if name in self._missing else self.damping.settle
 
     def _ready(self, names: set[str], now: float) -> set[str]:
-        return {name for name in names if now - self._here[name] >= self._wait(name)}
+        return {name for name in names if now >= self._here[name] + self._wait(name)}  # as `wake` is counted
 
     def _faded(self, since: float, now: float) -> float:
         """How much of one that is missing since then still counts."""
