--- /dev/null
+++ b/hallhitch/node/errors.py
@@ -0,0 +1,19 @@
+"""Errors of the system carry the step at which they arose, and the peer that had a part in them."""
+
+from __future__ import annotations
+
+
+class StepError(Exception):
+    """Something failed at a step of ours, towards a peer ("" = none)."""
+
+    def __init__(self, step: str, peer: str, reason: str) -> None:
+        super().__init__(f"{step}: {reason}" + (f" (peer {peer})" if peer else ""))
+        self.step, self.peer, self.reason = step, peer, reason
+
+
+class Silent(StepError):
+    """The peer did not answer in time, or could not be reached: what was asked may have been done."""
+
+
+class Refused(StepError):
+    """The peer answered that it would not."""
--- /dev/null
+++ b/hallhitch/planes/values.py
@@ -0,0 +1,123 @@
+"""What the planes tell each other: plain values, no I/O, no clock.
+
+Times are milliseconds of the process's steady clock (`hallhitch.node.clock.now`) where they are moments, plain
+milliseconds where they are lengths. Names are those of docs/design/system.md.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+IDEMPOTENT, NON_IDEMPOTENT, DOWNLOAD = "idempotent", "non_idempotent", "download"
+NOWHERE: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """One route of the configuration; `split` holds the services with their weights, one at least."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout: float
+    target: float  # ms within which an answer earns its full worth
+    priority: int
+    split: tuple[tuple[str, float], ...]
+    attempts: int
+    public: bool
+    homes: frozenset[str] = NOWHERE  # regions it may be served in; empty = anywhere
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind != NON_IDEMPOTENT
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """One service of the configuration."""
+
+    name: str
+    health_path: str
+    max_connections: int
+    cold_time: float  # ms for which a backend started during traffic is cold
+    cold_rate: float  # requests a second that a cold backend bears; 0 = no bound given
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """One tenant; `rate` requests a second with `burst` on top, 0 = no limit."""
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None
+    rate: float
+    burst: float
+    homes: frozenset[str] = NOWHERE
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What a client may send, and how long it may take or rest (ms)."""
+
+    head: int = 16_384
+    body: int = 64 * 1024 * 1024
+    head_time: float = 3000.0
+    idle_time: float = 15_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Word:
+    """The operator's word, compiled for look-ups; swapped whole, never changed.
+
+    `serial` grows by one with each change that was agreed (configuration or evacuation); `version` is the
+    operator's configVersion, -1 while none was given.
+    """
+
+    serial: int
+    version: int
+    routes: Mapping[str, tuple[Route, ...]]  # by host in lower case, longest prefix first
+    services: Mapping[str, Service]
+    tenants: Mapping[str, Tenant]
+    keys: Mapping[str, Tenant]
+    limits: Limits = field(default_factory=Limits)
+    evacuated: frozenset[str] = NOWHERE  # zones
+
+    def route(self, host: str, path: str) -> Route | None:
+        """The route of a request: of its host, the longest prefix that begins the path (no query in `path`)."""
+        for route in self.routes.get(host, ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+
+@dataclass(frozen=True, slots=True)
+class Backend:
+    """One life of a backend, as the platform's list shows it."""
+
+    instance: str
+    service: str
+    host: str
+    port: int
+    zone: str
+    region: str
+    slots: int
+    draining: bool = False
+    cold_until: float = 0.0  # steady ms at this process; in the past = warm
+
+
+@dataclass(frozen=True, slots=True)
+class Gateway:
+    """One process of the system, as the others know it; `life` is drawn anew at each start."""
+
+    name: str
+    address: str  # "ip:port" of its internal port
+    life: int
+    machine_class: str
+    zone: str
+    region: str
+    frontend: str = ""  # empty where it takes no clients
+    ready: bool = False
+    leaving: bool = False
