--- a/Makefile
+++ b/Makefile
@@ -2,13 +2,13 @@
 VENV ?= .venv-dev
 PY = $(VENV)/bin/python
 
-.PHONY: build test soak lint run demo demo-control demo-fleet clean
+.PHONY: build test soak lint run demo demo-control demo-fleet messages clean
 
 build: $(VENV)/done
 
 $(VENV)/done: requirements.txt pyproject.toml
 	python3 -m venv $(VENV)
-	$(VENV)/bin/pip -q install -r requirements.txt -e '.[hosted,lab,dev]'
+	$(VENV)/bin/pip -q install -r requirements.txt -e '.[hosted,lab,system,dev]'
 	touch $@
 
 test: build
@@ -39,5 +39,10 @@
 demo-fleet: build
 	$(VENV)/bin/hallhitch fleet demo
 
+# The messages between our processes, made anew from their schema.
+messages: build
+	$(PY) -m grpc_tools.protoc -Ihallhitch/messages --python_out=hallhitch/messages --pyi_out=hallhitch/messages \
+		hallhitch/messages/system.proto
+
 clean:
 	rm -rf $(VENV) build *.egg-info .mypy_cache .ruff_cache .pytest_cache
--- a/hallhitch/lab/http_wire.py
+++ b/hallhitch/lab/http_wire.py
@@ -9,10 +9,17 @@
 
 
 async def read_message(reader: Reader) -> tuple[str, dict[str, str], bytes]:
-    """One HTTP message: first line, headers in lower case, body."""
+    """One HTTP message: first line, headers in lower case, body, with a length or in chunks."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
     headers = {n.strip().lower(): v.strip() for n, _, v in (line.partition(":") for line in head[1:] if line)}
-    return head[0], headers, await reader.readexactly(int(headers.get("content-length", "0")))
+    if headers.get("transfer-encoding", "").lower() != "chunked":
+        return head[0], headers, await reader.readexactly(int(headers.get("content-length", "0")))
+    parts = []
+    while size := int((await reader.readuntil(b"\r\n")).partition(b";")[0], 16):
+        parts.append((await reader.readexactly(size + 2))[:-2])
+    while await reader.readuntil(b"\r\n") != b"\r\n":
+        pass  # trailers
+    return head[0], headers, b"".join(parts)
 
 
 def answer(status: int, body: bytes = b"", extra: str = "") -> bytes:
--- a/hallhitch/net/http.py
+++ b/hallhitch/net/http.py
@@ -31,6 +31,7 @@
     status: int = 0
     headers: dict[bytes, bytes] = field(default_factory=dict)  # names in lower case; the last of each
     twice: list[bytes] = field(default_factory=list)  # names that came more than once
+    fields: list[tuple[bytes, bytes]] | None = None  # all of them as they came, where a reader keeps them
     body: bytes = b""
     flow: Flow | None = None  # the body, where it is long and passes in pieces
     length: int | None = None  # of the body as its head says; None where it does not
@@ -50,12 +51,16 @@
     # Whether what is declared long passes from its first byte on, as that is what its receiver waits for.
     _passes_early = False
 
-    def __init__(self, long: bool = False, hold: Callable[[int], bool] = refused) -> None:
-        """Bodies past BODY_MOST are refused; if `long`, they pass in pieces once `hold` gives no more room for them.
+    def __init__(
+        self, long: bool = False, hold: Callable[[int], bool] = refused, *,
+        head_most: int = HEAD_MOST, body_most: int = BODY_MOST, long_most: int = LONG_MOST,
+    ) -> None:
+        """Bodies past `body_most` are refused; if `long`, they pass in pieces once `hold` gives no more room for them.
 
         A message that passes is given out where it begins to, and its flow then tells of the rest.
         """
-        self._long_most, self._hold = LONG_MOST if long else BODY_MOST, hold
+        self._head_most, self._body_most = head_most, body_most
+        self._long_most, self._hold = long_most if long else body_most, hold
         self._message = Message()
         self._parts: list[bytes] = []
         self._size = 0
@@ -77,12 +82,12 @@
         except httptools.HttpParserUpgrade:
             status = 400
         except httptools.HttpParserError:
-            status = self._refused or (431 if self._head > HEAD_MOST else 400)
-        if self._raw > HEAD_MOST and not status:
-            if self._in_head and self._head > HEAD_MOST:
+            status = self._refused or (431 if self._head > self._head_most else 400)
+        if self._raw > self._head_most and not status:
+            if self._in_head and self._head > self._head_most:
                 status = 431
             # Chunk extensions or trailers without end are in no field and no body; chunks of one byte are six.
-            elif self._raw > HEAD_MOST + 8 * max(BODY_MOST, self._size):
+            elif self._raw > self._head_most + 8 * max(self._body_most, self._size):
                 status = 413
         if status:
             self.fail()
@@ -135,7 +140,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         self._fields += len(name) + len(value) + 4
-        if self._fields > HEAD_MOST:
+        if self._fields > self._head_most:
             self._refuse(431)
         if not self._in_head:
             return  # a trailer: nothing here rests on one, and none may change what the head said
@@ -148,8 +153,8 @@
         self._in_head = False
         length = self._message.headers.get(b"content-length")
         if length is not None and length.isdigit():
-            self._message.length = int(length) if len(length) <= 18 else LONG_MOST + 1
-            if self._message.length > BODY_MOST:
+            self._message.length = int(length) if len(length) <= 18 else self._long_most + 1
+            if self._message.length > self._body_most:
                 if self._message.length > self._long_most:
                     self._refuse(413)
                 self._early = self._passes_early
@@ -161,7 +166,7 @@
         if self._message.flow is not None:
             return self._message.flow.put(body)
         self._parts.append(body)
-        if (self._size > BODY_MOST or self._early) and self._passes(len(body)):
+        if (self._size > self._body_most or self._early) and self._passes(len(body)):
             self.pass_on()
 
     def _passes(self, more: int) -> bool:
@@ -192,8 +197,11 @@
 class RequestReader(_Reader):
     """Reads requests off one connection."""
 
-    def __init__(self, long: bool = False, hold: Callable[[int], bool] = refused) -> None:
-        super().__init__(long, hold)
+    def __init__(
+        self, long: bool = False, hold: Callable[[int], bool] = refused, *,
+        head_most: int = HEAD_MOST, body_most: int = BODY_MOST, long_most: int = LONG_MOST,
+    ) -> None:
+        super().__init__(long, hold, head_most=head_most, body_most=body_most, long_most=long_most)
         self.expects = False  # whether a client waits to be told to send its body
         self.parser: httptools.HttpRequestParser = httptools.HttpRequestParser(self)
 
@@ -222,8 +230,11 @@
 
     _passes_early = True
 
-    def __init__(self, long: bool = False) -> None:
-        super().__init__(long)
+    def __init__(
+        self, long: bool = False, *,
+        head_most: int = HEAD_MOST, body_most: int = BODY_MOST, long_most: int = LONG_MOST,
+    ) -> None:
+        super().__init__(long, head_most=head_most, body_most=body_most, long_most=long_most)
         self.parser: httptools.HttpResponseParser = httptools.HttpResponseParser(self)
 
     def end(self) -> list[Message]:
--- /dev/null
+++ b/hallhitch/planes/data/choice.py
@@ -0,0 +1,304 @@
+"""The decisions of the data plane: which backend, whether again, what to hold and what to turn away.
+
+Plain values in and out: every call brings the moment, randomness is passed in. Must never send to a backend that
+drains, lies in an evacuated zone or outside a request's homes, and never a second time what may have run and must not.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field, replace
+from random import Random
+
+from hallhitch.planes.data.budget import Budget
+from hallhitch.planes.data.cold import Cold
+from hallhitch.planes.data.field import Attempt, Field, Seat, Tier, Want
+from hallhitch.planes.data.health import SPELL
+from hallhitch.planes.data.pace import Usual
+from hallhitch.planes.data.ports import Ask, Exchange, Fail, Hold, Outcome, Refuse, Send, Step
+from hallhitch.planes.data.ranks import Weights, owners
+from hallhitch.planes.values import Backend, Gateway, Word
+
+HOLD_PART = 0.22  # of the target: refusals are early within a quarter of it, and the answer takes its way too
+HOLD_TRIED = 0.5  # of the target, for one that was turned away: refusing it is late already
+POLL, POLL_MOST = 4.0, 20.0  # ms between two looks for room
+POLL_PART = 0.1  # of the usual time
+AFTER_LEAST, AFTER_MOST = 0.4, 0.9  # of the target: when to come back, spread so that they do not come together
+UNREACHABLE_MOST = 6  # backends tried in vain before one gives up
+TRIAL_SHARE = 0.1  # of the sends to a service that may be trials
+TRIALS_MOST = 3.0
+STILL = 0.8  # of the fastest answer of late: with less time left nothing can come back
+NETWORK = 0.5  # share of a service's backends in trouble from which it is this gateway's own network
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """What the decisions need of a gateway's settings; times in ms."""
+
+    name: str
+    zone: str
+    region: str
+    zones: Mapping[str, str] = field(default_factory=dict)  # zone -> region
+    retry_ratio: float = 0.2
+    retry_window: float = 10_000.0
+    retry_slack: float = 0.0
+    cold_over: float = 1.0
+    cold_slack: float = 0.0
+    list_lag: float = 1000.0  # how far the list of backends runs behind
+
+
+@dataclass(slots=True, eq=False)
+class Run(Exchange):
+    """One try under way."""
+
+    ask: Ask
+    attempts: list[Attempt] = field(default_factory=list)
+    waits: Field | None = None  # where it is counted as waiting
+    status: int = 502
+
+
+class Choice:
+    """Implements `ports.Decisions` for one gateway."""
+
+    def __init__(self, settings: Settings, rng: Random) -> None:
+        self._settings, self._rng = settings, rng
+        self._weights = Weights()
+        self._cold = Cold(settings.name, settings.region, settings.zones, settings.cold_over, settings.cold_slack,
+                          settings.list_lag, self._weights)
+        self._word: Word | None = None
+        self._entries: Sequence[Backend] = ()
+        self._seats: dict[str, Seat] = {}
+        self._fields: dict[str, Field] = {}
+        self._budgets: dict[str, Budget] = {}
+        self._peers: dict[str, tuple[str, str]] = {settings.name: (settings.zone, settings.region)}
+
+    def backends(self, now: float, entries: Sequence[Backend]) -> None:
+        """All backends there are, as last told."""
+        self._entries = entries
+        self._cold.backends(now, entries, self._word.services if self._word else {})
+        seats: dict[str, Seat] = {}
+        for entry in entries:
+            seat = self._seats.get(entry.instance)
+            if seat is None or (seat.backend.host, seat.backend.port) != (entry.host, entry.port):
+                seat = Seat(entry)
+            seat.backend = entry
+            seats[entry.instance] = seat
+        self._seats = seats
+        self._place()
+
+    def gateways(self, now: float, own: str, entries: Sequence[Gateway]) -> None:
+        """All gateways that live, as last told."""
+        self._peers = {g.name: (g.zone, g.region) for g in entries if g.frontend and not g.leaving}
+        self._peers[self._settings.name] = (self._settings.zone, self._settings.region)
+        self._cold.gateways(now, entries)
+        self._place()
+
+    def word(self, now: float, word: Word) -> None:
+        """The operator's word, whole."""
+        known, self._word = self._word, word
+        if known is None:
+            self._cold.backends(now, self._entries, word.services)
+        self._cold.evacuated(now, word.evacuated, self._entries, word.services)
+        for name, service in word.services.items():
+            if name in self._fields:
+                self._fields[name].service = service
+        self._place()
+
+    def begin(self, now: float, ask: Ask) -> Run:
+        """A try was admitted."""
+        self._budget(now, ask.service).first(now)
+        return Run(ask)
+
+    def next(self, now: float, exchange: Exchange) -> Step:
+        """What to do now."""
+        assert isinstance(exchange, Run)
+        run = exchange
+        step = self._step(now, run)
+        if not isinstance(step, Hold):
+            self._rest(run)
+        return step
+
+    def ended(self, now: float, exchange: Exchange, backend: Backend, outcome: Outcome, lag: float) -> None:
+        """One attempt has ended, or has outlasted its patience (SILENT)."""
+        assert isinstance(exchange, Run)
+        run = exchange
+        attempt = next((a for a in reversed(run.attempts) if a.seat.backend.instance == backend.instance), None)
+        if attempt is None:
+            return
+        seat, place = attempt.seat, self._fields.get(backend.service)
+        attempt.ran = attempt.ran or outcome.ran
+        if outcome is Outcome.SILENT and not attempt.silent:
+            attempt.silent = True
+            run.status = 504
+            if attempt.out:
+                seat.late.append(attempt)
+        elif attempt.out:
+            attempt.release()
+        if outcome in (Outcome.UNREACHABLE, Outcome.VOID):
+            attempt.arrived = False
+            if attempt.mark is not None:
+                self._budget(now, run.ask.service).give_back(attempt.mark)
+                attempt.mark = None
+        self._learn(now, run, attempt, place, outcome, lag)
+
+    def finish(self, now: float, exchange: Exchange) -> None:
+        """The client has its answer, or left."""
+        assert isinstance(exchange, Run)
+        self._rest(exchange)
+
+    def _learn(self, now: float, run: Run, attempt: Attempt, place: Field | None, outcome: Outcome,
+               lag: float) -> None:
+        seat, ask = attempt.seat, run.ask
+        health, jitter = seat.health, 0.8 + 0.4 * self._rng.random()
+        if outcome in (Outcome.OK, Outcome.FAILED):
+            spell = health.good(now, attempt.at)
+            if spell >= SPELL and place is not None and not self._network(now, place):
+                self._cold.presume(seat.backend.instance, now + 2.0 * self._settings.list_lag + SPELL)
+            if place is not None and outcome is Outcome.OK:
+                usual = place.pace.usual(ask.route.name, ask.route.target)
+                seat.ratio.took(now, lag / max(usual.mean, 1.0))
+                usual.took(lag)
+                if ask.route.repeatable and not attempt.silent:
+                    place.pace.ended(False)
+        elif outcome is Outcome.DECLINED:
+            health.full(now, jitter)
+        elif outcome is not Outcome.VOID:
+            health.bad(now, outcome, jitter)
+            if outcome is Outcome.SILENT and place is not None and ask.route.repeatable:
+                place.pace.ended(True)
+
+    def _network(self, now: float, place: Field) -> bool:
+        seats = place.near + place.rest
+        return sum(1 for s in seats if s.health.bad_at > now - 2.0 * SPELL) > NETWORK * len(seats) > 0
+
+    def _step(self, now: float, run: Run) -> Step:
+        ask, left = run.ask, run.ask.ends - now
+        route = ask.route
+        out = [a for a in run.attempts if a.out]
+        ran = any(a.ran for a in run.attempts)
+        if not route.repeatable and (out or ran):
+            # It may be running, or has: there is nothing more to try.
+            if left > 0 and any(not a.silent for a in out):
+                return Hold(left)
+            return Fail(run.status if left > 0 else 504)
+        place = self._fields.get(ask.service)
+        if place is None:
+            return self._turn_away(ask, None)
+        usual = place.pace.usual(route.name, route.target)
+        if left <= usual.fastest * STILL:
+            if out and left > 0:
+                return Hold(left)
+            return Fail(504) if ran or out else self._turn_away(ask, usual)
+        arrived = sum(1 for a in run.attempts if a.arrived)
+        further = arrived > 0
+        budget = self._budget(now, ask.service)
+        if (arrived >= max(route.attempts, 1) or len(run.attempts) - arrived >= UNREACHABLE_MOST
+                or further and not budget.room(now, len(self._peers)) or out and place.pace.slow):
+            if out:
+                return Hold(left)
+            return Fail(run.status) if ran else self._turn_away(ask, usual)
+        tried = frozenset(a.seat.backend.instance for a in run.attempts)
+        want = Want(now, route.kind, not route.repeatable, route.target, usual.mean, ask.homes, tried, ask.priority)
+        seat, trial = self._seat(place, run, want)
+        if seat is not None:
+            return self._send(now, run, place, usual, seat, trial)
+        if out:
+            return Hold(left)
+        return self._wait(now, run, place, usual, ran)
+
+    def _seat(self, place: Field, run: Run, want: Want) -> tuple[Seat | None, bool]:
+        if not run.attempts and (seat := place.trial(want)) is not None:
+            place.trials -= 1.0
+            return seat, True
+        seat = place.choose(want, self._rng) or place.last_resort(want, self._rng)
+        if seat is None and run.attempts and not any(a.out for a in run.attempts):
+            # Nothing else: one where it surely never ran may have room by now.
+            want = replace(want, tried=frozenset(a.seat.backend.instance for a in run.attempts if a.ran))
+            seat = place.choose(want, self._rng) or place.last_resort(want, self._rng)
+        if seat is not None and not run.attempts and place.yields(seat, want):
+            seat = None
+        return seat, False
+
+    def _send(self, now: float, run: Run, place: Field, usual: Usual, seat: Seat, trial: bool) -> Step:
+        ask = run.ask
+        attempt = Attempt(seat, now, ask.ends, trial)
+        if any(a.arrived for a in run.attempts):
+            attempt.mark = self._budget(now, ask.service).take(now)
+        run.attempts.append(attempt)
+        seat.out += 1
+        seat.health.trial = seat.health.trial or trial
+        place.trials = min(place.trials + TRIAL_SHARE, TRIALS_MOST)
+        self._cold.sent(now, seat.backend)
+        left = ask.ends - now
+        if not ask.route.repeatable:
+            return Send(seat.backend, left)
+        return Send(seat.backend, place.pace.patience(usual, ask.route.target, now - ask.came, left))
+
+    def _wait(self, now: float, run: Run, place: Field, usual: Usual, ran: bool) -> Step:
+        ask = run.ask
+        part = HOLD_TRIED if run.attempts else HOLD_PART
+        hold = min(ask.came + part * ask.route.target - now, ask.ends - now - usual.mean)
+        if hold <= 1.0:
+            return Fail(run.status) if ran else self._turn_away(ask, usual)
+        if run.waits is None:
+            run.waits = place
+            key = ask.priority, ask.homes
+            place.waiting[key] = place.waiting.get(key, 0) + 1
+        return Hold(min(hold, max(POLL, min(POLL_MOST, usual.mean * POLL_PART)) * (0.75 + 0.5 * self._rng.random())))
+
+    def _rest(self, run: Run) -> None:
+        if run.waits is not None:
+            key = run.ask.priority, run.ask.homes
+            run.waits.waiting[key] -= 1
+            if not run.waits.waiting[key]:
+                del run.waits.waiting[key]
+            run.waits = None
+
+    def _turn_away(self, ask: Ask, usual: Usual | None) -> Refuse:
+        spread = AFTER_LEAST + (AFTER_MOST - AFTER_LEAST) * self._rng.random()
+        return Refuse(ask.route.target * spread)
+
+    def _budget(self, now: float, service: str) -> Budget:
+        budget = self._budgets.get(service)
+        if budget is None:
+            settings = self._settings
+            budget = self._budgets[service] = Budget(settings.retry_ratio, settings.retry_window,
+                                                     settings.retry_slack, now)
+        return budget
+
+    def _place(self) -> None:
+        """Sort all seats anew: by service, place and rank."""
+        if self._word is None:
+            return
+        settings, word, weights = self._settings, self._word, self._weights
+        weights.keep(set(self._seats), set(self._peers))
+        region = [n for n, (_, r) in self._peers.items() if r == settings.region]
+        in_zone = [n for n, (z, _) in self._peers.items() if z == settings.zone]
+        seats: dict[str, list[Seat]] = {name: [] for name in word.services}
+        for seat in self._seats.values():
+            backend = seat.backend
+            if backend.service in seats and not backend.draining and backend.zone not in word.evacuated:
+                seats[backend.service].append(seat)
+        for name, service in word.services.items():
+            place = self._fields.get(name)
+            if place is None:
+                place = self._fields[name] = Field(service, self._cold)
+            mine = [s.backend.instance for s in seats[name] if s.backend.zone == settings.zone]
+            owned = owners(weights, mine, in_zone)
+            for seat in seats[name]:
+                instance = seat.backend.instance
+                if seat.backend.zone == settings.zone:
+                    seat.tier = Tier.ZONE
+                    rank = weights.rank(instance, settings.name, in_zone)
+                    seat.rank = 0 if owned[instance] == settings.name else max(rank, 1)
+                elif seat.backend.region == settings.region:
+                    seat.tier = Tier.REGION
+                    ahead = [n for n in region if self._peers[n][0] == seat.backend.zone]
+                    others = [n for n in region if n not in ahead]
+                    seat.rank = len(ahead) + weights.rank(instance, settings.name, others)
+                else:
+                    seat.tier = Tier.FAR
+                    seat.rank = weights.rank(instance, settings.name, region)
+            place.place(seats[name], len(region))
+        for name in [n for n in self._fields if n not in word.services]:
+            del self._fields[name]
--- /dev/null
+++ b/hallhitch/planes/news/hub.py
@@ -0,0 +1,173 @@
+"""What one process knows of the system's soft state, and what it tells those who pull from it.
+
+The word has its serial; of the rest each process numbers what it tells by a feed of its own. Nothing goes back: a word
+is taken only with a higher serial, a list of backends only if it was read later.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+from hallhitch.messages.system_pb2 import (
+    BackendEntry,
+    Backends,
+    Envelope,
+    GatewayEntry,
+    Gateways,
+    Holders,
+    News,
+    Pull,
+    Stamp,
+)
+from hallhitch.messages.system_pb2 import Word as WordMessage
+from hallhitch.node.clock import now
+from hallhitch.planes.discovery.listing import Listed, settle
+from hallhitch.planes.news.feed import Changes, Feed
+from hallhitch.planes.values import Gateway
+
+HOLD_MOST = 1000.0  # ms for which a pull is held back at most
+
+
+def entry_of(g: Gateway) -> GatewayEntry:
+    """A gateway as it is sent."""
+    return GatewayEntry(
+        name=g.name, address=g.address, life=g.life, machine_class=g.machine_class, zone=g.zone, region=g.region,
+        frontend=g.frontend, ready=g.ready, leaving=g.leaving)
+
+
+def gateway_of(e: GatewayEntry) -> Gateway:
+    """And as it is received."""
+    return Gateway(e.name, e.address, e.life, e.machine_class, e.zone, e.region, e.frontend, e.ready, e.leaving)
+
+
+def sent_of(e: Listed, clock: float) -> BackendEntry:
+    """A backend as it is sent: what is left of its coldness, as clocks are each process's own."""
+    return BackendEntry(
+        instance=e.instance, service=e.service, host=e.host, port=e.port, zone=e.zone, slots=e.slots,
+        draining=e.draining, cold_left=max(0.0, e.cold_until - clock))
+
+
+class Hub:
+    """One process's knowledge: the word, backends, gateways, holders."""
+
+    def __init__(self, life: int) -> None:
+        self.life = life
+        self.word = WordMessage(version=-1)
+        self.backends: Feed[Listed] = Feed(life)
+        self.read_at = float("-inf")  # when the list of backends was read, by this process's clock
+        self.gateways: Feed[Gateway] = Feed(life)  # all that live, as far as known here
+        self.direct: Feed[Gateway] = Feed(life)  # those that pull from here
+        self.holders: Mapping[int, str] = {}
+        self._holders_number = 0
+        self.core: tuple[str, ...] = ()
+        self.members: tuple[str, ...] = ()
+        self.lonely = False
+        self.tells_gateways = True  # not while a process that has just started knows few of them
+        self.on_change: list[Callable[[], None]] = []
+        self._waiters: set[asyncio.Future[None]] = set()
+
+    # What becomes known.
+
+    def changed(self) -> None:
+        """Wake whoever waits for news."""
+        for waiter in self._waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+        self._waiters.clear()
+        for hear in self.on_change:
+            hear()
+
+    def take_word(self, serial: int, version: int, content: bytes, evacuated: Iterable[str]) -> bool:
+        """Take a newer word; whether it was newer."""
+        if serial <= self.word.serial:
+            return False
+        self.word = WordMessage(serial=serial, version=version, content=content, evacuated=sorted(evacuated))
+        self.changed()
+        return True
+
+    def take_list(self, read_at: float, entries: Iterable[Listed]) -> bool:
+        """Take a whole list of backends that was read later than the one known; whether it was."""
+        if read_at <= self.read_at:
+            return False
+        self.read_at = read_at
+        known = {e.instance: e for e in self.backends.values()}
+        if self.backends.replace(settle(known, entries)):
+            self.changed()
+        return True
+
+    def set_gateways(self, gateways: Mapping[str, Gateway]) -> None:
+        """All gateways known to live, by address."""
+        if self.gateways.replace(gateways):
+            self.changed()
+
+    def set_holders(self, holders: Mapping[int, str]) -> None:
+        """Who holds which bucket of tenants."""
+        if holders != self.holders:
+            self.holders = dict(holders)
+            self._holders_number += 1
+            self.changed()
+
+    # What is told.
+
+    def news(self, pull: Pull) -> News | None:
+        """What the one that pulls lacks; None if nothing."""
+        news, any_news, clock = News(), False, now()
+        if self.word.serial > pull.have["word"].number:
+            news.word.CopyFrom(self.word)
+            any_news = True
+        if self.read_at > float("-inf"):
+            had = pull.have["backends"]
+            changes = self.backends.since(had.epoch, had.number)
+            if changes is not None:
+                news.backends.CopyFrom(Backends(
+                    stamp=_stamp(changes), whole=changes.whole, gone=changes.gone,
+                    entries=[sent_of(e, clock) for e in changes.entries.values()]))
+                any_news = True
+        if self.tells_gateways or pull.direct:
+            had = pull.have["gateways"]
+            gateways = (self.direct if pull.direct else self.gateways).since(had.epoch, had.number)
+            if gateways is not None:
+                news.gateways.CopyFrom(Gateways(
+                    stamp=_stamp(gateways), whole=gateways.whole, gone=gateways.gone,
+                    entries=[entry_of(g) for g in gateways.entries.values()]))
+                any_news = True
+        had = pull.have["holders"]
+        if self._holders_number and (had.epoch, had.number) != (self.life, self._holders_number):
+            news.holders.CopyFrom(Holders(
+                stamp=Stamp(epoch=self.life, number=self._holders_number), holders=self.holders))
+            any_news = True
+        return self._signed(news) if any_news else None
+
+    def _signed(self, news: News) -> News:
+        """What goes with every answer."""
+        news.life, news.lonely = self.life, self.lonely
+        if self.read_at > float("-inf"):
+            news.list_age = max(0.1, now() - self.read_at)
+        news.core.extend(self.core)
+        news.members.extend(self.members)
+        return news
+
+    async def answer(self, pull: Pull) -> Envelope:
+        """The answer to a pull: at once if there is news, else held back until there is or its wait is over."""
+        until = now() + min(pull.wait, HOLD_MOST)
+        while (news := self.news(pull)) is None:
+            left = until - now()
+            if left <= 0:
+                news = self._signed(News())
+                break
+            waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+            self._waiters.add(waiter)
+            try:
+                async with asyncio.timeout(left / 1000):
+                    await waiter
+            except TimeoutError:
+                pass
+            finally:
+                self._waiters.discard(waiter)
+        return Envelope(news=news)
+
+
+def _stamp(changes: Changes[Any]) -> Stamp:
+    return Stamp(epoch=changes.epoch, number=changes.number)
--- /dev/null
+++ b/hallhitch/planes/quota/claimer.py
@@ -0,0 +1,265 @@
+"""What a gateway claims and what it holds. Owns its leases by its own clock; asks nobody itself.
+
+A lease runs while a majority of the members' votes run, each from when its claim was *sent*. It begins only once a
+second claim, sent after a majority had voted, found the same majority still voting in the same lives: then there
+was one moment at which no other gateway could have had a majority. When it lapses, everything known of the bucket's
+votes is void, answers under way among them, and it is won anew. Both are needed because coordinators forget.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import struct
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+
+from hallhitch.planes.quota.lease import LEASE, Asked, Votes, members_mark
+from hallhitch.planes.quota.limits import BUCKETS
+
+MARGIN = 50.0  # ms by which our clock may run slower than theirs within one LEASE, and more
+PATIENCE = 700.0  # ms that winning a bucket may take before it is let go
+NEXT = 1000.0  # ms that a bucket stays free before the next in its order tries
+SETTLING = 600.0  # ms after the first view of the gateways, and after none of them were known, without taking
+EVEN = 2500.0  # ms for which another must be a bucket's first before it is handed over
+HAND_OVER = 24  # buckets in one claim
+
+
+def ranks(gateways: Iterable[str]) -> list[list[str]]:
+    """For each bucket the gateways in the order of who should hold it (rendezvous).
+
+    >>> len(ranks(["10.0.0.1:7000", "10.0.0.2:7000"])), sorted(ranks(["a", "b"])[0])
+    (128, ['a', 'b'])
+    """
+    scores = {gateway: struct.unpack(f">{BUCKETS}I", hashlib.shake_128(gateway.encode()).digest(4 * BUCKETS))
+              for gateway in set(gateways)}
+    return [sorted(scores, key=lambda gateway, at=bucket: (-scores[gateway][at], gateway)) for bucket in range(BUCKETS)]
+
+
+@dataclass(slots=True)
+class _Won:
+    """A lease: when each vote ends, and since which claim votes count for it."""
+
+    first: int
+    votes: dict[str, float]
+    began: float
+
+
+@dataclass(slots=True)
+class _Attempt:
+    """Votes of the first claim (coordinator -> its life), and of the one that confirms them."""
+
+    began: float
+    first: int
+    lives: dict[str, int] = field(default_factory=dict)
+    second: int = 0  # number of the confirming claim; 0 = not sent yet
+    ready: bool = False  # a majority has voted: the confirming claim may be sent
+    votes: dict[str, tuple[float, float]] = field(default_factory=dict)  # when it ends, until when others had it
+
+
+class Claimer:
+    """The leases of one life of one gateway.
+
+    `begun(bucket, others, now)` is told when a lease begins; `others`: until when another may have counted there.
+    """
+
+    def __init__(self, own: str, life: int, begun: Callable[[int, float, float], None], lease: float = LEASE) -> None:
+        self.own, self.life, self._begun, self._lease = own, life, begun, lease
+        self.until = [0.0] * BUCKETS  # steady ms until which we hold it
+        self.seen = 0  # gateways that may exist, as far as a majority has told
+        self._members: tuple[str, ...] = ()
+        self._number = 0
+        self._sent: dict[int, tuple[float, Asked]] = {}
+        self._won: dict[int, _Won] = {}
+        self._attempts: dict[int, _Attempt] = {}
+        self._letting: dict[int, tuple[bool, float]] = {}  # bucket -> counted there, told until
+        self._held_until = [float("-inf")] * BUCKETS  # the end of our own last lease
+        self._again = [0.0] * BUCKETS
+        self._free_since: list[float | None] = [0.0] * BUCKETS
+        self._order: list[list[str]] = [[] for _ in range(BUCKETS)]
+        self._first_since = [0.0] * BUCKETS  # since when the order's first is who it is
+        self._gateways: frozenset[str] = frozenset()
+        self._settled = float("inf")
+        self._told_seen: dict[str, int] = {}
+        self._leaving = False
+
+    def set_members(self, members: Iterable[str]) -> None:
+        """Who votes; a change of the list counts at once, for leases that run as well."""
+        listed = tuple(sorted(set(members)))
+        if listed == self._members:
+            return
+        self._members = listed
+        self._told_seen = {name: much for name, much in self._told_seen.items() if name in listed}
+        for bucket, won in self._won.items():
+            won.votes = {name: ends for name, ends in won.votes.items() if name in listed}
+            self._reckon(bucket, won)
+        self._attempts.clear()
+
+    def set_gateways(self, now: float, gateways: Iterable[str]) -> None:
+        """The live gateways that may hold buckets, this one among them if it may."""
+        names = frozenset(gateways)
+        if names == self._gateways:
+            return
+        if not self._gateways:
+            self._settled = now + SETTLING
+        self._gateways = names
+        for bucket, order in enumerate(ranks(names)):
+            if order[:1] != self._order[bucket][:1]:
+                self._first_since[bucket] = now
+            self._order[bucket] = order
+
+    def set_holders(self, now: float, holders: Mapping[int, str]) -> None:
+        """Who holds which bucket, as the coordinators tell."""
+        for bucket in range(BUCKETS):
+            if holders.get(bucket, self.own) != self.own:
+                self._free_since[bucket] = None
+            elif self._free_since[bucket] is None:
+                self._free_since[bucket] = now
+
+    def holds(self, now: float, bucket: int) -> bool:
+        """Whether this gateway counts the bucket's tenants now."""
+        return now < self.until[bucket]
+
+    def held(self, now: float) -> list[int]:
+        """The buckets whose lease runs."""
+        return [bucket for bucket in self._won if now < self.until[bucket]]
+
+    @property
+    def members(self) -> tuple[str, ...]:
+        """Whom the claims go to."""
+        return self._members
+
+    def leave(self, now: float) -> None:
+        """Take nothing more, and let all go with the next claim; nothing is counted from now on."""
+        self._leaving = True
+        for bucket in [*self._won]:
+            self._let(now, bucket, True)
+        for bucket in [*self._attempts]:
+            self._abandon(now, bucket, 0.0)
+
+    def round(self, now: float, busy: Callable[[int], bool]) -> Asked:
+        """The claim to send to every member now; `busy` tells whether units of a bucket lie in the window."""
+        for bucket in [bucket for bucket in self._won if now >= self.until[bucket]]:
+            self._let(now, bucket, True)
+        for bucket, attempt in [*self._attempts.items()]:
+            if now - attempt.began > PATIENCE:
+                self._abandon(now, bucket, 500.0)
+        if not self._leaving:
+            self._even_out(now, busy)
+            self._try(now)
+        self._number += 1
+        for attempt in self._attempts.values():
+            if attempt.ready and not attempt.second:
+                attempt.second = self._number
+        self._letting = {bucket: let for bucket, let in self._letting.items() if now < let[1]}
+        asked = Asked(
+            self.own, self.life, self._number, members_mark(self._members),
+            renew=sorted(self._won), take=sorted(self._attempts),
+            release=sorted(bucket for bucket, (counted, _) in self._letting.items() if counted),
+            drop=sorted(bucket for bucket, (counted, _) in self._letting.items() if not counted))
+        self._sent[self._number] = (now, asked)
+        for number in [number for number, (sent, _) in self._sent.items() if now - sent > self._lease]:
+            del self._sent[number]
+        return asked
+
+    def answered(self, now: float, coordinator: str, number: int, votes: Votes) -> bool:
+        """A coordinator's answer to one claim; True where the next claim should go out at once."""
+        if not votes.ok or number not in self._sent or coordinator not in self._members:
+            return False
+        sent, asked = self._sent[number]
+        ends = sent + self._lease - MARGIN
+        self._told_seen[coordinator] = votes.seen
+        if len(self._told_seen) * 2 > len(self._members):
+            self.seen = max(self._told_seen.values())
+        for bucket in asked.renew:
+            won = self._won.get(bucket)
+            if won is None or number < won.first or bucket in votes.refused:
+                continue
+            if now >= self.until[bucket]:
+                self._let(now, bucket, True)
+                continue
+            won.votes[coordinator] = max(won.votes.get(coordinator, 0.0), ends)
+            self._reckon(bucket, won)
+        hurry = False
+        for bucket, idle in zip(asked.take, votes.idle, strict=False):
+            attempt = self._attempts.get(bucket)
+            if attempt is not None and bucket not in votes.refused and number >= attempt.first:
+                hurry = self._vote(now, bucket, attempt, coordinator, number, votes.life, (ends, now - idle)) or hurry
+        return hurry
+
+    def _vote(self, now: float, bucket: int, attempt: _Attempt, coordinator: str, number: int, life: int,
+              vote: tuple[float, float]) -> bool:
+        """One vote in an attempt; True once a majority has voted for the first time."""
+        if not attempt.second or number < attempt.second:
+            attempt.lives.setdefault(coordinator, life)
+            if attempt.ready or not self._majority(len(attempt.lives)):
+                return False
+            attempt.ready = True
+            return True
+        if attempt.lives.get(coordinator) != life:
+            return False
+        attempt.votes[coordinator] = vote
+        if not self._majority(len(attempt.votes)):
+            return False
+        if now >= min(ends for ends, _ in attempt.votes.values()):
+            self._abandon(now, bucket, 0.0)
+            return False
+        del self._attempts[bucket]
+        won = self._won[bucket] = _Won(attempt.second + 1, {name: ends for name, (ends, _) in attempt.votes.items()},
+                                       now)
+        self._reckon(bucket, won)
+        self._begun(bucket, max(others for _, others in attempt.votes.values()), now)
+        return False
+
+    def _majority(self, votes: int) -> bool:
+        return votes * 2 > len(self._members)
+
+    def _reckon(self, bucket: int, won: _Won) -> None:
+        """Until when a majority's votes run."""
+        need = len(self._members) // 2
+        ends = sorted(won.votes.values(), reverse=True)
+        self.until[bucket] = ends[need] if len(ends) > need else 0.0
+
+    def _let(self, now: float, bucket: int, counted: bool) -> None:
+        """The lease is over: nothing is counted from now on."""
+        del self._won[bucket]
+        self._held_until[bucket] = min(now, self.until[bucket]) if self.until[bucket] else now
+        self.until[bucket] = 0.0
+        self._letting[bucket] = counted, now + self._lease
+        self._free_since[bucket] = now
+
+    def _abandon(self, now: float, bucket: int, pause: float) -> None:
+        del self._attempts[bucket]
+        # What the vote of an attempt could have counted is nothing, but an earlier lease of ours may have counted.
+        counted = now - self._held_until[bucket] < self._lease
+        self._letting[bucket] = counted, now + self._lease
+        self._again[bucket] = now + pause
+
+    def _even_out(self, now: float, busy: Callable[[int], bool]) -> None:
+        """Let go of buckets that count nothing and whose first is another, for that one to take."""
+        given = 0
+        for bucket in [*self._won]:
+            order = self._order[bucket]
+            if given >= HAND_OVER:
+                break
+            if order and order[0] != self.own and now - self._first_since[bucket] >= EVEN and not busy(bucket):
+                self._let(now, bucket, False)
+                self._again[bucket] = now + 2 * NEXT
+                given += 1
+
+    def _try(self, now: float) -> None:
+        if now < self._settled or self.own not in self._gateways or not self._members:
+            return
+        for bucket, free in enumerate(self._free_since):
+            if free is None or bucket in self._won or bucket in self._attempts or now < self._again[bucket]:
+                continue
+            if now - free >= NEXT * self._order[bucket].index(self.own):
+                self._letting.pop(bucket, None)
+                self._attempts[bucket] = _Attempt(now, self._number + 1)
+
+
+def wanted(asked: Asked) -> bool:
+    """Whether a claim says more than that its gateway is there."""
+    return bool(asked.renew or asked.take or asked.release or asked.drop)
+
+
+__all__: Sequence[str] = ("Claimer", "ranks", "wanted")
--- /dev/null
+++ b/hallhitch/planes/quota/lease.py
@@ -0,0 +1,158 @@
+"""A coordinator's votes on who holds which bucket. Owns its own votes alone; a lease is a majority of such votes.
+
+Nothing here is on disk. A coordinator that has just started has forgotten its votes, so for one LEASE it is young:
+it votes for nobody but a claimant whose lease runs by its own account. The same holds after a change of members.
+What makes that safe is said in docs/design/quota.md.
+"""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from hallhitch.planes.quota.limits import BUCKETS
+
+LEASE = 1500.0  # ms that a vote lasts from when it is cast
+SEEN = 60_000.0  # ms for which a claimant counts as a gateway that may exist
+
+
+def members_mark(members: Iterable[str]) -> int:
+    """A number that tells lists of members apart, whatever their order; 0 stands for none."""
+    listed = sorted(members)
+    return zlib.crc32("\n".join(listed).encode()) | 1 if listed else 0
+
+
+@dataclass(slots=True)
+class _Vote:
+    """The last vote on a bucket. `since`: from then on no other holder had one here (steady ms)."""
+
+    holder: str
+    life: int
+    ends: float
+    since: float
+    settled: bool = False  # its holder has said that its lease runs
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """One claim. `renew`: the claimant's lease runs; `take`: it wants one; `release`: it counts there no more;
+    `drop`: the same, and it counted nothing there within a window."""
+
+    holder: str
+    life: int
+    number: int
+    members: int
+    renew: Sequence[int] = ()
+    take: Sequence[int] = ()
+    release: Sequence[int] = ()
+    drop: Sequence[int] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Votes:
+    """What came of a claim. Without `ok` nothing was voted. All asked for and not refused have the vote.
+
+    `idle` goes with `take`, in its order: ms for which no other had this coordinator's vote (0 where refused).
+    """
+
+    ok: bool
+    life: int
+    young: bool = False
+    refused: frozenset[int] = frozenset()
+    idle: tuple[int, ...] = ()
+    seen: int = 0
+
+
+@dataclass(slots=True)
+class LeaseTable:
+    """The table of one coordinator's life."""
+
+    life: int
+    started: float
+    lease: float = LEASE
+    version: int = 0  # grows whenever `holders` may have changed
+    _votes: dict[int, _Vote] = field(default_factory=dict)
+    _numbers: dict[tuple[str, int], tuple[int, float]] = field(default_factory=dict)
+    _seen: dict[str, float] = field(default_factory=dict)
+    _members: int = 0
+    _young_until: float = 0.0
+    _shown: dict[int, str] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self._young_until = self.started + self.lease
+
+    def set_members(self, now: float, members: Iterable[str]) -> None:
+        """Who votes. After a change, votes by the old list may still be counted by their holders for one LEASE."""
+        mark = members_mark(members)
+        if mark == self._members:
+            return
+        if self._members:
+            self._young_until = max(self._young_until, now + self.lease)
+        self._members = mark
+
+    def young(self, now: float) -> bool:
+        """Whether votes that are forgotten may still count somewhere."""
+        return now < self._young_until
+
+    def claim(self, now: float, asked: Asked) -> Votes:
+        """Vote on one claim."""
+        who = (asked.holder, asked.life)
+        # One that was overtaken must not undo the newer.
+        if not asked.members or asked.members != self._members or asked.number <= self._numbers.get(who, (-1, 0.0))[0]:
+            return Votes(False, self.life)
+        self._numbers[who] = (asked.number, now)
+        self._seen[asked.holder] = now
+        for bucket in (*asked.release, *asked.drop):
+            vote = self._votes.get(bucket)
+            if vote is not None and (vote.holder, vote.life) == who:
+                vote.ends = min(vote.ends, now) if bucket in asked.release else min(vote.ends, vote.since)
+        young = self.young(now)
+        refused = {bucket for bucket in asked.renew if not self._vote(now, bucket, who, True)}
+        idle = []
+        for bucket in asked.take:
+            given = not young and self._vote(now, bucket, who, False)
+            idle.append(max(0, int(now - self._votes[bucket].since)) if given else 0)
+            if not given:
+                refused.add(bucket)
+        self._show(now)
+        return Votes(True, self.life, young, frozenset(refused), tuple(idle), self._gateways(now))
+
+    def holders(self, now: float) -> dict[int, str]:
+        """Bucket -> internal address, of those whose lease runs as far as this coordinator knows."""
+        self._show(now)
+        return dict(self._shown)
+
+    def sweep(self, now: float) -> int:
+        """The version after what has ended by now is taken out."""
+        self._show(now)
+        return self.version
+
+    def _vote(self, now: float, bucket: int, who: tuple[str, int], settled: bool) -> bool:
+        if not 0 <= bucket < BUCKETS:
+            return False
+        vote = self._votes.get(bucket)
+        if vote is None:
+            # Votes of an earlier life, if there were any, end with its youth.
+            vote = self._votes[bucket] = _Vote(*who, now, self._young_until)
+        elif (vote.holder, vote.life) != who:
+            if now < vote.ends:
+                return False
+            vote = self._votes[bucket] = _Vote(*who, now, max(vote.ends, vote.since))
+        vote.ends, vote.settled = now + self.lease, settled
+        return True
+
+    def _gateways(self, now: float) -> int:
+        for address, last in [*self._seen.items()]:
+            if now - last > SEEN:
+                del self._seen[address]
+        if len(self._numbers) > 4 * len(self._seen) + 64:
+            # A life that was silent for so long has no claim under way any more.
+            self._numbers = {who: told for who, told in self._numbers.items() if now - told[1] <= SEEN}
+        return len(self._seen)
+
+    def _show(self, now: float) -> None:
+        shown = {bucket: vote.holder for bucket, vote in self._votes.items() if vote.settled and now < vote.ends}
+        if shown != self._shown:
+            self._shown = shown
+            self.version += 1
--- /dev/null
+++ b/hallhitch/programs/coordinator.py
@@ -0,0 +1,159 @@
+"""The coordinator: keeps the operator's word, reads the platform's list, tells gateways.
+
+`python -O -m hallhitch.programs.coordinator`
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable
+
+from hallhitch.messages.link import Links
+from hallhitch.messages.system_pb2 import Envelope, Value
+from hallhitch.node.clock import now
+from hallhitch.node.errors import StepError
+from hallhitch.node.logs import Part, Rarely
+from hallhitch.node.settings import Node
+from hallhitch.node.web import Reply, Web
+from hallhitch.planes.control.plane import ControlPlane
+from hallhitch.planes.discovery.directory import Directory
+from hallhitch.planes.discovery.listing import due, turn
+from hallhitch.planes.discovery.platform import Platform
+from hallhitch.planes.discovery.roster import Roster, united
+from hallhitch.planes.news.following import Circle
+from hallhitch.planes.news.hub import Hub, gateway_of
+from hallhitch.planes.quota.plane import LeaseKeeper
+from hallhitch.planes.values import Gateway
+from hallhitch.programs.running import main
+
+TICK = 100.0  # ms between looks at who fell silent and whether the list is to be read
+YOUNG = 2000.0  # ms after its start in which a coordinator knows too few gateways to tell of them
+ALIVE = 1800.0  # ms within which another coordinator answered to count as live
+LIST_SHARE = 0.2  # of the drain bound: how often the list is read; its way to the last gateway takes the rest
+LIST_MOST = 1000.0  # ms between readings at most
+BODY_MOST = 32 * 1024 * 1024
+
+
+class CoordinatorProgram:
+    """All parts of one coordinator."""
+
+    def __init__(self, node: Node) -> None:
+        self._node, self._log = node, Part("coordinator")
+        self._life = random.SystemRandom().getrandbits(62) + 1
+        self._began = now()
+        self._links = Links(node.cluster, self._handle)
+        self._hub = Hub(self._life)
+        self._hub.tells_gateways = False
+        self._roster = Roster()
+        self._circle = Circle(self._links, self._hub, self._own, self._unite)
+        self._control = ControlPlane(node, self._links, self._told)
+        self._leases = LeaseKeeper(now)
+        self._directory = Directory(node.zones, node.bounds.ttl_most)
+        self._platform = Platform(node.cloud) if node.cloud is not None else None
+        self._rarely = Rarely(Part("list"))
+        self._operator = Web("operator", self._control.operator.call, BODY_MOST)
+        self._resolve = Web("directory", self._resolved)
+        self._every = min(LIST_MOST, node.bounds.drain * LIST_SHARE)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def _own(self) -> Gateway:
+        n = self._node
+        return Gateway(n.name, n.internal, self._life, n.machine_class, n.zone, n.region)
+
+    def _resolved(self, method: str, target: str, body: bytes) -> Reply:
+        return self._directory.call(method, target, self._hub.gateways.values())
+
+    def _handle(self, envelope: Envelope) -> Envelope | Awaitable[Envelope]:
+        if envelope.HasField("pull"):
+            return self._pulled(envelope)
+        for part in (self._control, self._leases):
+            answer = part.handle(envelope)
+            if answer is not None:
+                if envelope.HasField("claim"):
+                    self._hub.set_holders(self._leases.holders(now()))
+                return answer
+        return Envelope(error="a coordinator does not answer that")
+
+    def _pulled(self, envelope: Envelope) -> Awaitable[Envelope]:
+        other = gateway_of(envelope.pull.self)
+        if other.frontend:
+            self._roster.hear(now(), other)
+            self._unite()
+        elif other.address:
+            self._circle.meet((other.address,))
+        return self._hub.answer(envelope.pull)
+
+    def _unite(self) -> None:
+        """Who lives, out of what is heard here and by the others."""
+        if self._hub.direct.replace(self._roster.entries):
+            self._hub.changed()
+        clock = now()
+        self._hub.set_gateways(united(
+            self._roster.entries,
+            [s.gateways.items for s in self._circle.sources.values() if clock - s.heard < ALIVE]))
+
+    def _told(self, value: Value) -> None:
+        """The register has a newer word."""
+        self._hub.members = tuple(value.members)
+        self._hub.take_word(value.serial, value.version, value.content, value.zones)
+        self._circle.meet(value.members)
+
+    async def start(self) -> None:
+        """The register first; then whoever asks."""
+        await self._links.serve(self._node.internal)
+        await self._control.start()
+        self._circle.meet(self._node.peers)
+        for name, web in (("controlPlane", self._operator), ("directoryApi", self._resolve)):
+            if name in self._node.listen:
+                await web.serve(self._node.listen[name])
+        self._tasks = [asyncio.ensure_future(self._look()), asyncio.ensure_future(self._read())]
+
+    async def _look(self) -> None:
+        """Now and then: who fell silent, who is out of touch."""
+        while True:
+            await asyncio.sleep(TICK / 1000)
+            clock = now()
+            self._hub.tells_gateways = clock - self._began > YOUNG
+            self._roster.forget_silent(clock)
+            self._unite()
+            alive = self._circle.alive(ALIVE)
+            self._control.coordinators(alive)
+            self._hub.core = (self._node.internal, *alive)
+            members = set(self._hub.members or self._node.peers)
+            near = len(members & {self._node.internal, *alive})
+            self._hub.lonely = clock - self._began > YOUNG and near * 2 <= len(members)
+            self._hub.set_holders(self._leases.holders(clock))
+
+    async def _read(self) -> None:
+        """The platform's list, where it is this coordinator's turn."""
+        while self._platform is not None:
+            await asyncio.sleep(TICK / 2000)
+            place = turn(self._node.internal, self._circle.alive(ALIVE))
+            if due(now() - self._hub.read_at, place, self._every):
+                try:
+                    self._hub.take_list(*await self._platform.read())
+                except StepError as error:
+                    self._rarely.warning(now(), str(error))
+                    await asyncio.sleep(self._every / 4000)
+
+    def settings(self, node: Node) -> None:
+        """Other seeds; the rest holds from the next start on."""
+        self._control.settings(node)
+        self._circle.meet(node.peers)
+
+    async def leave(self) -> None:
+        """Calls under way end; the register needs nothing more."""
+        for web in (self._operator, self._resolve):
+            await web.close()
+        for task in self._tasks:
+            task.cancel()
+        self._circle.stop()
+        await self._control.stop()
+        if self._platform is not None:
+            self._platform.close()
+        self._links.close()
+
+
+if __name__ == "__main__":
+    main(CoordinatorProgram)
--- /dev/null
+++ b/hallhitch/programs/gateway.py
@@ -0,0 +1,116 @@
+"""The gateway: takes clients, knows by pulling, counts tenants. `python -O -m hallhitch.programs.gateway`."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable
+
+from hallhitch.messages.link import Links
+from hallhitch.messages.system_pb2 import Envelope
+from hallhitch.node.clock import now
+from hallhitch.node.logs import Part
+from hallhitch.node.settings import Node
+from hallhitch.node.web import Reply, Web
+from hallhitch.planes.data.choice import Choice, ChoiceSettings
+from hallhitch.planes.data.plane import DataPlane
+from hallhitch.planes.news.following import Follower
+from hallhitch.planes.news.hub import Hub
+from hallhitch.planes.news.wording import EMPTY, read_word
+from hallhitch.planes.quota.plane import QuotaPlane
+from hallhitch.planes.values import Backend, Gateway
+from hallhitch.programs.running import main
+
+LISTEN_SHARE = 0.5  # of the grace period in which a leaving gateway still takes connections: clients hold old answers
+FINISH_SHARE = 0.9  # of the grace period by which it has ended
+
+
+class GatewayProgram:
+    """All parts of one gateway."""
+
+    def __init__(self, node: Node) -> None:
+        self._node, self._log = node, Part("gateway")
+        self._life = random.SystemRandom().getrandbits(62) + 1
+        self._ready = self._leaving = False
+        self._links = Links(node.cluster, self._handle)
+        self._hub = Hub(self._life)
+        self._follower = Follower(self._links, self._hub, self._own, node.peers)
+        self._quota = QuotaPlane(node, self._links, now)
+        decisions = Choice(ChoiceSettings.of(node), random.Random(self._life))
+        self._data = DataPlane(node, decisions, self._quota.counter, now)
+        self._readiness = Web("readiness", self._is_ready)
+        self._word, self._backends, self._gateways = EMPTY, (0, 0), (0, 0)
+
+    def _own(self) -> Gateway:
+        n = self._node
+        host, port = n.listen.get("frontend", ("", 0))
+        return Gateway(n.name, n.internal, self._life, n.machine_class, n.zone, n.region,
+                       f"{host}:{port}" if host else "", self._ready, self._leaving)
+
+    def _is_ready(self, method: str, target: str, body: bytes) -> Reply:
+        if target.partition("?")[0] != "/hallhitch/readiness":
+            return 404, {}, b""
+        return (200 if self._ready and not self._leaving else 503), {}, b""
+
+    def _handle(self, envelope: Envelope) -> Envelope | Awaitable[Envelope]:
+        if envelope.HasField("pull"):
+            return self._hub.answer(envelope.pull)
+        answer = self._quota.handle(envelope)
+        return answer if answer is not None else Envelope(error="a gateway does not answer that")
+
+    async def start(self) -> None:
+        """Listen first, know then, be ready last."""
+        await self._links.serve(self._node.internal)
+        if "readiness" in self._node.listen:
+            await self._readiness.serve(self._node.listen["readiness"])
+        self._hub.on_change.append(self._learn)
+        await self._data.start()
+        await self._quota.start()
+        self._follower.start()
+
+    def _learn(self) -> None:
+        """The hub knows more: tell the planes."""
+        hub = self._hub
+        if hub.word.serial > self._word.serial:
+            w = hub.word
+            self._word = read_word(w.serial, w.version, w.content, w.evacuated)
+            self._quota.set_word(self._word)
+            self._data.set_word(self._word)
+        if (version := (hub.backends.epoch, hub.backends.number)) != self._backends:
+            self._backends = version
+            self._data.set_backends([
+                Backend(e.instance, e.service, e.host, e.port, e.zone, self._node.zones.get(e.zone, ""), e.slots,
+                        e.draining, e.cold_until) for e in hub.backends.values()])
+        if (version := (hub.gateways.epoch, hub.gateways.number)) != self._gateways:
+            self._gateways = version
+            entries = [g for g in hub.gateways.values() if g.frontend]
+            self._quota.set_gateways(self._node.name, entries)
+            self._data.set_gateways(self._node.name, entries)
+        self._quota.set_members(hub.members)
+        self._quota.set_holders(hub.holders)
+        ready = self._word.version >= 0 and self._backends[1] > 0 and self._follower.asked_all
+        if ready and not self._ready:
+            self._ready = True
+            self._log.info(f"ready with version {self._word.version} and {len(hub.backends)} backends")
+            self._follower.say()
+
+    def settings(self, node: Node) -> None:
+        """Other seeds; the rest holds from the next start on."""
+        self._follower.set_seeds(node.peers)
+
+    async def leave(self) -> None:
+        """Out of the directory, then the last answers of connections, then the listener, then the end."""
+        grace, began = self._node.bounds.grace, now()
+        self._leaving = True
+        self._follower.say()
+        self._data.leave()
+        await self._quota.leave()
+        await asyncio.sleep(grace * LISTEN_SHARE / 1000)
+        self._data.close_listener()
+        await self._data.drained(began + grace * FINISH_SHARE)
+        self._follower.stop()
+        self._links.close()
+
+
+if __name__ == "__main__":
+    main(GatewayProgram)
