--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv-dev
 PY = $(VENV)/bin/python
 
-.PHONY: build test soak lint run demo demo-control demo-fleet messages clean
+.PHONY: build test soak lint run demo demo-gateway demo-control demo-fleet messages clean
 
 build: $(VENV)/done
 
@@ -27,10 +27,14 @@
 run: build
 	$(PY) -O -m hallhitch
 
-# The main job: two gateways, an emulated fleet, traffic with a fault, a report.
+# The whole system on loopback: three regions, nine gateways, three coordinators, two faults, the rules checked.
 demo: build
 	$(VENV)/bin/hallhitch demo
 
+# The gateway in service: two of them, an emulated fleet, traffic with a fault, a report.
+demo-gateway: build
+	$(VENV)/bin/hallhitch demo-gateway
+
 # A control plane with two tenants, and the calls to try. Ctrl-C ends it.
 demo-control: build
 	$(VENV)/bin/hallhitch control demo
--- a/hallhitch/cli/demo_fleet.py
+++ b/hallhitch/cli/demo_fleet.py
@@ -1,4 +1,4 @@
-"""`hallhitch demo`: two real gateways, an emulated fleet, half a minute of traffic with one fault, a report."""
+"""`hallhitch demo-gateway`: two real gateways, an emulated fleet, half a minute of traffic with one fault, a report."""
 
 from __future__ import annotations
 
@@ -16,7 +16,7 @@
 SECONDS, FAULT = 30.0, "quick-failures"
 
 
-@click.command()
+@click.command("demo-gateway")
 @click.option("--scenario", default=FAULT, show_default=True, help="A scenario's name, or a file.")
 @click.option("--seconds", type=click.FloatRange(5, 600), default=SECONDS, show_default=True)
 @click.option("--seed", type=int, default=1, show_default=True)
--- a/hallhitch/cli/main.py
+++ b/hallhitch/cli/main.py
@@ -10,7 +10,8 @@
 from hallhitch.cli.check import check
 from hallhitch.cli.control import control
 from hallhitch.cli.credentials import credentials
-from hallhitch.cli.demo_fleet import demo
+from hallhitch.cli.demo_fleet import demo as demo_gateway
+from hallhitch.cli.demo_system import demo
 from hallhitch.cli.experiment import experiment
 from hallhitch.cli.fleet import fleet
 from hallhitch.cli.load import load
@@ -34,7 +35,7 @@
     logs.configure()
 
 
-for command in (check, control, credentials, demo, experiment, fleet, load, members, tenants, tls, trace):
+for command in (check, control, credentials, demo, demo_gateway, experiment, fleet, load, members, tenants, tls, trace):
     commands.add_command(command)
 
 
--- a/hallhitch/lab/system/backend.py
+++ b/hallhitch/lab/system/backend.py
@@ -1,8 +1,7 @@
-"""Stand-in backends: many lives in one event loop, each at loopback addresses of its own.
+"""Stand-in backends: many lives in one event loop, each at a loopback address of its own.
 
-A life listens at one image of its address for each process of the system, so it knows who sent a request. It records
-what came and what it began to work on before it answers anything. Whatever goes wrong is switched on from outside
-(`tricks`, `wish`); nothing here knows how the system works.
+A life records what came and what it began to work on before it answers anything. Whatever goes wrong is switched on
+from outside (`tricks`, the fleet's `shares`); nothing here knows how the system works.
 """
 
 from __future__ import annotations
@@ -13,7 +12,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, cast
 
-from hallhitch.lab.system.paths import BACKENDS, caller_of, party
+from hallhitch.lab.system.paths import BACKENDS
 from hallhitch.lab.system.records import Arrival
 from hallhitch.net.http import Malformed, Message, RequestReader
 from hallhitch.node.clock import now
@@ -67,24 +66,23 @@
         self.queue: deque[asyncio.Future[None]] = deque()
         self.open: set[_Connection] = set()
         self._recent: deque[float] = deque()
-        self._servers: list[asyncio.Server] = []
+        self._server: asyncio.Server | None = None
 
     @property
     def cold(self) -> bool:
         """Whether it is cold now."""
         return now() < self.cold_until
 
-    async def listen(self, hosts: list[str]) -> None:
-        """Take connections at these of its images."""
-        if hosts:
-            self._servers.append(await asyncio.get_running_loop().create_server(
-                lambda: _Connection(self), hosts, self.address[1], backlog=256))
+    async def listen(self) -> None:
+        """Take connections."""
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: _Connection(self), *self.address, reuse_address=True, backlog=256)
 
     def end(self) -> None:
         """Its process is gone: addresses refuse, connections break."""
         self.ended = True
-        for server in self._servers:
-            server.close()
+        if self._server is not None:
+            self._server.close()
         for connection in list(self.open):
             connection.abort()
 
@@ -138,6 +136,7 @@
         self._task: asyncio.Task[None] | None = None
         self._idle: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport | None = None
+        self._sender, self._delay = "", 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = cast(asyncio.Transport, transport)
@@ -146,7 +145,6 @@
             return self._transport.abort()
         self.backend.open.add(self)
         self.fleet.opened += 1
-        self._sender, self._delay = self.fleet.caller(caller_of(transport.get_extra_info("sockname")[0]), self.backend)
         self._rest()
 
     def _rest(self) -> None:
@@ -178,12 +176,15 @@
         if self._waiting and self._task is None:
             if self._idle is not None:
                 self._idle.cancel()
+            if not self._sender and self._transport is not None:
+                told = self._transport.get_extra_info
+                self._sender, self._delay = self.fleet.caller(told("peername"), told("sockname"), self.backend)
             self._task = asyncio.get_running_loop().create_task(self._serve())
 
     async def _serve(self) -> None:
         while self._waiting:
             message = self._waiting.popleft()
-            await self.fleet.paths.pass_on(party(self._sender), BACKENDS, now() + self._delay)
+            await self.fleet.paths.pass_on(self._sender, BACKENDS, now() + self._delay)
             head = {name.decode("latin-1"): value.decode("latin-1") for name, value in message.headers.items()}
             path = message.target.decode("latin-1")
             if path == self.kind.health_path and message.method == b"GET" and "hallhitch-request-id" not in head:
@@ -207,7 +208,7 @@
         backend, at = self.backend, now()
         arrival = Arrival(
             next(self.fleet.records.numbers), head.get("hallhitch-request-id", ""), at, backend.instance,
-            self.kind.service, backend.zone, backend.region, self.fleet.names.get(self._sender, ""),
+            self.kind.service, backend.zone, backend.region, self._sender,
             message.method.decode(), path, head.get("hallhitch-tenant-name", ""), head.get("authorization", ""),
             digest(message.body))
         self.fleet.records.arrivals.append(arrival)
@@ -255,15 +256,15 @@
         if trick == "silent":
             await asyncio.get_running_loop().create_future()  # until the connection closes
         elif trick == "lost":
-            await self.fleet.paths.pass_on(BACKENDS, party(self._sender), now() + self._delay)
+            await self.fleet.paths.pass_on(BACKENDS, self._sender, now() + self._delay)
             self.abort()
         elif trick == "garbled":
-            await self.fleet.paths.pass_on(BACKENDS, party(self._sender), now() + self._delay)
+            await self.fleet.paths.pass_on(BACKENDS, self._sender, now() + self._delay)
             self._write(b"\x00\x01 these are no answer \r\n\r\n")
             self._close()
         elif trick == "broken":
             whole = self._bytes(200, seal, body, arrival.id)
-            await self.fleet.paths.pass_on(BACKENDS, party(self._sender), now() + self._delay)
+            await self.fleet.paths.pass_on(BACKENDS, self._sender, now() + self._delay)
             self._write(whole[:len(whole) - len(body) // 2 - 1])
             self._close()
         else:
@@ -276,7 +277,7 @@
 
     async def _answer(self, status: int, extra: bytes = b"", body: bytes = b"", id: str = "") -> None:
         text = self._bytes(status, extra, body, id)
-        await self.fleet.paths.pass_on(BACKENDS, party(self._sender), now() + self._delay)
+        await self.fleet.paths.pass_on(BACKENDS, self._sender, now() + self._delay)
         self._write(text)
         if self.backend.draining:
             self._close()
@@ -284,7 +285,8 @@
     def _bytes(self, status: int, extra: bytes, body: bytes, id: str) -> bytes:
         told = f"Hallhitch-Request-Id: {id}\r\n" if id else ""
         keep = "Connection: close" if self.backend.draining else f"Keep-Alive: timeout={self.kind.idle / 1000:.0f}"
-        return f"HTTP/1.1 {status} X\r\n{told}{keep}\r\nContent-Length: {len(body)}\r\n".encode() + extra + b"\r\n" + body
+        head = f"HTTP/1.1 {status} X\r\n{told}{keep}\r\nContent-Length: {len(body)}\r\n"
+        return head.encode() + extra + b"\r\n" + body
 
     def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
--- a/hallhitch/lab/system/fleet.py
+++ b/hallhitch/lab/system/fleet.py
@@ -6,11 +6,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 from hallhitch.lab.streams import Streams
 from hallhitch.lab.system.backend import Backend, Kind
-from hallhitch.lab.system.paths import Paths, image, region_of
+from hallhitch.lab.system.owners import Address
+from hallhitch.lab.system.paths import Paths, region_of
 from hallhitch.lab.system.records import Cold, Records, Shown
 from hallhitch.node.clock import now
 
@@ -19,22 +20,23 @@
 
 
 class Fleet:
-    """The backends. `callers`: by number, the name and the region's number of each process that may send to them."""
+    """The backends. `owner`: who opened a connection, by its two ends; `regions`: the number of each one's region."""
 
-    def __init__(self, records: Records, paths: Paths, callers: dict[int, tuple[str, int]], port: int,
-                 lag: float = 300.0, seed: int = 1, size: Callable[[str], int] = lambda path: 256) -> None:
-        self.records, self.paths, self._callers, self._port = records, paths, callers, port
-        self.names = {number: name for number, (name, _) in callers.items()}
+    def __init__(self, records: Records, paths: Paths, port: int, lag: float = 300.0, seed: int = 1,
+                 owner: Callable[[Address, Address], str] = lambda peer, here: "",
+                 regions: Mapping[str, int] | None = None, size: Callable[[str], int] = lambda path: 256) -> None:
+        self.records, self.paths, self._port = records, paths, port
+        self.owner, self._regions = owner, dict(regions or {})
         self.lag, self.size = lag, size
         self.backends: dict[str, Backend] = {}
         self.opened = self.probes = 0
         self.shares: dict[str, float] = {}  # of runs that end in a trick
         self._work, self._chance = Streams(seed).of("work"), Streams(seed).of("tricks")
 
-    def caller(self, number: int, backend: Backend) -> tuple[int, float]:
+    def caller(self, peer: Address, here: Address, backend: Backend) -> tuple[str, float]:
         """Who has opened a connection, and how far away it is (ms, one way)."""
-        _, region = self._callers.get(number, ("", region_of(backend.address[0])))
-        return number, self.paths.delay(region, region_of(backend.address[0]))
+        name = self.owner(peer, here)
+        return name, self.paths.delay(self._regions.get(name, 0), region_of(backend.address[0]))
 
     def work(self, kind: Kind) -> float:
         """ms that the next request takes there."""
@@ -48,10 +50,9 @@
         return ""
 
     async def start(self, instance: str, kind: Kind, host: str, place: tuple[str, str], cold: bool = False) -> Backend:
-        """A backend starts at a real host; place: its zone and region."""
+        """A backend starts at a host of its own; place: its zone and region."""
         backend = Backend(self, instance, kind, (host, self._port), place, cold)
-        # At its own address too, for whoever talks to it without the system between.
-        await backend.listen([host, *(image(host, number) for number in self._callers)])
+        await backend.listen()
         self.backends[instance] = backend
         if cold:
             self._note_cold(backend)
@@ -88,16 +89,15 @@
         backend.history.append((at, state))
         self.records.shown.append(Shown(at + self.lag, backend.instance))
 
-    def listed(self, at: float, caller: int, zone: str = "") -> list[list[object]]:
-        """The list's rows as they stood at a moment (COLUMNS), with addresses as that caller sees them."""
+    def listed(self, at: float, zone: str = "") -> list[list[object]]:
+        """The list's rows as they stood at a moment (COLUMNS)."""
         rows: list[list[object]] = []
         for each in self.backends.values():
             state = each.state(at)
             if state not in ("ready", "draining") or zone and each.zone != zone:
                 continue
             host, port = each.address
-            shown = image(host, caller) if caller else host
-            rows.append([each.instance, each.kind.service, f"{shown}:{port}", each.zone, "v1", each.kind.slots, state,
+            rows.append([each.instance, each.kind.service, f"{host}:{port}", each.zone, "v1", each.kind.slots, state,
                          f"{max(0.0, each.cold_until - at):.0f}ms"])
         return rows
 
--- /dev/null
+++ b/hallhitch/lab/system/rig.py
@@ -0,0 +1,259 @@
+"""The system's programs as real processes on loopback: their settings files, their starts and their ends.
+
+A process has a host, a settings file and, where it has a disk, a data folder, all of which outlive its lives. The rig
+ends nothing but what it started.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import shutil
+import signal
+import sys
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from hallhitch.lab.system.owners import Address
+from hallhitch.lab.system.records import Records, Span
+from hallhitch.lab.system.shape import Shape
+from hallhitch.node.clock import now
+
+ROOT = Path(__file__).parents[3]
+MODULES = {"gateway": "hallhitch.programs.gateway", "coordinator": "hallhitch.programs.coordinator"}
+AGAIN, ENDS_MOST = 0.3, 3  # s after which a process that ended by itself starts again, and how often it does
+ENDED = 10.0  # s for a process to end once it was told to
+KEPT = ("PATH", "HOME", "LANG", "VIRTUAL_ENV")
+INTERNAL, SPAN_OF_PORTS = 0, 8  # offsets from a world's first port
+CONTROL, DIRECTORY, FRONT, READY, LIST, BACKEND = 8, 9, 10, 11, 12, 13
+PORTS = 16  # of one world
+
+
+@dataclass(slots=True)
+class Machine:
+    """One machine with its one process."""
+
+    name: str
+    role: str  # gateway or coordinator
+    host: str
+    zone: str
+    region: str
+    number: int
+    folder: Path
+    process: asyncio.subprocess.Process | None = None
+    started: bool = False  # once, at any time
+    stopped: bool = False
+    down: float | None = None  # since when there is trouble of the rig's making
+    ended: list[int] = field(default_factory=list)  # exit codes of ends that nobody asked for
+    asked: bool = False  # to end
+    watch: asyncio.Task[None] | None = None
+
+    @property
+    def data(self) -> Path:
+        """Its disk."""
+        return self.folder / "data"
+
+    @property
+    def log(self) -> Path:
+        """What it wrote."""
+        return self.folder / "log"
+
+    @property
+    def lives(self) -> bool:
+        """Whether its process runs."""
+        return self.process is not None and self.process.returncode is None
+
+    def last_lines(self, count: int) -> list[str]:
+        """The end of its log."""
+        return self.log.read_text(errors="replace").splitlines()[-count:] if self.log.exists() else []
+
+
+def listens(machine: Machine, base: int) -> dict[str, str]:
+    """Its addresses, as the settings file holds them."""
+    if machine.role == "gateway":
+        return {"frontend": f"{machine.host}:{base + FRONT}", "readiness": f"{machine.host}:{base + READY}"}
+    return {"controlPlane": f"{machine.host}:{base + CONTROL}", "directoryApi": f"{machine.host}:{base + DIRECTORY}"}
+
+
+def settings(shape: Shape, machine: Machine, base: int, seeds: Sequence[str], first: bool, platform: Address) -> str:
+    """A settings file's text."""
+    figures, edge = shape.figures, machine.role == "gateway"
+    top: dict[str, Any] = {
+        "nodeName": machine.name, "role": machine.role, "machineClass": "edge" if edge else "core",
+        "serves": ["edge"] if edge else ["control_plane", "directory"], "ipAddress": machine.host,
+        "zone": machine.zone, "region": machine.region,
+        "internalPortRange": [base + INTERNAL, base + SPAN_OF_PORTS - 1], "seedNodes": list(seeds),
+        "firstStart": first, "countsTowardLoss": not edge, "discoverySource": "cloud_api", "entryType": "directory",
+        "configMode": "highest"}
+    if not edge:
+        top["dataDirectory"] = str(machine.data)
+    tables: dict[str, Mapping[str, Any]] = {
+        "zones": shape.zone_table(), "listenAddresses": listens(machine, base),
+        "limits": {"cpuShare": 0.86, "cpuCores": 1, "memoryMb": 300, "maxOpenFiles": 4096, "bandwidthMbps": 1000.0},
+        "faultTolerance": {"machineLosses": shape.losses, "zones": 1, "regionLosses": 0},
+        "bounds": {
+            "contactWindow": _ms(figures.contact), "drainTimeout": _ms(figures.drain),
+            "gracePeriod": _ms(shape.grace), "configApply": _ms(figures.config),
+            "downgradeSlack": _ms(figures.back), "evacuation": _ms(figures.evacuation), "ttl_max": _ms(shape.ttl_most),
+            "seedLag": "3s", "addressReuse": "2s", "ackTimeout": "6000ms", "catchUp": "4s", "lossSlack": "200ms",
+            "maxStretch": "10000ms", "recovery": "15s", "retryBudgetRatio": figures.retry_ratio,
+            "retryWindow": _ms(figures.retry_window), "retryBudgetSlack": int(figures.retry_slack),
+            "quotaWindow": _ms(figures.quota_window), "quotaOvershoot": figures.quota_over,
+            "quotaSlack": int(figures.quota_slack), "coldOvershoot": figures.cold_over,
+            "coldSlack": int(figures.cold_slack)},
+        "cloudApi": {"address": f"{platform[0]}:{platform[1]}", "ratePerS": shape.list_rate, "duties": [],
+                     "maxLag": _ms(shape.list_lag)}}
+    lines = [f"{name} = {json.dumps(value)}" for name, value in top.items()]
+    for name, table in tables.items():
+        lines += [f"[{name}]", *(f"{key} = {json.dumps(value)}" for key, value in table.items())]
+    return "\n".join(lines) + "\n"
+
+
+def _ms(value: float) -> str:
+    return f"{value:.0f}ms"
+
+
+class Rig:
+    """All machines of a world, and what befalls their processes."""
+
+    def __init__(self, shape: Shape, base: int, folder: Path, platform: Address, records: Records) -> None:
+        self.shape, self.base, self._platform, self._records = shape, base, platform, records
+        self.machines: dict[str, Machine] = {}
+        places = shape.places()
+        made = [("coordinator", f"core-{n + 1}", places[n % len(places)], 101 + n) for n in range(shape.cores)]
+        made += [("gateway", f"edge-{region}{zone}{n + 1}", (region, zone), 1 + n)
+                 for region, zone in places for n in range(shape.edges)]
+        for number, (role, name, (region, zone), last) in enumerate(made, 1):
+            self.machines[name] = Machine(
+                name, role, f"127.{region}.{zone}.{last}", shape.zone(region, zone), shape.region(region), number,
+                folder / name)
+        self.fell = asyncio.Event()  # a process has ended that nobody asked to
+
+    def of(self, role: str) -> list[Machine]:
+        """All machines of a role."""
+        return [machine for machine in self.machines.values() if machine.role == role]
+
+    def pids(self) -> dict[int, str]:
+        """The processes that run, with their machines' names."""
+        return {m.process.pid: m.name for m in self.machines.values() if m.process is not None and m.lives}
+
+    def seeds(self) -> list[str]:
+        """The three that all are told of."""
+        return [listens(machine, self.base)["controlPlane"] for machine in self.of("coordinator")][:3]
+
+    def configure(self, machine: Machine, first: bool, seeds: Sequence[str] | None = None) -> Path:
+        """Write its settings file, whole or not at all."""
+        machine.data.mkdir(parents=True, exist_ok=True)
+        path, part = machine.folder / "settings.toml", machine.folder / "settings.part"
+        part.write_text(settings(self.shape, machine, self.base, seeds or self.seeds(), first, self._platform))
+        part.replace(path)
+        return path
+
+    async def start(self, machine: Machine) -> None:
+        """Start its process, with the settings of this moment."""
+        path = self.configure(machine, not machine.started)
+        environ = {name: os.environ[name] for name in KEPT if name in os.environ}
+        with open(machine.log, "ab") as log:
+            process = await asyncio.create_subprocess_exec(
+                sys.executable, "-O", "-m", MODULES[machine.role], cwd=ROOT, stdin=asyncio.subprocess.DEVNULL,
+                stdout=log, stderr=log, env=environ | {"HALLHITCH_NODE_FILE": str(path)})
+        machine.process, machine.started, machine.asked, machine.stopped = process, True, False, False
+        self._records.lives.append((now(), machine.name))
+        machine.watch = asyncio.get_running_loop().create_task(self._watched(machine, process))
+
+    async def _watched(self, machine: Machine, process: asyncio.subprocess.Process) -> None:
+        """One that ends by itself is started again, as often as is no loop."""
+        code = await process.wait()
+        if not machine.asked:
+            machine.ended.append(code)
+            self.fell.set()
+            await asyncio.sleep(AGAIN)
+            if len(machine.ended) <= ENDS_MOST and not machine.asked:
+                await self.start(machine)
+
+    def fallen(self) -> list[str]:
+        """Which processes have ended by themselves, with their codes and the last line of their logs."""
+        return [f"{m.name} ended by itself ({', '.join(map(str, m.ended))}): {(m.last_lines(1) or ['no log'])[0]}"
+                for m in self.machines.values() if m.ended]
+
+    async def start_all(self) -> None:
+        """Start all that do not run."""
+        await asyncio.gather(*(self.start(machine) for machine in self.machines.values() if not machine.lives))
+
+    # What befalls them.
+
+    def _trouble(self, machine: Machine, what: str, at: float, ends: float) -> None:
+        whom = ("core", machine.name) if machine.role == "coordinator" else (machine.name,)
+        self._records.troubles += [Span(at, ends, each, what) for each in whom]
+
+    async def kill(self, machine: Machine, wipe: bool = False) -> None:
+        """Its process dies at once; with `wipe` its disk is lost too. It stays down until `back`."""
+        await self._end(machine, signal.SIGKILL)
+        if wipe:
+            shutil.rmtree(machine.data, ignore_errors=True)
+
+    async def term(self, machine: Machine) -> int:
+        """It is told to end, and killed where it has not after the grace period; its exit code."""
+        return await self._end(machine, signal.SIGTERM)
+
+    async def _end(self, machine: Machine, how: signal.Signals) -> int:
+        process = machine.process
+        if process is None or process.returncode is not None:
+            return 0
+        machine.asked, machine.down = True, now()
+        process.send_signal(how)
+        try:
+            async with asyncio.timeout(self.shape.grace / 1000):
+                return await process.wait()
+        except TimeoutError:
+            process.kill()
+            return await process.wait()
+
+    async def back(self, machine: Machine, what: str = "down") -> None:
+        """It is started again after an end of the rig's making."""
+        await self.start(machine)
+        if machine.down is not None:
+            self._trouble(machine, what, machine.down, now())
+            machine.down = None
+
+    def freeze(self, machine: Machine) -> None:
+        """Its process stands still: to the others it is as if it were cut off."""
+        if machine.process is not None and machine.lives:
+            machine.stopped, machine.down = True, now()
+            machine.process.send_signal(signal.SIGSTOP)
+
+    def thaw(self, machine: Machine) -> None:
+        """It goes on."""
+        if machine.process is not None and machine.lives and machine.stopped:
+            machine.stopped = False
+            machine.process.send_signal(signal.SIGCONT)
+            if machine.down is not None:
+                self._trouble(machine, "frozen", machine.down, now())
+                machine.down = None
+
+    def seed_again(self, machine: Machine, seeds: Sequence[str]) -> None:
+        """Its file names other seeds, and it is told."""
+        self.configure(machine, False, seeds)
+        if machine.process is not None and machine.lives:
+            machine.process.send_signal(signal.SIGHUP)
+
+    async def end(self) -> None:
+        """End all that was started here."""
+        living = [m for m in self.machines.values() if m.lives]
+        for machine in self.machines.values():
+            machine.asked = True
+        for machine in living:
+            if machine.process is not None:
+                machine.process.send_signal(signal.SIGCONT)
+                machine.process.kill()
+        for machine in self.machines.values():
+            if machine.process is not None:
+                await asyncio.wait_for(machine.process.wait(), ENDED)
+            if machine.watch is not None:
+                machine.watch.cancel()
+            if machine.down is not None:
+                self._trouble(machine, "down", machine.down, now())
+                machine.down = None
--- /dev/null
+++ b/hallhitch/lab/system_model.py
@@ -0,0 +1,462 @@
+"""A small model of the whole system's data plane: gateways with thin sight before backends with slots and queues.
+
+It drives `planes/data/choice.py` by its port, and beside it a chooser that sees everything, on the same traffic. It
+tells shares and the highest counts the rules bound. No sockets; simpy's clock is in ms. Python -m runs all cases.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections import Counter
+from collections.abc import Callable, Generator
+from dataclasses import dataclass, field, replace
+from math import log
+from random import Random
+from typing import Any
+
+import simpy
+
+from hallhitch.planes.data.choice import Choice, Settings
+from hallhitch.planes.data.ports import Ask, Decisions, Exchange, Fail, Hold, Outcome, Refuse, Send, Step
+from hallhitch.planes.values import Backend, Gateway, Limits, Route, Service, Word
+
+Steps = Generator[simpy.Event, Any, None]
+
+
+@dataclass(frozen=True)
+class Kind:
+    """One kind of request: rate over all zones (a second), work (ms), what it is worth inside its aim and late."""
+
+    route: Route
+    rate: float
+    work: float
+    spread: float
+    deadline: float
+    worth: float
+    late: float
+    bytes: float = 2000.0
+
+
+def kind(name: str, how: str, service: str, rate: float, work: float, spread: float, aim: float, worth: float,
+         late: float, size: float, priority: int, homes: frozenset[str] = frozenset()) -> Kind:
+    """A kind of request with a route of its own."""
+    route = Route(name, "h", f"/{name}/", how, 4 * aim, aim, priority, ((service, 1.0),), 2, False, homes)
+    return Kind(route, rate, work, spread, 4 * aim, worth, late, size)
+
+
+MIX = (
+    kind("look", "idempotent", "big", 200, 90, 0.5, 500, 1, 0.3, 2000, 2),
+    kind("commit", "non_idempotent", "big", 86, 120, 0.3, 600, 2, 0.6, 5500, 1, frozenset({"r0", "r1"})),
+    kind("pull", "download", "small", 22, 72, 0.5, 500, 1, 0.3, 90000, 2),
+    kind("peek", "idempotent", "small", 45, 36, 0.5, 300, 2, 0.6, 2000, 1),
+)
+
+
+@dataclass(frozen=True)
+class Case:
+    """One day of the model: places, machines, traffic and troubles `(at ms, name)`."""
+
+    name: str
+    regions: int = 3
+    gateways: tuple[int, ...] = (2, 2, 2, 1, 1, 1)  # by zone; zone i lies in region i mod `regions`
+    big: tuple[int, ...] = (5, 4, 4, 4, 4, 3)
+    small: tuple[int, ...] = (2, 3, 2, 3, 1, 1)
+    slots: int = 3
+    queue: int = 12
+    resets: bool = True
+    speeds: tuple[float, ...] = (1.0, 0.8, 1.0, 1.25)
+    load: float = 1.0
+    near: float = 0.9  # ms between zones, one way
+    far: float = 35.0  # ms between regions, one way
+    length: float = 24_000.0
+    cold_time: float = 3000.0
+    cold_rate: float = 10.0
+    troubles: tuple[tuple[float, str], ...] = ()
+
+
+@dataclass(eq=False)
+class Machine:
+    """One backend's life."""
+
+    entry: Backend
+    speed: float
+    room: simpy.Resource
+    draining: bool = False
+    dead: str = ""  # "gone" resets, "dark" says nothing
+    cold_until: float = 0.0
+    works: set[simpy.Process] = field(default_factory=set)
+    arrivals: list[float] = field(default_factory=list)  # while cold
+
+
+@dataclass
+class Told:
+    """What came of one case."""
+
+    owed: float = 0.0
+    earned: float = 0.0
+    count: Counter[str] = field(default_factory=Counter)
+    cold_most: int = 0
+    budget: float = 0.0  # worst further arrivals in a window over what is allowed
+    near_mb: float = 0.0
+    far_mb: float = 0.0
+
+    def line(self) -> str:
+        """The shares in one line."""
+        asked = max(1, self.count["asked"])
+        shares = " ".join(f"{k} {100 * self.count[k] / asked:.2f}%" for k in ("served", "late", "lost", "refused"))
+        return (f"worth {100 * self.earned / self.owed:.2f}% {shares} further {self.count['further']} "
+                f"cold {self.cold_most} budget {self.budget:.2f} MB zone {self.near_mb:.0f} region {self.far_mb:.0f}"
+                f" tried-late {self.count['late refusal']} reset {self.count['reset']} twice {self.count['twice']}")
+
+
+class World:
+    """All machines of one case and what happens to them."""
+
+    def __init__(self, case: Case, seed: int, make: Callable[[World, Settings, Random], Decisions]) -> None:
+        self.case, self.rng, self.env = case, Random(seed), simpy.Environment()
+        self.now = lambda: float(self.env.now)
+        self.told, self.machines = Told(), dict[str, Machine]()
+        self.zones = {f"z{i}": f"r{i % case.regions}" for i in range(len(case.gateways))}
+        self.evacuated: frozenset[str] = frozenset()
+        self.further: dict[str, list[float]] = {"big": [], "small": []}
+        self.firsts: dict[str, list[float]] = {"big": [], "small": []}
+        self.serial = 0
+        for service, counts in (("big", case.big), ("small", case.small)):
+            for zone, count in enumerate(counts):
+                for _ in range(count):
+                    self.start(service, f"z{zone}", 0.0)
+        self.nodes = [Gateway(f"g{z}-{i}", f"{z}:{i}", 1, "edge", f"z{z}", self.zones[f"z{z}"], "x", True)
+                      for z, count in enumerate(case.gateways) for i in range(count)]
+        self.minds = {}
+        for node in self.nodes:
+            settings = Settings(node.name, node.zone, node.region, self.zones, 0.2, 10_000.0, 58.0, 1.5, 5.0, 800.0)
+            self.minds[node.name] = make(self, settings, Random(self.rng.random()))
+            self.env.process(self._tell(node, self.minds[node.name]))
+        for each in MIX:
+            for zone in self.zones:
+                self.env.process(self._clients(each, zone))
+        for at, name in case.troubles:
+            self.env.process(self._trouble(at, name))
+
+    def start(self, service: str, zone: str, cold: float) -> Machine:
+        """A new life of a backend."""
+        self.serial += 1
+        name = f"i{self.serial}"
+        entry = Backend(name, service, name, 1, zone, self.zones[zone], self.case.slots)
+        machine = Machine(entry, self.rng.choice(self.case.speeds), simpy.Resource(self.env, self.case.slots))
+        machine.cold_until = cold
+        self.machines[name] = machine
+        return machine
+
+    def word(self) -> Word:
+        """The operator's word as it stands."""
+        services = {n: Service(n, "/", 100, self.case.cold_time, self.case.cold_rate) for n in ("big", "small")}
+        return Word(1, 1, {}, services, {}, {}, Limits(), self.evacuated)
+
+    def _tell(self, node: Gateway, mind: Decisions) -> Steps:
+        mind.word(self.now(), self.word())
+        seen = self.evacuated
+        while True:
+            entries = []
+            for m in self.machines.values():
+                if m.dead and m.cold_until < self.now() - 6000.0:
+                    continue
+                entries.append(replace(m.entry, draining=m.draining, cold_until=m.cold_until))
+            yield self.env.timeout(800.0 * self.rng.random())
+            mind.backends(self.now(), entries)
+            mind.gateways(self.now(), node.name, self.nodes)
+            if seen != self.evacuated:
+                seen = self.evacuated
+                mind.word(self.now(), self.word())
+            yield self.env.timeout(500.0)
+
+    def delay(self, a: str, b: str) -> float:
+        """One way between two zones, ms."""
+        if a == b:
+            return 0.1
+        return self.case.near if self.zones[a] == self.zones[b] else self.case.far
+
+    def _clients(self, each: Kind, zone: str) -> Steps:
+        rate = each.rate * self.case.load / len(self.zones) / 1000.0
+        at = [n for n in self.nodes if n.zone == zone] or self.nodes
+        yield self.env.timeout(1600.0)
+        while self.now() < self.case.length:
+            yield self.env.timeout(self.rng.expovariate(rate))
+            self.env.process(self._client(each, at))
+
+    def _client(self, each: Kind, at: list[Gateway]) -> Steps:
+        began, told = self.now(), self.told
+        ends = began + each.deadline
+        told.owed += each.worth
+        told.count["asked"] += 1
+        for _ in range(3):
+            node = self.rng.choice(at)
+            answer: list[str] = []
+            yield self.env.process(self._try(each, node, ends, answer))
+            took = self.now() - began
+            if answer[0] == "ok":
+                told.count["served"] += 1
+                told.count["late"] += took > each.route.target
+                told.count[f"late {each.route.name}"] += took > each.route.target
+                told.earned += each.worth if took <= each.route.target else each.late
+                return
+            if answer[0] == "lost" and not each.route.repeatable:
+                break
+            pause = float(answer[1]) if answer[0] == "refused" else 20.0
+            yield self.env.timeout(min(pause, max(0.0, (ends - self.now()) / 3)))
+            if self.now() + each.work > ends:
+                break
+        told.count["lost" if answer[0] == "lost" else "refused"] += 1
+
+    def _try(self, each: Kind, node: Gateway, ends: float, answer: list[str]) -> Steps:
+        mind, ran = self.minds[node.name], [0]
+        ask = Ask(each.route, each.route.split[0][0], each.route.homes, each.route.priority, self.now(), ends)
+        self.firsts[ask.service].append(self.now())
+        exchange = mind.begin(self.now(), ask)
+        out: dict[str, tuple[simpy.Process, float]] = {}
+        done: list[tuple[str, Outcome]] = []
+        timers: dict[str, float] = {}
+        arrived = 0
+        step: Step = mind.next(self.now(), exchange)
+        while True:
+            wake = ends
+            if isinstance(step, Send):
+                machine = self.machines[step.backend.instance]
+                name = step.backend.instance
+                if arrived and not machine.dead:
+                    self.further[ask.service].append(self.now())
+                    self.told.count["further"] += 1
+                arrived += not machine.dead
+                out[name] = (self.env.process(self._attempt(each, node, machine, ends, done, ran)), self.now())
+                timers[name] = self.now() + step.patience
+            elif isinstance(step, Hold):
+                wake = self.now() + step.wait
+            else:
+                break
+            wake = min([wake, *(t for n, t in timers.items() if n in out)])
+            # A process that ended without an outcome is silence.
+            ends_of = [p for p, _ in out.values() if p.is_alive]
+            yield simpy.AnyOf(self.env, [self.env.timeout(max(0.01, wake - self.now())), *ends_of])
+            ok = False
+            for name, outcome in done:
+                began = out.pop(name)[1]
+                timers.pop(name, None)
+                mind.ended(self.now(), exchange, self.machines[name].entry, outcome, self.now() - began)
+                ok = ok or outcome is Outcome.OK
+            done.clear()
+            for name in [n for n, t in timers.items() if t <= self.now() + 0.02]:
+                del timers[name]
+                mind.ended(self.now(), exchange, self.machines[name].entry, Outcome.SILENT, self.now() - out[name][1])
+            if ok:
+                break
+            step = mind.next(self.now(), exchange)
+        mind.finish(self.now(), exchange)
+        for name, (process, began) in out.items():
+            if process.is_alive:
+                process.interrupt("left")
+            mind.ended(self.now(), exchange, self.machines[name].entry, Outcome.VOID, self.now() - began)
+        self.told.count["twice"] += ran[0] > 1 and not each.route.repeatable
+        if isinstance(step, Refuse):
+            self.told.count["late refusal"] += self.now() - ask.came > each.route.target / 4
+            self.told.count["broken promise"] += ran[0] > 0 and not each.route.repeatable
+            answer += ["refused", str(step.after)]
+        else:
+            answer += ["lost" if isinstance(step, Fail) else "ok"]
+
+    def _attempt(self, each: Kind, node: Gateway, machine: Machine, ends: float,
+                 done: list[tuple[str, Outcome]], ran: list[int]) -> Steps:
+        way, name = self.delay(node.zone, machine.entry.zone), machine.entry.instance
+        mb = each.bytes / 1e6
+        if machine.entry.region != node.region:
+            self.told.far_mb += mb
+        elif machine.entry.zone != node.zone:
+            self.told.near_mb += mb
+        work, outcome = self.env.active_process, Outcome.LOST
+        assert work is not None
+        try:
+            yield self.env.timeout(way)
+            if machine.dead == "dark":
+                return
+            if machine.dead:
+                yield self.env.timeout(way)
+                outcome = Outcome.UNREACHABLE
+            else:
+                if machine.cold_until > self.now():
+                    machine.arrivals.append(self.now())
+                if len(machine.room.queue) >= self.case.queue:
+                    self.told.count["reset"] += self.case.resets
+                    yield self.env.timeout(way)
+                    outcome = Outcome.LOST if self.case.resets else Outcome.DECLINED
+                else:
+                    machine.works.add(work)
+                    with machine.room.request() as slot:
+                        yield slot
+                        ran[0] += 1
+                        x = machine.speed * (2.0 if machine.cold_until > self.now() else 1.0)
+                        x *= 5.0 if self.rng.random() < 0.01 else 1.0
+                        took = self.rng.lognormvariate(log(each.work) - each.spread**2 / 2, each.spread) * x
+                        yield self.env.timeout(took)
+                    yield self.env.timeout(way)
+                    outcome = Outcome.OK
+        except simpy.Interrupt as why:
+            if why.cause != "gone":
+                return  # nobody waits for it, or nothing more comes from there
+        finally:
+            machine.works.discard(work)
+        done.append((name, outcome))
+
+    def kill(self, machine: Machine, how: str) -> None:
+        """It is gone (connections reset) or dark (nothing comes back)."""
+        machine.dead = how
+        machine.cold_until = self.now()
+        for work in list(machine.works):
+            if work.is_alive:
+                work.interrupt(how)
+
+    def _trouble(self, at: float, name: str) -> Steps:
+        yield self.env.timeout(at)
+        live = [m for m in self.machines.values() if not m.dead]
+        cold = self.case.cold_time
+        if name in ("gone", "dark"):
+            hit = self.rng.sample(live, max(1, len(live) // 7))
+            for m in hit:
+                self.kill(m, name)
+            yield self.env.timeout(4000.0)
+            for m in hit:
+                self.start(m.entry.service, m.entry.zone, self.now() + cold)
+        elif name == "zone":
+            zone = [m for m in live if m.entry.zone == "z1"]
+            for m in zone:
+                self.kill(m, "dark")
+            yield self.env.timeout(4500.0)
+            for m in zone:
+                self.start(m.entry.service, m.entry.zone, self.now() + cold)
+        elif name == "return":
+            zone = [m for m in live if m.entry.zone == "z1"]
+            for m in zone:
+                self.kill(m, "dark")
+            yield self.env.timeout(4000.0)
+            for m in zone:
+                m.dead, m.cold_until = "", self.now() + cold
+        elif name == "release":
+            for m in self.rng.sample(live, len(live) * 45 // 100):
+                m.draining = True
+                self.start(m.entry.service, m.entry.zone, self.now() + cold)
+                self.env.process(self._end(m))
+                yield self.env.timeout(600.0)
+        elif name == "evacuate":
+            self.evacuated = frozenset({"z1"})
+            yield self.env.timeout(7000.0)
+            for m in self.machines.values():
+                if m.entry.zone == "z1" and not m.dead:
+                    m.cold_until = self.now() + cold
+            self.evacuated = frozenset()
+
+    def _end(self, machine: Machine) -> Steps:
+        yield self.env.timeout(3500.0)
+        self.kill(machine, "gone")
+
+    def run(self) -> Told:
+        """Play the case to its end and count."""
+        self.env.run(until=self.case.length + 3000.0)
+        for machine in self.machines.values():
+            self.told.cold_most = max(self.told.cold_most, most_in(machine.arrivals, 1000.0))
+        for service, times in self.further.items():
+            for at in times:
+                more = sum(1 for t in times if at - 10_000.0 < t <= at)
+                first = sum(1 for t in self.firsts[service] if at - 10_000.0 < t <= at)
+                self.told.budget = max(self.told.budget, more / (0.2 * first + 58.0))
+        return self.told
+
+
+def most_in(times: list[float], span: float) -> int:
+    """The most moments in any window of that length."""
+    most = first = 0
+    for last, at in enumerate(times):
+        while times[first] <= at - span:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+class SeesAll:
+    """The chooser to compare with: it sees every backend's queue and health, and never tries twice."""
+
+    def __init__(self, world: World, settings: Settings, rng: Random) -> None:
+        self._world, self._settings, self._rng = world, settings, rng
+        self._sent: Counter[str] = Counter()
+
+    def backends(self, now: float, entries: object) -> None:
+        """Not needed."""
+
+    def gateways(self, now: float, own: str, entries: object) -> None:
+        """Not needed."""
+
+    def word(self, now: float, word: Word) -> None:
+        """Not needed."""
+
+    def begin(self, now: float, ask: Ask) -> Exchange:
+        """A try was admitted."""
+        return _Seen(ask)
+
+    def next(self, now: float, exchange: Exchange) -> Step:
+        """The one that would begin it first, near ones among equals."""
+        assert isinstance(exchange, _Seen)
+        ask = exchange.ask
+        if exchange.sent:
+            return Hold(ask.ends - now) if now < ask.ends else Fail(504)
+
+        def cost(m: Machine) -> float:
+            away = m.entry.zone != self._settings.zone
+            far = m.entry.region != self._settings.region
+            # What is on its way is not in the queue yet, but it is known here.
+            waits = max(0, len(m.works) + 1 - m.entry.slots) / m.entry.slots
+            return waits + m.speed * 0.5 + 0.1 * away + 1.0 * far + 0.01 * self._rng.random()
+
+        fit = [m for m in self._world.machines.values()
+               if m.entry.service == ask.service and not m.dead and not m.draining and m.cold_until <= now
+               and m.entry.zone not in self._world.evacuated and (not ask.homes or m.entry.region in ask.homes)]
+        if not fit:
+            return Refuse(300.0)
+        exchange.sent = True
+        return Send(min(fit, key=cost).entry, ask.ends - now)
+
+    def ended(self, now: float, exchange: Exchange, backend: Backend, outcome: Outcome, lag: float) -> None:
+        """Not needed."""
+        assert isinstance(exchange, _Seen)
+        exchange.sent = not outcome.ran and outcome is not Outcome.SILENT
+
+    def finish(self, now: float, exchange: Exchange) -> None:
+        """Not needed."""
+
+
+@dataclass
+class _Seen(Exchange):
+    ask: Ask
+    sent: bool = False
+
+
+def thin(world: World, settings: Settings, rng: Random) -> Decisions:
+    """The decisions as they run in a gateway."""
+    return Choice(settings, rng)
+
+
+CASES = (
+    Case("calm"), Case("high", load=1.4), Case("busy", load=1.9), Case("full", load=2.3),
+    Case("short", load=1.8, troubles=((6000.0, "zone"),)), Case("over", load=3.0),
+    Case("gone", load=1.3, troubles=((6000.0, "gone"),)), Case("dark", load=1.3, troubles=((6000.0, "dark"),)),
+    Case("zone", load=1.3, troubles=((6000.0, "zone"),)), Case("return", load=1.3, troubles=((6000.0, "return"),)),
+    Case("release", load=1.3, troubles=((4000.0, "release"),)),
+    Case("evacuate", load=1.3, troubles=((4000.0, "evacuate"),)),
+    Case("six slots", load=1.0, slots=6, queue=24, resets=False, speeds=(0.7 * 1.8, 1.8, 1.8, 1.5 * 1.8), far=55.0),
+    Case("grown", load=8.0, gateways=(15, 15, 14, 14, 14, 14), big=(16,) * 6, small=(8,) * 6, slots=6, queue=24,
+         length=6000.0, cold_rate=12.0),
+)
+
+
+if __name__ == "__main__":
+    for case in CASES:
+        if len(sys.argv) > 1 and case.name not in sys.argv[1:]:
+            continue
+        print(f"{case.name:10} thin {World(case, 1, thin).run().line()}")
+        print(f"{'':10} all  {World(case, 1, SeesAll).run().line()}")
--- a/hallhitch/node/web.py
+++ b/hallhitch/node/web.py
@@ -28,6 +28,7 @@
         self._queue: list[tuple[str, str, bytes, bool]] = []
         self._busy = False
         self._transport: asyncio.Transport | None = None
+        self._task: asyncio.Future[None] | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -37,6 +38,8 @@
     def connection_lost(self, error: Exception | None) -> None:
         self._transport = None
         self._web.connections.discard(self)
+        if self._task is not None:
+            self._task.cancel()  # whoever asked is gone, and asks elsewhere: a late order dies with its caller
 
     def data_received(self, data: bytes) -> None:
         self._size += len(data)
@@ -74,7 +77,7 @@
                 self._write(reply, keep)
             else:
                 self._busy = True
-                task = asyncio.ensure_future(self._later(reply, keep))
+                task = self._task = asyncio.ensure_future(self._later(reply, keep))
                 self._web.tasks.add(task)
                 task.add_done_callback(self._web.tasks.discard)
 
--- /dev/null
+++ b/hallhitch/planes/control/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's word: one register over a quorum of disks, its files, its replicas, and the calls of operators."""
--- /dev/null
+++ b/hallhitch/planes/control/operator.py
@@ -0,0 +1,103 @@
+"""The operator's calls: HTTP in, HTTP out, as plain values. Owns status and body of every answer.
+
+200 says that a majority of disks holds it. Must never say so otherwise, and must answer within the second after which
+callers move on. Whoever owns the connection cancels the call when its caller leaves: a late order dies with it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import zlib
+from collections.abc import Callable
+from urllib.parse import parse_qs, urlsplit
+
+from hallhitch.messages.system_pb2 import Value
+from hallhitch.node.clock import now
+from hallhitch.node.errors import StepError
+from hallhitch.node.settings import Node
+from hallhitch.planes.control import changes, check
+from hallhitch.planes.control.plane import ControlPlane
+from hallhitch.planes.control.register import Change
+
+PATH = "/hallhitch/rpc"
+PATIENCE = 850.0  # ms for an order: callers move on after a second
+A_ROUTE = 1.0  # ms more for each route of a configuration: bigger ones are given more time
+READ = 700.0  # ms for a confirmed read, then what is known here is told
+Answer = tuple[int, dict[str, str], bytes]
+
+
+class Operator:
+    """The calls of `control_plane` on one coordinator."""
+
+    def __init__(self, node: Node, plane: ControlPlane, clock: Callable[[], float] = now) -> None:
+        self._node, self._plane, self._clock = node, plane, clock
+
+    def settings(self, node: Node) -> None:
+        """The settings have changed: zones."""
+        self._node = node
+
+    async def call(self, method: str, target: str, body: bytes) -> Answer:
+        """Answer one request: status, headers, body. Never raises but for its own cancellation."""
+        began = self._clock()
+        url = urlsplit(target)
+        query = parse_qs(url.query, keep_blank_values=True)
+        name, of = query.get("call", [""])[0], query.get("of", [""])[0]
+        if url.path != PATH or name not in ("config.replace", "config.describe", "evacuations.start",
+                                            "evacuations.stop"):
+            return _error(404, f"there is no {name or url.path}")
+        if method != "POST":
+            return _error(405, "only POST is answered here", {"Allow": "POST"})
+        if name == "config.describe":
+            return await self._describe()
+        if name == "config.replace":
+            return await self._replace(body, began)
+        if of not in self._node.zones:
+            return _error(400, f"there is no zone {of!r}" if of else "the zone is missing: of=ZONE")
+        change = changes.evacuate(of) if name == "evacuations.start" else changes.restore(of)
+        # One turn of the loop: a caller that has left long ago is noticed before its order is taken.
+        await asyncio.sleep(0)
+        if self._plane.stood:
+            return _error(503, "this machine stood still: ask again", {"Retry-After": "0.5"})
+        return await self._order(change, began, PATIENCE)
+
+    async def _replace(self, body: bytes, began: float) -> Answer:
+        try:
+            checked = check.read(body)
+        except check.TooLarge as error:
+            return _error(413, str(error))
+        except check.Invalid as error:
+            return _error(400, str(error))
+        change = changes.put(checked.version, zlib.compress(body, 6))
+        return await self._order(change, began, PATIENCE + A_ROUTE * checked.routes)
+
+    async def _order(self, change: Change, began: float, patience: float) -> Answer:
+        ends = began + patience
+        while self._plane.short:
+            if ends - self._clock() < PATIENCE / 2:
+                return _error(503, "not enough replicas yet", {"Retry-After": "0.3"})
+            await asyncio.sleep(0.05)
+        try:
+            value = await self._plane.change(change, ends - self._clock())
+        except StepError as error:
+            return _error(503, str(error), {"Retry-After": "0.3"})
+        return _json(200, {"configVersion": value.version, "evacuations": sorted(value.zones)})
+
+    async def _describe(self) -> Answer:
+        try:
+            value: Value = await self._plane.change(changes.identity, READ)
+        except StepError as error:
+            value = self._plane.value
+            if not value.content:
+                return _error(503, str(error), {"Retry-After": "0.3"})
+        if not value.content:
+            return _error(503, "there is no configuration yet", {"Retry-After": "0.3"})
+        return 200, {"Content-Type": "application/json"}, zlib.decompress(value.content)
+
+
+def _json(status: int, body: object, headers: dict[str, str] | None = None) -> Answer:
+    return status, {"Content-Type": "application/json", **(headers or {})}, json.dumps(body).encode()
+
+
+def _error(status: int, text: str, headers: dict[str, str] | None = None) -> Answer:
+    return _json(status, {"errorMessage": text}, headers)
--- /dev/null
+++ b/hallhitch/planes/control/plane.py
@@ -0,0 +1,342 @@
+"""The control plane of a coordinator: its replica, its proposer, and the rounds in which it hears of the others.
+
+Owns which value this process knows to be committed. Must never tell a value that no majority holds, and never vote
+while it does not know what it voted before.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Protocol
+
+from hallhitch.messages.system_pb2 import Envelope, Recover, Recovered, Value
+from hallhitch.node.clock import now
+from hallhitch.node.errors import StepError
+from hallhitch.node.logs import Part, Rarely
+from hallhitch.node.settings import Node
+from hallhitch.planes.control import changes, members
+from hallhitch.planes.control.files import Disk, Folder, Store
+from hallhitch.planes.control.proposer import Proposer
+from hallhitch.planes.control.register import (
+    NEVER,
+    Change,
+    Recovery,
+    Replica,
+    Stamp,
+    Tally,
+    ballot,
+    config,
+    everybody,
+    founded,
+    reached,
+    sets,
+    stamp,
+)
+from hallhitch.planes.control.replica import Keeper, Run, Worker
+
+HURRY, CALM = 300.0, 2000.0  # ms between rounds: until the committed value is known, and after
+ANSWER = 800.0  # ms for the answers of a round
+YOUNG = 3000.0  # ms from its start in which a coordinator still waits for enough replicas
+STANDSTILL = 1000.0  # ms without a tick after which this process surely stood still
+TICK = 200.0  # ms
+LOAD = 500.0  # ms that a start waits for the disk; one that hangs is read in the background
+
+
+class Peers(Protocol):
+    """What is used of `messages.link.Links`."""
+
+    async def call(self, address: str, envelope: Envelope, wait: float) -> Envelope:
+        """One call; raises StepError."""
+
+
+class ControlPlane:
+    """The operator's word on one coordinator. `told` hears each newer committed value, on the loop."""
+
+    def __init__(self, node: Node, links: Peers, told: Callable[[Value], None], *, disk: Disk | None = None,
+                 run: Run | None = None, clock: Callable[[], float] = now,
+                 rng: random.Random | None = None) -> None:
+        self._node, self._links, self._told, self._clock = node, links, told, clock
+        self._rng = rng or random.Random()
+        self.address = node.internal
+        self._worker = Worker() if run is None else None
+        if disk is None and node.data is not None:
+            disk = Folder(node.data)
+        store = Store(disk, self.address) if disk is not None else None
+        self._keeper = Keeper(self.address, store, run or (self._worker.run if self._worker else _unused), clock)
+        self._proposer = Proposer(
+            self._keeper, f"{self._rng.getrandbits(64):016x}", links.call, self._learnt, self._likely, clock, self._rng)
+        self._value = Value(version=-1)
+        self._at: Stamp = NEVER  # the ballot of the newest value that a majority is known to hold
+        self._known = False  # whether such a value was met in this life
+        self._loaded = self._stepping = False
+        self._loading: asyncio.Task[None] | None = None
+        self._heard: dict[str, float] = {}
+        self._asking: dict[str, float] = {}
+        self._told_of: frozenset[str] = frozenset()
+        self._due: tuple[object, float] = (None, 0.0)  # what is to be done, and since when it was left to others
+        self._began = self._since = self._ticked = clock()
+        self._stood = float("-inf")
+        self._tasks: list[asyncio.Task[None]] = []
+        self._log = Part("control")
+        self._failing = Rarely(self._log)
+
+    # --- What the program sees.
+
+    @property
+    def value(self) -> Value:
+        """The newest value known to be committed; serial 0 before any. Not to be changed."""
+        return self._value
+
+    @property
+    def members(self) -> tuple[str, ...]:
+        """The internal addresses of the replicas, as far as known."""
+        return tuple(self._value.members or self._proposer.met[1].members or self._keeper.state.value.members)
+
+    async def start(self) -> None:
+        """Read the disk and begin; a disk in trouble is asked again in the background. Never raises for it."""
+        self._began = self._since = self._ticked = self._clock()
+        self._loading = asyncio.ensure_future(self._load())
+        await asyncio.wait([self._loading], timeout=LOAD / 1000)
+        self._tasks = [asyncio.ensure_future(self._rounds()), asyncio.ensure_future(self._tick())]
+
+    async def stop(self) -> None:
+        """No more rounds, ballots or writes."""
+        for task in [*self._tasks, *([self._loading] if self._loading is not None else [])]:
+            task.cancel()
+        self._proposer.stop()
+        if self._worker is not None:
+            self._worker.stop()
+
+    def settings(self, node: Node) -> None:
+        """The settings have changed: seeds, losses."""
+        self._node = node
+
+    def coordinators(self, addresses: Sequence[str]) -> None:
+        """The internal addresses of the coordinators that live, as discovery tells."""
+        self._told_of = frozenset(addresses)
+
+    def adopt(self, value: Value) -> None:
+        """A committed value that another coordinator told; taken if it is newer."""
+        if value.serial > self._value.serial:
+            self._value = value
+            self._told(value)
+
+    def handle(self, envelope: Envelope) -> Envelope | Awaitable[Envelope] | None:
+        """The answer to another replica's message; None where it is not for the register."""
+        if envelope.HasField("recover"):
+            asked = envelope.recover
+            if asked.address and asked.sound:
+                self._asking[asked.address] = self._clock()
+            return self._keeper.handle(envelope)
+        if envelope.HasField("prepare") or envelope.HasField("accept"):
+            return self._keeper.handle(envelope)
+        return None
+
+    async def change(self, change: Change, patience: float) -> Value:
+        """Put a change to the register; the committed value after it. Raises Silent after `patience` ms."""
+        return await self._proposer.change(change, patience)
+
+    @property
+    def short(self) -> bool:
+        """Whether more replicas are needed for the losses to be borne, and may still be on their way."""
+        return (self._clock() - self._began < YOUNG
+                and (not self._known or len(self._proposer.settled[1]) < members.needed(self._node.losses)))
+
+    @property
+    def stood(self) -> bool:
+        """Whether this process stood still a moment ago: what it reads now may have waited long."""
+        at = self._clock()
+        return at - self._ticked > STANDSTILL or at - self._stood < STANDSTILL
+
+    # --- Inside.
+
+    async def _load(self) -> None:
+        try:
+            found = await self._keeper.load()
+        except OSError as error:
+            self._failing.warning(self._clock(), f"the data folder cannot be read: {error}")
+            return
+        self._loaded = True
+        if found is None:
+            self._log.warning("there is no data folder: this machine keeps nothing")
+        elif found.replica is None:
+            if found.empty and self._node.first_start and self.address in self._node.peers:
+                await self._found()
+            else:
+                self._log.warning("nothing usable in the data folder: the others are asked before any vote")
+
+    async def _found(self) -> None:
+        """The first start of the whole system: nobody has voted yet, and the seeds are the members."""
+        try:
+            await self._keeper.become(Replica(self.address, value=founded(self._node.peers)))
+        except OSError as error:
+            self._loaded = False
+            self._failing.warning(self._clock(), f"founding failed: {error}")
+
+    def _likely(self, address: str) -> bool:
+        return self._clock() - self._heard.get(address, float("-inf")) <= members.FRESH or address == self.address
+
+    def _learnt(self, value: Value, at: Stamp) -> None:
+        """A majority holds this value under this ballot."""
+        if at >= self._at:
+            self._at, self._known = at, True
+            self._proposer.settled = config(value)
+        if at > self._proposer.met[0]:
+            self._proposer.met = at, value
+        self.adopt(value)
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK / 1000)
+            at = self._clock()
+            if at - self._ticked > STANDSTILL:
+                self._stood = self._since = at  # it was this process that was silent
+            self._ticked = at
+
+    async def _rounds(self) -> None:
+        while True:
+            try:
+                await self._round()
+            except (StepError, TimeoutError) as error:
+                self._failing.warning(self._clock(), f"a round ended early: {error}")
+            except Exception as error:
+                self._log.error(f"a round failed: {type(error).__name__}: {error}")
+            await asyncio.sleep(self._gap() * self._rng.uniform(0.8, 1.2) / 1000)
+
+    def _gap(self) -> float:
+        """How long to rest between rounds (ms)."""
+        if not self._known or self._keeper.state.forgetful or self._due[0] is not None or self._stepping:
+            return HURRY
+        return CALM if self.address in self._proposer.settled[1] else 2 * HURRY
+
+    async def _round(self) -> None:
+        if not self._loaded and (self._loading is None or self._loading.done()):
+            self._loading = asyncio.ensure_future(self._load())
+            await asyncio.wait([self._loading], timeout=LOAD / 1000)
+        if self._keeper.state.forgetful:
+            await self._remember()
+        await self._hear()
+        if not self._keeper.state.forgetful:
+            await self._upkeep()
+
+    def _others(self) -> frozenset[str]:
+        """Whom to ask: all who count under any value met; where none is, the seeds and whom discovery tells."""
+        known = everybody(self._keeper.state.value) | everybody(self._proposer.met[1]) | everybody(self._value)
+        if not self._known or self.address not in known:
+            known |= frozenset(self._node.peers) | self._told_of
+        fresh = (one for one, at in self._asking.items() if self._clock() - at <= members.FRESH)
+        return (known | frozenset(fresh)) - {self.address}
+
+    async def _read(self, addresses: frozenset[str], asked: Recover) -> dict[str, Recovered]:
+        """What the others hold; those who do not answer are left out."""
+        async def one(address: str) -> tuple[str, Recovered | None]:
+            try:
+                answer = await self._links.call(address, Envelope(recover=asked), ANSWER)
+            except StepError:
+                return address, None
+            self._heard[address] = self._clock()
+            return address, answer.recovered
+        answers = await asyncio.gather(*(one(address) for address in sorted(addresses)))
+        return {address: answer for address, answer in answers if answer is not None}
+
+    async def _hear(self) -> None:
+        """What do the others hold? Take what is newer, and learn what a majority has."""
+        state = self._keeper.state
+        asked = Recover(address=self.address, known=ballot(state.accepted), sound=not state.forgetful)
+        answers = {one: answer for one, answer in (await self._read(self._others(), asked)).items() if answer.ok}
+        for answer in answers.values():
+            if stamp(answer.accepted) == state.accepted != NEVER:
+                answer.value.CopyFrom(state.value)
+        if not state.forgetful:
+            self._heard[self.address] = self._clock()
+            answers[self.address] = state.recover(Recover(address=self.address))[1]
+        if not answers:
+            return
+        newest = max(answers.values(), key=lambda one: stamp(one.accepted))
+        at, value = stamp(newest.accepted), newest.value
+        if at > self._proposer.met[0] or not self._proposer.met[1].members:
+            self._proposer.met = at, value
+        tally = Tally(sets(value))
+        for member, answer in answers.items():
+            tally.add(member, stamp(answer.accepted) == at, answer.lives)
+        if tally.reached():
+            self._learnt(value, at)
+            behind = [one for one in everybody(value) & answers.keys() if stamp(answers[one].accepted) < at]
+            self._wanted(("behind", at) if behind else None)
+        else:
+            self._wanted(("agree", at))
+        if at > state.accepted and not state.forgetful and not self._keeper.busy:
+            # The accept that did not reach this replica, or not yet: it may come from anybody.
+            await asyncio.wait_for(self._keeper.take(newest.accepted, value), ANSWER / 1000)
+
+    def _wanted(self, what: object) -> None:
+        if self._due[0] != what:
+            self._due = what, self._clock()
+
+    async def _upkeep(self) -> None:
+        """Bring about what is missing, each member in its turn: agreement, then the right members."""
+        at, what = self._clock(), self._due[0]
+        value = self._proposer.met[1]
+        wait = members.turn(value, self.address, at, self._heard) + HURRY
+        self._stepping = False
+        if what is not None:
+            if at - self._due[1] >= wait and reached(sets(value), members.reachable(at, self._heard)):
+                await self.change(changes.identity, ANSWER)
+                self._wanted(None)
+            return
+        if config(value) != self._proposer.settled:
+            return
+        step = members.step(value, at, self._since, self._heard, self._asking, self._node.losses)
+        if step is None or wait == float("inf"):
+            return
+        self._stepping = True
+        await asyncio.sleep((wait - HURRY) / 1000)
+        if config(self._proposer.met[1]) != config(value):
+            return
+        among = config(value)
+        match step:
+            case members.Settle():
+                change: Change = changes.settle
+            case members.Add(address):
+                self._log.info(f"{address} becomes a replica")
+                change = changes.add(address, among)
+            case members.Remove(address):
+                self._log.info(f"{address} is no replica any more: silent for long")
+                change = changes.remove(address, among)
+        after = await self.change(change, ANSWER)
+        if after.previous:
+            await self.change(changes.settle, ANSWER)
+
+    async def _remember(self) -> None:
+        """This replica does not know what it voted: read so many others that nothing it voted can be missed."""
+        if not self._loaded or self._keeper.diskless:
+            return
+        first = Recovery(self.address)
+        await self._consult(first)
+        if not first.enough():
+            return
+        second = Recovery(self.address, first.next_life())
+        await self._consult(second)
+        if not second.enough():
+            return
+        try:
+            await self._keeper.become(second.replica())
+        except OSError as error:
+            self._failing.warning(self._clock(), f"what was read back cannot be kept: {error}")
+            return
+        self._log.info(f"memory read back from the others, life {second.life}")
+
+    async def _consult(self, recovery: Recovery) -> None:
+        """Ask by the newest members met, until they stay the same."""
+        asked = frozenset[str]()
+        while more := (self._others() | everybody(recovery.newest())) - asked - {self.address}:
+            asked |= more
+            message = Recover(address=self.address, life=recovery.life)
+            for member, answer in (await self._read(more, message)).items():
+                recovery.answer(member, answer)
+
+
+async def _unused(call: Callable[[], None]) -> None:
+    call()
--- /dev/null
+++ b/hallhitch/planes/control/proposer.py
@@ -0,0 +1,186 @@
+"""The proposer at work: waiting changes go through the register, all of them in one ballot, one ballot at a time.
+
+Owns the ballots of this process. Must never apply a change whose caller has left, and never call a change done before
+a majority of each set of members has it on the disk.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from hallhitch.messages.system_pb2 import Envelope, Value
+from hallhitch.node.clock import now
+from hallhitch.node.errors import Silent, StepError
+from hallhitch.node.logs import Part
+from hallhitch.planes.control.register import NEVER, Change, Config, Moved, Proposal, Propose, Settled, Stamp, config
+from hallhitch.planes.control.replica import Keeper
+
+PREPARE, ACCEPT = 900.0, 2500.0  # ms for one answer; a big word on a thin link takes its time
+LINGER = 150.0  # ms given to the others after a majority has it: more disks than needed
+FIRST_PAUSE, LONGEST_PAUSE = 20.0, 200.0  # ms between ballots that met others, drawn at random up to this
+MOVES = 3  # times that a ballot may start over by other members without a pause
+Call = Callable[[str, Envelope, float], Awaitable[Envelope]]
+
+
+@dataclass(eq=False, slots=True)
+class _Order:
+    change: Change
+    done: asyncio.Future[Value]
+
+
+class Proposer:
+    """Puts changes to the register. `learnt` is told each value that a majority holds."""
+
+    def __init__(self, keeper: Keeper, life: str, call: Call, learnt: Callable[[Value, Stamp], None],
+                 likely: Callable[[str], bool], clock: Callable[[], float] = now,
+                 rng: random.Random | None = None) -> None:
+        self._keeper, self._call, self._learnt, self._likely = keeper, call, learnt, likely
+        self._name = f"{keeper.state.address}#{life}"
+        self._clock, self._rng = clock, rng or random.Random()
+        self._round = 0
+        self._orders: list[_Order] = []
+        self._taken: list[_Order] = []  # those that the ballot under way has applied
+        self._work: asyncio.Task[None] | None = None
+        self._ballot: asyncio.Task[Value | Moved | None] | None = None
+        self._calls: set[asyncio.Task[None]] = set()
+        self._log = Part("register")
+        self.settled: Config = config(Value())  # the newest members that a majority is known to have taken
+        self.met: tuple[Stamp, Value] = (NEVER, Value())  # the newest value met anywhere: by its members we ask
+
+    async def change(self, change: Change, patience: float) -> Value:
+        """Put a change to the register; the value after it. Raises Silent after `patience` ms: it may come yet."""
+        order = _Order(change, asyncio.get_running_loop().create_future())
+        self._orders.append(order)
+        if self._work is None or self._work.done():
+            self._work = asyncio.ensure_future(self._serve())
+        try:
+            async with asyncio.timeout(patience / 1000):
+                return await order.done
+        except TimeoutError:
+            raise Silent("agree", "", f"no majority in {patience:.0f} ms") from None
+        finally:
+            order.done.cancel()
+            self._leave(order)
+
+    def _leave(self, order: _Order) -> None:
+        if order in self._orders:
+            self._orders.remove(order)
+        if self._ballot is not None and not any(one in self._orders for one in self._taken or self._orders):
+            self._ballot.cancel()  # nobody waits for it any more, and others may wait behind it
+
+    def stop(self) -> None:
+        """No more ballots."""
+        for task in [*self._calls, *([self._work] if self._work is not None else [])]:
+            task.cancel()
+
+    async def _serve(self) -> None:
+        pause, moves = FIRST_PAUSE, 0
+        ask: tuple[Stamp, Value] | None = None
+        while self._orders:
+            self._taken, began, result = [], self._clock(), None
+            self._ballot = asyncio.ensure_future(self._one(ask))
+            try:
+                result = await self._ballot
+            except asyncio.CancelledError:
+                own = asyncio.current_task()
+                if own is not None and own.cancelling():
+                    raise  # it is this process that ends
+            except Exception as error:
+                self._log.error(f"a ballot failed: {type(error).__name__}: {error}")
+            finally:
+                self._ballot = None
+            ask = result.held if isinstance(result, Moved) else None
+            if isinstance(result, Value):
+                pause, moves = FIRST_PAUSE, 0
+                for order in self._taken:
+                    if not order.done.done():
+                        order.done.set_result(result)
+                    if order in self._orders:
+                        self._orders.remove(order)
+                continue
+            moves += 1
+            if self._orders and (ask is None or moves > MOVES):
+                # At least as long as a ballot takes here: over long ways two would else chase each other for ever.
+                longest = max(pause, min(self._clock() - began, LONGEST_PAUSE))
+                await asyncio.sleep(self._rng.uniform(0.2, 1.0) * longest / 1000)
+                pause = min(2 * pause, LONGEST_PAUSE)
+
+    async def _one(self, ask: tuple[Stamp, Value] | None) -> Value | Moved | None:
+        """One ballot: the value that a majority holds, by whose members to start over, or None."""
+        held = self._keeper.state
+        known: tuple[Stamp, Value] = (NEVER, Value()) if held.forgetful else (held.accepted, held.value)
+        asked = ask or (known if known[0] > self.met[0] or not self.met[1].members else self.met)
+        self._round = max(self._round, held.promised[0], asked[0][0]) + 1
+
+        def change(value: Value) -> Value:
+            # Only now, and only for those who still wait: see `changes` on orders that come late.
+            for order in self._orders:
+                if not order.done.done():
+                    self._taken.append(order)
+                    value = order.change(value)
+            return value
+
+        proposal = Proposal((self._round, self._name), asked[1], known, change, self.settled)
+        if not proposal.to:
+            return None
+        answers: asyncio.Queue[tuple[str, Envelope]] = asyncio.Queue()
+        prepare = proposal.prepare()
+        for member in sorted(proposal.to):
+            self._ask(member, Envelope(prepare=prepare), PREPARE, answers)
+        missing: set[str] = set()
+        committed = False
+        while not committed:
+            member, answer = await answers.get()
+            if answer.HasField("promise"):
+                chosen = proposal.promise(member, answer.promise)
+                if isinstance(chosen, Moved):
+                    return chosen
+                if isinstance(chosen, Settled):
+                    self._learnt(chosen.value, proposal.base[0])
+                    return chosen.value
+                if isinstance(chosen, Propose):
+                    missing = set(chosen.to)
+                    for one in sorted(chosen.to):
+                        self._ask(one, Envelope(accept=proposal.accept(one)), ACCEPT, answers)
+            elif answer.HasField("accepted"):
+                missing.discard(member)
+                committed = proposal.accepted(member, answer.accepted)
+            else:
+                proposal.refused(member)
+                missing.discard(member)
+            self._round = max(self._round, proposal.seen)
+            if not committed and proposal.hopeless():
+                return None
+        value = proposal.value
+        assert value is not None
+        self._learnt(value, proposal.at)
+        if proposal.changed:
+            await self._linger(missing, answers)
+        return value
+
+    async def _linger(self, missing: set[str], answers: asyncio.Queue[tuple[str, Envelope]]) -> None:
+        """A majority has it; wait a little for the others that are likely to answer."""
+        try:
+            async with asyncio.timeout(LINGER / 1000):
+                while any(self._likely(one) for one in missing):
+                    missing.discard((await answers.get())[0])
+        except TimeoutError:
+            pass
+
+    def _ask(self, member: str, envelope: Envelope, wait: float,
+             answers: asyncio.Queue[tuple[str, Envelope]]) -> None:
+        async def ask() -> None:
+            try:
+                if member == self._keeper.state.address:
+                    answer = await self._keeper.handle(envelope)
+                else:
+                    answer = await self._call(member, envelope, wait)
+            except StepError:
+                answer = Envelope()
+            answers.put_nowait((member, answer))
+        task = asyncio.ensure_future(ask())
+        self._calls.add(task)
+        task.add_done_callback(self._calls.discard)
--- /dev/null
+++ b/hallhitch/planes/control/replica.py
@@ -0,0 +1,145 @@
+"""One replica at work: decisions of `register`, one after the other, each on the disk before its answer.
+
+Owns the thread that waits for the disk. Must never answer what is not kept, and never wait for the disk on the loop.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import queue
+import threading
+from collections.abc import Awaitable, Callable
+
+from hallhitch.messages.system_pb2 import Accept, Ballot, Envelope, Value
+from hallhitch.node.errors import StepError
+from hallhitch.node.logs import Part
+from hallhitch.planes.control.files import Found, Store
+from hallhitch.planes.control.register import Replica
+
+LATE = 1500.0  # ms after which nobody waits for an answer any more
+Run = Callable[[Callable[[], None]], Awaitable[None]]
+
+
+class Worker:
+    """A thread for calls that block. It is no reason to stay when the process ends: a disk may hang for long."""
+
+    def __init__(self) -> None:
+        self._jobs: queue.SimpleQueue[Callable[[], None] | None] = queue.SimpleQueue()
+        threading.Thread(target=self._work, name="disk", daemon=True).start()
+
+    def _work(self) -> None:
+        while (job := self._jobs.get()) is not None:
+            job()
+
+    async def run(self, call: Callable[[], None]) -> None:
+        """Do it there; raises what it raised."""
+        loop = asyncio.get_running_loop()
+        done: asyncio.Future[None] = loop.create_future()
+
+        def tell(error: Exception | None) -> None:
+            if done.cancelled():
+                return
+            if error is None:
+                done.set_result(None)
+            else:
+                done.set_exception(error)
+
+        def job() -> None:
+            failed: Exception | None = None
+            try:
+                call()
+            except Exception as error:
+                failed = error
+            try:
+                loop.call_soon_threadsafe(tell, failed)
+            except RuntimeError:
+                self._jobs.put(None)  # the loop has ended
+
+        self._jobs.put(job)
+        await done
+
+    def stop(self) -> None:
+        """No more calls."""
+        self._jobs.put(None)
+
+
+class Keeper:
+    """One replica with its disk; `state` is what is kept, never ahead of it."""
+
+    def __init__(self, address: str, store: Store | None, run: Run, clock: Callable[[], float]) -> None:
+        self.state = Replica(address, forgetful=True)
+        self._store, self._run, self._clock = store, run, clock
+        self._lock = asyncio.Lock()
+        self._log = Part("replica")
+
+    @property
+    def busy(self) -> bool:
+        """Whether the disk is at work, or hangs."""
+        return self._lock.locked()
+
+    @property
+    def diskless(self) -> bool:
+        """Whether there is nothing to keep anything on: such a one never votes."""
+        return self._store is None
+
+    async def load(self) -> Found | None:
+        """Read what the disk holds; None without a disk. Raises OSError where it refuses."""
+        store, found = self._store, list[Found]()
+        if store is None:
+            return None
+        await self._run(lambda: found.append(store.load()))
+        for note in found[0].notes:
+            self._log.warning(note)
+        held = found[0].replica
+        if held is not None:
+            self.state = held
+        return found[0]
+
+    async def become(self, replica: Replica) -> None:
+        """Go on as this one: a founder's, or what was read from others. Raises OSError."""
+        async with self._lock:
+            await self._keep(replica)
+
+    async def handle(self, envelope: Envelope) -> Envelope:
+        """The answer to a prepare, an accept or a recover; raises StepError where nothing may be said."""
+        if envelope.HasField("recover"):
+            same, read = self.state.recover(envelope.recover)
+            if same is self.state:  # nothing to write: readers do not wait for a disk that hangs
+                return Envelope(recovered=read)
+        # Shielded: a caller that leaves must not make us go on before what is being written is known.
+        return await asyncio.shield(asyncio.ensure_future(self._in_turn(envelope)))
+
+    async def _in_turn(self, envelope: Envelope) -> Envelope:
+        came = self._clock()
+        async with self._lock:
+            if self._clock() - came > LATE:
+                raise StepError("keep", self.state.address, "the disk was too slow")
+            answer = Envelope()
+            if envelope.HasField("prepare"):
+                after, promise = self.state.prepare(envelope.prepare)
+                answer.promise.CopyFrom(promise)
+            elif envelope.HasField("accept"):
+                after, accepted = self.state.accept(envelope.accept)
+                answer.accepted.CopyFrom(accepted)
+            else:
+                after, recovered = self.state.recover(envelope.recover)
+                answer.recovered.CopyFrom(recovered)
+            if after is not self.state:
+                try:
+                    await self._keep(after)
+                except OSError as error:
+                    raise StepError("keep", self.state.address, f"the disk refused: {error}") from None
+            return answer
+
+    async def take(self, ballot: Ballot, value: Value) -> None:
+        """Accept what others hold, as if the accept had come late."""
+        await self.handle(Envelope(accept=Accept(ballot=ballot, value=value)))
+
+    async def _keep(self, replica: Replica) -> None:
+        store = self._store
+        if store is None:
+            raise OSError("there is no data folder")
+        await self._run(lambda: store.save(replica))
+        self.state = replica
+        tidying = asyncio.ensure_future(self._run(store.tidy))
+        tidying.add_done_callback(lambda done: None if done.cancelled() else done.exception())
--- a/hallhitch/planes/data/__init__.py
+++ b/hallhitch/planes/data/__init__.py
@@ -1,1 +1,1 @@
-"""The data plane: a client's request from socket to backend and back. It must not know where its knowledge came from."""
+"""The data plane: a client's request from socket to backend and back; it knows not where its knowledge came from."""
--- a/hallhitch/planes/data/choice.py
+++ b/hallhitch/planes/data/choice.py
@@ -55,6 +55,7 @@
     attempts: list[Attempt] = field(default_factory=list)
     waits: Field | None = None  # where it is counted as waiting
     status: int = 502
+    done: bool = False  # the client has its answer, or left
 
 
 class Choice:
@@ -134,16 +135,20 @@
                 seat.late.append(attempt)
         elif attempt.out:
             attempt.release()
-        if outcome in (Outcome.UNREACHABLE, Outcome.VOID):
+        # What is taken back after the answer has come, or after it was silent, may have arrived.
+        if outcome in (Outcome.UNREACHABLE, Outcome.VOID) and not attempt.silent and not run.done:
             attempt.arrived = False
             if attempt.mark is not None:
                 self._budget(now, run.ask.service).give_back(attempt.mark)
                 attempt.mark = None
-        self._learn(now, run, attempt, place, outcome, lag)
+        if not run.done or outcome not in (Outcome.SILENT, Outcome.LOST):
+            # Once nobody waits for it, its silence or its cut may be this gateway's doing.
+            self._learn(now, run, attempt, place, outcome, lag)
 
     def finish(self, now: float, exchange: Exchange) -> None:
         """The client has its answer, or left."""
         assert isinstance(exchange, Run)
+        exchange.done = True
         self._rest(exchange)
 
     def _learn(self, now: float, run: Run, attempt: Attempt, place: Field | None, outcome: Outcome,
--- a/hallhitch/planes/data/cold.py
+++ b/hallhitch/planes/data/cold.py
@@ -59,7 +59,7 @@
             if entry.cold_until > now:
                 life.until = max(life.until, entry.cold_until)
             self._lives[entry.instance] = life
-        self._told = True
+        self._told = self._told or bool(entries)
         self._mine.clear()
 
     def gateways(self, now: float, entries: Sequence[Gateway]) -> None:
--- a/hallhitch/planes/data/line.py
+++ b/hallhitch/planes/data/line.py
@@ -7,7 +7,7 @@
 
 import asyncio
 import socket
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, cast
 
 from hallhitch.net.flow import Broken, Flow
 from hallhitch.net.http import Malformed, Message
@@ -18,6 +18,7 @@
     from hallhitch.planes.data.upstream import Attempt, Pool
 
 UNHEARD = 5000  # ms without an acknowledgement by the backend's machine after which its connection is given up
+AT_ONCE = 250.0  # ms within which a connection that was closed at rest shows it
 TOGETHER = 64 * 1024  # bytes of a body that are worth copying behind their head
 
 
@@ -25,7 +26,7 @@
     """One connection to one backend."""
 
     __slots__ = ("pool", "transport", "reader", "attempt", "flow", "idle_since", "told", "heard", "_age", "_fresh",
-                 "_spoilt", "_closed", "_upload", "_drained", "__weakref__")
+                 "_verdict", "_spoilt", "_closed", "_upload", "_drained", "__weakref__")
 
     def __init__(self, pool: Pool) -> None:
         self.pool = pool
@@ -36,6 +37,7 @@
         self.idle_since = 0.0  # 0 = it never rested
         self.told = 0.0  # ms for which the backend keeps it at rest, as far as it told
         self.heard = 0.0  # when bytes came last
+        self._verdict = Outcome.OK  # of the head of the answer in passing
         self._age = 0.0  # for how long it had rested before this attempt
         self._fresh = True  # whether nothing was asked on it before
         self._spoilt = False  # whether it is not to be used again
@@ -81,9 +83,10 @@
     # Called by the loop.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        assert isinstance(transport, asyncio.Transport)
+        transport = cast(asyncio.Transport, transport)  # uvloop's own is none by inheritance
         self.transport = transport
         self.pool.lines.add(self)
+        self.pool.pools.open += 1
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -147,11 +150,12 @@
             if answer.flow is not None:
                 answer.flow.abandon()
             return False
-        if answer.flow is not None and not answer.flow.ended:
+        if answer.flow is not None:
             if outcome is Outcome.SPOILT or answer.flow.broken:
                 self.close_spoilt()
                 return True
-            self.flow = flow = answer.flow
+            self.flow, self._verdict = answer.flow, outcome
+            flow = answer.flow
             attempt.lag = self.pool.pools.clock() - (attempt.written or 0.0)
             self._spoilt = self._spoilt or not answer.keep
             flow.taken = self._room_again
@@ -161,8 +165,6 @@
                 flow.abandon()  # nobody is served an error that long
             self._passed(flow, behind)
             return True
-        if answer.flow is not None:  # it came whole in one read
-            answer.body, answer.flow = b"".join(answer.flow._pieces), None
         self._done(outcome, answer, answer.keep and not behind)
         return True
 
@@ -171,14 +173,14 @@
         assert self.transport is not None
         if flow.ended:
             self.flow = None
-            self._done(Outcome.OK, None, not behind)
+            self._done(self._verdict, None, not behind)
         elif flow.broken or behind:
             self.close_spoilt()
         elif flow.waits:
             self.transport.pause_reading()
 
     def _room_again(self) -> None:
-        if not self._closed and self.transport is not None:
+        if self.transport is not None and self.usable():
             self.transport.resume_reading()
 
     def _done(self, outcome: Outcome, answer: Message | None, keep: bool) -> None:
@@ -215,11 +217,13 @@
     def _over(self, outcome: Outcome) -> None:
         """The connection has ended; so has what it carried."""
         attempt, self.attempt = self.attempt, None
-        if attempt is not None and outcome is Outcome.LOST and self._age and not self._closed:
-            self.pool.trust.reset(self.pool.pools.clock(), self._age)
+        now = self.pool.pools.clock()
+        if (attempt is not None and attempt.written is not None and outcome is Outcome.LOST and not self._closed
+                and now - attempt.written < AT_ONCE):
+            self.pool.trust.reset(now, self._age)
         self._drop()
         if attempt is not None:
-            attempt.end(self.pool.pools.clock(), outcome)
+            attempt.end(now, outcome)
 
     def _drop(self) -> None:
         if self._closed:
--- /dev/null
+++ b/hallhitch/planes/data/plane.py
@@ -0,0 +1,88 @@
+"""The data plane put together: clients in front, the decisions between, backends behind.
+
+It hands on what the other planes tell and runs the sweep. It decides nothing itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from hallhitch.node.clock import now as steady
+from hallhitch.node.settings import Node
+from hallhitch.planes.data.exchange import Context
+from hallhitch.planes.data.front import Front
+from hallhitch.planes.data.ports import Counter, Decisions
+from hallhitch.planes.data.upstream import Pools
+from hallhitch.planes.values import Backend, Gateway, Word
+
+SWEEP = 0.2  # s between looks at time-outs
+RESERVED = 300  # descriptors for files, links and listeners
+BACKEND_SHARE = 0.35  # of the others
+HELD_SHARE = 0.25  # of the memory for long bodies of requests
+
+
+class DataPlane:
+    """Serves clients at the node's frontend address."""
+
+    def __init__(
+        self, node: Node, decisions: Decisions, counter: Counter, clock: Callable[[], float] = steady,
+    ) -> None:
+        """`clock` gives steady milliseconds."""
+        self.figures: dict[str, int] = {}
+        self._decisions, self._clock = decisions, clock
+        descriptors = max(64, node.files - RESERVED)
+        backends = int(descriptors * BACKEND_SHARE)
+        self._pools = Pools(clock, node.region, backends, self.figures)
+        self.context = Context(decisions, counter, self._pools, clock, self.figures)
+        self.front = Front(
+            self.context, node.listen["frontend"], descriptors - backends, int(node.memory * HELD_SHARE * 1024 * 1024))
+        self.front.retune()
+        self._sweeper: asyncio.TimerHandle | None = None
+
+    async def start(self) -> None:
+        """Listen for clients; raises OSError."""
+        await self.front.start()
+        self._sweep()
+
+    def set_word(self, word: Word) -> None:
+        """The operator's word, whole; in force for each request that is read from now on."""
+        self._decisions.word(self._clock(), word)
+        self._pools.services(word.services)
+        self.context.word = word
+        self.front.retune()
+
+    def set_backends(self, entries: Sequence[Backend]) -> None:
+        """All backends there are."""
+        self._decisions.backends(self._clock(), entries)
+        self._pools.backends(entries)
+
+    def set_gateways(self, own: str, entries: Sequence[Gateway]) -> None:
+        """All gateways that live."""
+        self._decisions.gateways(self._clock(), own, entries)
+        self._pools.gateways(sum(1 for entry in entries if entry.frontend))
+
+    def leave(self) -> None:
+        """Tell clients to come elsewhere, with each answer."""
+        self.front.leave()
+
+    def close_listener(self) -> None:
+        """Let nobody new in."""
+        self.front.close_listener()
+
+    async def drained(self, until: float) -> bool:
+        """Wait until all clients are gone, `until` (steady ms) at most; whether they are."""
+        return await self.front.drained(until)
+
+    def close(self) -> None:
+        """End everything at once."""
+        if self._sweeper is not None:
+            self._sweeper.cancel()
+        self.front.close()
+        self._pools.close()
+
+    def _sweep(self) -> None:
+        now = self._clock()
+        self.front.sweep(now)
+        self._pools.sweep(now)
+        self._sweeper = asyncio.get_running_loop().call_later(SWEEP, self._sweep)
--- a/hallhitch/planes/data/upstream.py
+++ b/hallhitch/planes/data/upstream.py
@@ -153,10 +153,10 @@
             self._unreachable()
 
     def _unreachable(self) -> None:
-        """One connection did not come up: whoever waits for it knows."""
+        """One connection did not come up: whoever waits, and for no other that may, knows."""
         now = self.pools.clock()
         self.pools.count("unreachable")
-        if len(self.waiting) > self.opening:
+        while len(self.waiting) > self.opening:
             self.waiting.popleft().end(now, Outcome.UNREACHABLE)
 
     def free(self, line: Line) -> None:
@@ -175,7 +175,9 @@
 
     def gone(self, line: Line) -> None:
         """A connection is closed."""
-        self.lines.discard(line)
+        if line in self.lines:
+            self.lines.remove(line)
+            self.pools.open -= 1
         if line in self.idle:
             self.idle.remove(line)
         self.pools.drop_if_done(self)
@@ -209,7 +211,7 @@
     def __init__(self, clock: Callable[[], float], region: str, most: int, figures: dict[str, int]) -> None:
         """`most` bounds all connections together, resting ones too."""
         self.clock, self.region, self.most, self.figures = clock, region, most, figures
-        self.opening = 0
+        self.open = self.opening = 0  # connections
         self.tasks: set[asyncio.Task[None]] = set()
         self._pools: dict[str, Pool] = {}
         self._leaving: set[Pool] = set()  # retired, with something still out
@@ -271,13 +273,9 @@
         entry = self._services.get(service)
         return max(2, entry.max_connections // (2 * self._gateways)) if entry is not None else 2
 
-    def open_now(self) -> int:
-        """Connections that are open or being opened."""
-        return self.opening + sum(len(pool.lines) for pool in (*self._pools.values(), *self._leaving))
-
     def room(self) -> bool:
         """Whether one more may be opened; the one that rested longest makes room if need be."""
-        if self.open_now() < self.most:
+        if self.open + self.opening < self.most:
             return True
         oldest = min((pool.idle[0] for pool in self._pools.values() if pool.idle),
                      key=lambda line: line.idle_since, default=None)
--- a/hallhitch/planes/data/wire.py
+++ b/hallhitch/planes/data/wire.py
@@ -149,9 +149,10 @@
     """
     headers, status = answer.headers, answer.status
     own = headers.get(REQUEST_ID)
-    if own != request_id and own is not None and request_id is not None:
+    if own != request_id and own is not None:
         return None
-    if REQUEST_ID in answer.twice or own is None and request_id is not None and not fresh:
+    if (REQUEST_ID in answer.twice or own is None and request_id is not None and not fresh
+            or headers.get(b"transfer-encoding", b"chunked").lower() != b"chunked"):
         return Outcome.SPOILT
     if status == 421:
         return Outcome.MOVED
--- /dev/null
+++ b/hallhitch/planes/quota/caller.py
@@ -0,0 +1,160 @@
+"""One unit for one request: asks the tenant's holder, or the gateway's own reserve where nobody answers.
+
+Owns what it knows of each holder as a caller (round trip, silence). Never passes a request unchecked, and never
+raises: what was asked and not answered may have been counted, which only counts too much.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from hallhitch.messages.system_pb2 import Count, Envelope
+from hallhitch.node.errors import StepError
+from hallhitch.planes.data.ports import Taken
+from hallhitch.planes.quota.holder import Sum
+from hallhitch.planes.quota.limits import bucket_of
+from hallhitch.planes.quota.reserve import Reserve
+from hallhitch.planes.values import Tenant
+
+LONGEST, SHORTEST = 300.0, 100.0  # ms that a holder is waited for
+AWAY = 300.0  # ms for which a silent holder is not asked again, but by one call
+ELSEWHERE = 200.0  # ms for which one that said that it does not hold a bucket is not asked about it
+COME_BACK = 400.0  # ms after which a request may return that nobody could be asked about
+PASSED = Taken(True)
+
+
+class Calls(Protocol):
+    """What is used of messages.link.Links."""
+
+    async def call(self, address: str, envelope: Envelope, wait: float) -> Envelope:
+        """See Links.call."""
+
+
+class Local(Protocol):
+    """The counts of this very gateway."""
+
+    def count(self, tenant: str, rate: float, burst: float) -> Sum | None:
+        """One unit, or None where this gateway does not hold the tenant's bucket."""
+
+    def give_back(self, tenant: str, slot: int) -> None:
+        """A unit that never ran."""
+
+
+@dataclass(slots=True)
+class _Peer:
+    """A holder as its callers see it."""
+
+    trip: float = 0.0  # ms, smoothed; 0 = not known
+    heard: float = float("-inf")
+    away_until: float = 0.0
+    trying: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class _Token:
+    """Where a unit was counted: `address` of the holder, "" for our own reserve."""
+
+    tenant: str
+    address: str
+    slot: int
+
+
+class CounterClient:
+    """The counter as the data plane sees it (ports.Counter)."""
+
+    def __init__(self, own: str, calls: Calls, local: Local, reserve: Reserve, clock: Callable[[], float]) -> None:
+        self._own, self._calls, self._local, self._reserve, self._clock = own, calls, local, reserve, clock
+        self._holders: Mapping[int, str] = {}
+        self._peers: dict[str, _Peer] = {}
+        self._elsewhere: dict[int, float] = {}  # bucket -> until when its holder is not asked about it
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def set_holders(self, holders: Mapping[int, str]) -> None:
+        """Bucket -> internal address of who holds it."""
+        self._elsewhere = {bucket: until for bucket, until in self._elsewhere.items()
+                           if holders.get(bucket) == self._holders.get(bucket)}
+        self._holders = dict(holders)
+        live = set(holders.values())
+        self._peers = {address: peer for address, peer in self._peers.items() if address in live}
+
+    async def take(self, tenant: Tenant, wait: float) -> Taken:
+        """Add one unit and read, within `wait` ms; see ports.Counter."""
+        if tenant.rate <= 0:
+            return PASSED
+        name, now = tenant.name, self._clock()
+        mine = self._local.count(name, tenant.rate, tenant.burst)
+        if mine is not None:
+            return self._told(now, tenant, self._own, mine.over, mine.slot, mine.wait, mine.fresh)
+        bucket = bucket_of(name)
+        address = self._holders.get(bucket, self._own)
+        if address == self._own or now < self._elsewhere.get(bucket, 0.0):
+            return self._alone(now, tenant)
+        peer = self._peers.get(address)
+        if peer is None:
+            peer = self._peers[address] = _Peer()
+        trial = peer.away_until > 0
+        if trial and (peer.trying or now < peer.away_until):
+            return self._alone(now, tenant)
+        peer.trying = trial
+        try:
+            most = min(wait, LONGEST, max(SHORTEST, 2.5 * peer.trip + 50) if peer.trip else LONGEST)
+            answer = (await self._calls.call(address, Envelope(count=Count(tenant=name)), most)).counted
+            came = self._clock()
+            peer.away_until, peer.heard = 0.0, came
+            peer.trip = peer.trip * 0.8 + (came - now) * 0.2 if peer.trip else came - now
+            if answer.unknown and came - now < wait:
+                count = Count(tenant=name, rate=tenant.rate, burst=tenant.burst)
+                left = min(most, wait - (came - now))
+                answer = (await self._calls.call(address, Envelope(count=count), left)).counted
+                came = self._clock()
+        except StepError:
+            came = self._clock()
+            # Not where little time was left, nor where it answered others meanwhile.
+            if wait >= SHORTEST and peer.heard <= now:
+                peer.away_until = came + AWAY
+            return self._alone(came, tenant)
+        finally:
+            peer.trying = False
+        if not answer.held:
+            self._elsewhere[bucket] = came + ELSEWHERE
+            return self._alone(came, tenant)
+        if answer.unknown:
+            return self._alone(came, tenant)
+        return self._told(came, tenant, address, answer.over, answer.slot, answer.wait, answer.fresh)
+
+    def give_back(self, taken: Taken) -> None:
+        """A unit that surely never ran goes back, where its name still lives; nobody waits for it."""
+        token = taken.token
+        if not isinstance(token, _Token):
+            return
+        if not token.address:
+            self._reserve.give_back(self._clock(), token.tenant, token.slot)
+        elif token.address == self._own:
+            self._local.give_back(token.tenant, token.slot)
+        else:
+            task = asyncio.ensure_future(self._return(token))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _return(self, token: _Token) -> None:
+        with contextlib.suppress(StepError):  # then it leaves with the window
+            await self._calls.call(
+                token.address, Envelope(count=Count(tenant=token.tenant, units=-1, slot=token.slot)), LONGEST)
+
+    def _told(self, now: float, tenant: Tenant, address: str, over: bool, slot: int, wait: float,
+              fresh: bool) -> Taken:
+        if not over:
+            return Taken(True, token=_Token(tenant.name, address, slot))
+        # A fresh holder refuses for what others may have passed: the reserve is counted apart from it.
+        kept = self._reserve.take(now, tenant.name, tenant.rate, tenant.burst) if fresh else None
+        return Taken(True, token=_Token(tenant.name, "", kept)) if kept is not None else Taken(False, after=wait)
+
+    def _alone(self, now: float, tenant: Tenant) -> Taken:
+        kept = self._reserve.take(now, tenant.name, tenant.rate, tenant.burst)
+        if kept is None:
+            return Taken(False, after=COME_BACK, silent=True)
+        return Taken(True, token=_Token(tenant.name, "", kept))
--- a/hallhitch/planes/quota/claimer.py
+++ b/hallhitch/planes/quota/claimer.py
@@ -1,9 +1,9 @@
 """What a gateway claims and what it holds. Owns its leases by its own clock; asks nobody itself.
 
-A lease runs while a majority of the members' votes run, each from when its claim was *sent*. It begins only once a
-second claim, sent after a majority had voted, found the same majority still voting in the same lives: then there
-was one moment at which no other gateway could have had a majority. When it lapses, everything known of the bucket's
-votes is void, answers under way among them, and it is won anew. Both are needed because coordinators forget.
+A lease runs while a majority of the members' votes run, each from when its claim was *sent*. It begins only once
+there was one moment at which a majority's tables all had its votes: each had answered a claim before it and answers,
+in the same life, another one sent after it. When it lapses, everything known of the bucket's votes is void, answers
+under way among them, and it is won anew. Both are needed because coordinators forget.
 """
 
 from __future__ import annotations
@@ -32,7 +32,8 @@
     """
     scores = {gateway: struct.unpack(f">{BUCKETS}I", hashlib.shake_128(gateway.encode()).digest(4 * BUCKETS))
               for gateway in set(gateways)}
-    return [sorted(scores, key=lambda gateway, at=bucket: (-scores[gateway][at], gateway)) for bucket in range(BUCKETS)]
+    return [[gateway for _, gateway in sorted((-score[bucket], gateway) for gateway, score in scores.items())]
+            for bucket in range(BUCKETS)]
 
 
 @dataclass(slots=True)
@@ -41,19 +42,27 @@
 
     first: int
     votes: dict[str, float]
-    began: float
+
+
+@dataclass(slots=True)
+class _Vote:
+    """A vote in an attempt: it surely stood from `since` to `seen` (steady ms, ours)."""
+
+    life: int
+    since: float
+    seen: float
+    ends: float
+    others: float  # until when another may have had this vote
 
 
 @dataclass(slots=True)
 class _Attempt:
-    """Votes of the first claim (coordinator -> its life), and of the one that confirms them."""
+    """Votes for a bucket that is to be won, by coordinator."""
 
     began: float
-    first: int
-    lives: dict[str, int] = field(default_factory=dict)
-    second: int = 0  # number of the confirming claim; 0 = not sent yet
-    ready: bool = False  # a majority has voted: the confirming claim may be sent
-    votes: dict[str, tuple[float, float]] = field(default_factory=dict)  # when it ends, until when others had it
+    first: int  # number of its first claim
+    votes: dict[str, _Vote] = field(default_factory=dict)
+    against: set[str] = field(default_factory=set)
 
 
 class Claimer:
@@ -62,8 +71,9 @@
     `begun(bucket, others, now)` is told when a lease begins; `others`: until when another may have counted there.
     """
 
-    def __init__(self, own: str, life: int, begun: Callable[[int, float, float], None], lease: float = LEASE) -> None:
-        self.own, self.life, self._begun, self._lease = own, life, begun, lease
+    def __init__(self, own: str, life: int, window: float, begun: Callable[[int, float, float], None],
+                 lease: float = LEASE) -> None:
+        self.own, self.life, self._window, self._begun, self._lease = own, life, window, begun, lease
         self.until = [0.0] * BUCKETS  # steady ms until which we hold it
         self.seen = 0  # gateways that may exist, as far as a majority has told
         self._members: tuple[str, ...] = ()
@@ -82,17 +92,20 @@
         self._told_seen: dict[str, int] = {}
         self._leaving = False
 
-    def set_members(self, members: Iterable[str]) -> None:
+    def set_members(self, now: float, members: Iterable[str]) -> None:
         """Who votes; a change of the list counts at once, for leases that run as well."""
         listed = tuple(sorted(set(members)))
         if listed == self._members:
             return
         self._members = listed
         self._told_seen = {name: much for name, much in self._told_seen.items() if name in listed}
+        self._lapse(now)
         for bucket, won in self._won.items():
             won.votes = {name: ends for name, ends in won.votes.items() if name in listed}
             self._reckon(bucket, won)
-        self._attempts.clear()
+        self._lapse(now)
+        for bucket in [*self._attempts]:
+            self._abandon(now, bucket, 0.0)
 
     def set_gateways(self, now: float, gateways: Iterable[str]) -> None:
         """The live gateways that may hold buckets, this one among them if it may."""
@@ -138,8 +151,7 @@
 
     def round(self, now: float, busy: Callable[[int], bool]) -> Asked:
         """The claim to send to every member now; `busy` tells whether units of a bucket lie in the window."""
-        for bucket in [bucket for bucket in self._won if now >= self.until[bucket]]:
-            self._let(now, bucket, True)
+        self._lapse(now)
         for bucket, attempt in [*self._attempts.items()]:
             if now - attempt.began > PATIENCE:
                 self._abandon(now, bucket, 500.0)
@@ -147,9 +159,6 @@
             self._even_out(now, busy)
             self._try(now)
         self._number += 1
-        for attempt in self._attempts.values():
-            if attempt.ready and not attempt.second:
-                attempt.second = self._number
         self._letting = {bucket: let for bucket, let in self._letting.items() if now < let[1]}
         asked = Asked(
             self.own, self.life, self._number, members_mark(self._members),
@@ -167,8 +176,9 @@
             return False
         sent, asked = self._sent[number]
         ends = sent + self._lease - MARGIN
-        self._told_seen[coordinator] = votes.seen
-        if len(self._told_seen) * 2 > len(self._members):
+        if votes.seen:
+            self._told_seen[coordinator] = votes.seen
+        if self._majority(len(self._told_seen)):
             self.seen = max(self._told_seen.values())
         for bucket in asked.renew:
             won = self._won.get(bucket)
@@ -182,32 +192,38 @@
         hurry = False
         for bucket, idle in zip(asked.take, votes.idle, strict=False):
             attempt = self._attempts.get(bucket)
-            if attempt is not None and bucket not in votes.refused and number >= attempt.first:
-                hurry = self._vote(now, bucket, attempt, coordinator, number, votes.life, (ends, now - idle)) or hurry
+            if attempt is None or number < attempt.first:
+                continue
+            if now - attempt.began > PATIENCE:  # a vote may have ended and come back in so long a time
+                self._abandon(now, bucket, 500.0)
+            elif bucket in votes.refused:
+                attempt.votes.pop(coordinator, None)
+                attempt.against.add(coordinator)
+                if not self._majority(len(self._members) - len(attempt.against)):
+                    self._abandon(now, bucket, 300.0 + 100.0 * self._order[bucket].index(self.own)
+                                  if self.own in self._order[bucket] else 500.0)
+                    hurry = hurry or bool(attempt.votes)
+            else:
+                attempt.against.discard(coordinator)
+                vote = attempt.votes.get(coordinator)
+                if vote is None or vote.life != votes.life:
+                    attempt.votes[coordinator] = _Vote(votes.life, now, sent, ends, now - idle)
+                    hurry = hurry or self._majority(len(attempt.votes))
+                else:
+                    vote.seen, vote.ends = max(vote.seen, sent), max(vote.ends, ends)
+                    hurry = self._decide(now, bucket, attempt) or hurry
         return hurry
 
-    def _vote(self, now: float, bucket: int, attempt: _Attempt, coordinator: str, number: int, life: int,
-              vote: tuple[float, float]) -> bool:
-        """One vote in an attempt; True once a majority has voted for the first time."""
-        if not attempt.second or number < attempt.second:
-            attempt.lives.setdefault(coordinator, life)
-            if attempt.ready or not self._majority(len(attempt.lives)):
-                return False
-            attempt.ready = True
-            return True
-        if attempt.lives.get(coordinator) != life:
-            return False
-        attempt.votes[coordinator] = vote
-        if not self._majority(len(attempt.votes)):
-            return False
-        if now >= min(ends for ends, _ in attempt.votes.values()):
-            self._abandon(now, bucket, 0.0)
-            return False
-        del self._attempts[bucket]
-        won = self._won[bucket] = _Won(attempt.second + 1, {name: ends for name, (ends, _) in attempt.votes.items()},
-                                       now)
-        self._reckon(bucket, won)
-        self._begun(bucket, max(others for _, others in attempt.votes.values()), now)
+    def _decide(self, now: float, bucket: int, attempt: _Attempt) -> bool:
+        """Whether there was a moment at which a majority's tables had our votes: then the lease begins."""
+        for moment in [vote.since for vote in attempt.votes.values()]:
+            stood = {name: vote for name, vote in attempt.votes.items() if vote.since <= moment <= vote.seen}
+            if self._majority(len(stood)) and all(now < vote.ends for vote in stood.values()):
+                del self._attempts[bucket]
+                won = self._won[bucket] = _Won(self._number + 1, {name: vote.ends for name, vote in stood.items()})
+                self._reckon(bucket, won)
+                self._begun(bucket, max(vote.others for vote in stood.values()), now)
+                return True
         return False
 
     def _majority(self, votes: int) -> bool:
@@ -219,6 +235,10 @@
         ends = sorted(won.votes.values(), reverse=True)
         self.until[bucket] = ends[need] if len(ends) > need else 0.0
 
+    def _lapse(self, now: float) -> None:
+        for bucket in [bucket for bucket in self._won if now >= self.until[bucket]]:
+            self._let(now, bucket, True)
+
     def _let(self, now: float, bucket: int, counted: bool) -> None:
         """The lease is over: nothing is counted from now on."""
         del self._won[bucket]
@@ -230,7 +250,7 @@
     def _abandon(self, now: float, bucket: int, pause: float) -> None:
         del self._attempts[bucket]
         # What the vote of an attempt could have counted is nothing, but an earlier lease of ours may have counted.
-        counted = now - self._held_until[bucket] < self._lease
+        counted = now - self._held_until[bucket] < self._window
         self._letting[bucket] = counted, now + self._lease
         self._again[bucket] = now + pause
 
@@ -241,7 +261,9 @@
             order = self._order[bucket]
             if given >= HAND_OVER:
                 break
-            if order and order[0] != self.own and now - self._first_since[bucket] >= EVEN and not busy(bucket):
+            recent = now - self._held_until[bucket] < self._window  # an earlier lease of ours may have counted
+            if (order and order[0] != self.own and now - self._first_since[bucket] >= EVEN
+                    and not recent and not busy(bucket)):
                 self._let(now, bucket, False)
                 self._again[bucket] = now + 2 * NEXT
                 given += 1
@@ -252,7 +274,7 @@
         for bucket, free in enumerate(self._free_since):
             if free is None or bucket in self._won or bucket in self._attempts or now < self._again[bucket]:
                 continue
-            if now - free >= NEXT * self._order[bucket].index(self.own):
+            if now - max(free, self._settled) >= NEXT * self._order[bucket].index(self.own):
                 self._letting.pop(bucket, None)
                 self._attempts[bucket] = _Attempt(now, self._number + 1)
 
--- a/hallhitch/planes/quota/lease.py
+++ b/hallhitch/planes/quota/lease.py
@@ -54,6 +54,7 @@
     """What came of a claim. Without `ok` nothing was voted. All asked for and not refused have the vote.
 
     `idle` goes with `take`, in its order: ms for which no other had this coordinator's vote (0 where refused).
+    `seen`: claimants of the last minute; 0 while it is young and may have heard of few.
     """
 
     ok: bool
@@ -116,7 +117,8 @@
             if not given:
                 refused.add(bucket)
         self._show(now)
-        return Votes(True, self.life, young, frozenset(refused), tuple(idle), self._gateways(now))
+        return Votes(True, self.life, young, frozenset(refused), tuple(idle),
+                     0 if young else self._gateways(now))
 
     def holders(self, now: float) -> dict[int, str]:
         """Bucket -> internal address, of those whose lease runs as far as this coordinator knows."""
--- /dev/null
+++ b/hallhitch/planes/quota/plane.py
@@ -0,0 +1,198 @@
+"""The quota plane of one process: a thin loop that sends claims, and handlers. Decides nothing itself."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import secrets
+from collections.abc import Callable, Iterable, Mapping, Sequence
+
+from hallhitch.messages.system_pb2 import Claim, Counted, Envelope, Granted
+from hallhitch.node.clock import now as steady
+from hallhitch.node.errors import StepError
+from hallhitch.node.logs import Part
+from hallhitch.node.settings import Node
+from hallhitch.planes.quota.caller import Calls, CounterClient
+from hallhitch.planes.quota.claimer import Claimer, wanted
+from hallhitch.planes.quota.holder import Holder, Sum
+from hallhitch.planes.quota.lease import Asked, LeaseTable, Votes
+from hallhitch.planes.quota.limits import Quota, bucket_of
+from hallhitch.planes.quota.reserve import Reserve
+from hallhitch.planes.values import Gateway, Word
+
+EVERY = 400.0  # ms between two claims of one that holds something
+QUIET = 1500.0  # and of one that has nothing to say but that it is there
+GAP = 20.0  # ms between two claims at least
+ANSWER = 700.0  # ms that an answer to a claim is waited for
+FORGET = 20_000.0  # ms between two looks at windows that are empty
+
+
+class LeaseKeeper:
+    """A coordinator's side: votes on claims. `life` tells this process's start apart from its others."""
+
+    def __init__(self, clock: Callable[[], float] = steady, life: int | None = None) -> None:
+        self._clock = clock
+        self._table = LeaseTable(secrets.randbits(48) if life is None else life, clock())
+
+    def set_members(self, addresses: Iterable[str]) -> None:
+        """The internal addresses of the register's replicas. Without them nothing is voted."""
+        self._table.set_members(self._clock(), addresses)
+
+    def handle(self, envelope: Envelope) -> Envelope:
+        """A Claim; the answer is Granted."""
+        claim = envelope.claim
+        votes = self._table.claim(self._clock(), Asked(
+            claim.holder, claim.life, claim.number, claim.members, tuple(claim.renew), tuple(claim.take),
+            tuple(claim.release), tuple(claim.drop)))
+        return Envelope(granted=Granted(
+            ok=votes.ok, life=votes.life, young=votes.young, refused=sorted(votes.refused), idle=votes.idle,
+            seen=votes.seen))
+
+    def holders(self, now: float) -> dict[int, str]:
+        """Bucket -> internal address, for News.holders."""
+        return self._table.holders(now)
+
+    def version(self, now: float) -> int:
+        """Grows whenever `holders` changes, leases that end by themselves included."""
+        return self._table.sweep(now)
+
+
+class QuotaPlane:
+    """A gateway's side: holds buckets, counts for callers, and is the counter of its own requests."""
+
+    def __init__(self, node: Node, links: Calls, clock: Callable[[], float] = steady, life: int | None = None) -> None:
+        life = secrets.randbits(48) if life is None else life
+        bounds = node.bounds
+        quota = Quota(bounds.quota_window, bounds.quota_over, bounds.quota_slack)
+        self._own, self._links, self._clock = node.internal, links, clock
+        self._holder = Holder(quota, life)
+        self._claimer = Claimer(self._own, life, quota.window, self._holder.begin)
+        self._reserve = Reserve(quota, clock())
+        self.counter = CounterClient(self._own, links, self, self._reserve, clock)
+        self._serial = -1
+        self._log = Part("quota")
+        self._hurry = asyncio.Event()
+        self._loop: asyncio.Task[None] | None = None
+        self._asking: dict[str, int] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._held = 0
+
+    def set_word(self, word: Word) -> None:
+        """The operator's word; an older one than the last is passed over."""
+        if word.serial >= self._serial:
+            self._serial = word.serial
+            self._holder.set_tenants(word.tenants)
+
+    def set_gateways(self, own: str, entries: Sequence[Gateway]) -> None:
+        """All gateways that live, as last told; `own` is this one's name."""
+        doors = [entry for entry in entries if entry.frontend]
+        now = self._clock()
+        self._reserve.heard(now, len(doors), False)
+        self._claimer.set_gateways(now, [entry.address for entry in doors if entry.ready and not entry.leaving])
+        self._hurry.set()
+
+    def set_holders(self, holders: Mapping[int, str]) -> None:
+        """Bucket -> internal address, as last told."""
+        self.counter.set_holders(holders)
+        self._claimer.set_holders(self._clock(), holders)
+
+    def set_members(self, addresses: Iterable[str]) -> None:
+        """The internal addresses of the register's replicas."""
+        self._claimer.set_members(self._clock(), addresses)
+        self._hurry.set()
+
+    async def start(self) -> None:
+        """Begin to claim."""
+        self._loop = asyncio.ensure_future(self._claims())
+
+    async def leave(self) -> None:
+        """Count nothing more, and let all buckets go; the counter still asks others."""
+        self._claimer.leave(self._clock())
+        if self._loop is not None:
+            self._loop.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._loop
+            self._loop = None
+        asked = self._claimer.round(self._clock(), self._busy)
+        if wanted(asked):
+            await asyncio.gather(*(self._ask(member, asked) for member in self._claimer.members))
+
+    def handle(self, envelope: Envelope) -> Envelope:
+        """A Count; the answer is Counted."""
+        count, now = envelope.count, self._clock()
+        name = count.tenant
+        if not self._claimer.holds(now, bucket_of(name)):
+            return Envelope(counted=Counted())
+        if count.units < 0:
+            self._holder.give_back(now, name, -count.units, count.slot)
+            return Envelope(counted=Counted(held=True))
+        limits = self._holder.limits(name) or ((count.rate, count.burst) if count.rate > 0 else None)
+        if limits is None:
+            return Envelope(counted=Counted(held=True, unknown=True))
+        told = self._holder.add(now, name, count.units or 1, *limits)
+        return Envelope(counted=Counted(
+            held=True, over=told.over, total=int(told.total), wait=int(told.wait), slot=told.slot, fresh=told.fresh))
+
+    def count(self, tenant: str, rate: float, burst: float) -> Sum | None:
+        """One unit of a request of our own, or None where we do not hold its bucket (caller.Local)."""
+        now = self._clock()
+        if not self._claimer.holds(now, bucket_of(tenant)):
+            return None
+        return self._holder.add(now, tenant, 1, *(self._holder.limits(tenant) or (rate, burst)))
+
+    def give_back(self, tenant: str, slot: int) -> None:
+        """A unit of a request of our own that never ran (caller.Local)."""
+        now = self._clock()
+        if self._claimer.holds(now, bucket_of(tenant)):
+            self._holder.give_back(now, tenant, 1, slot)
+
+    def held(self) -> list[int]:
+        """The buckets held now."""
+        return self._claimer.held(self._clock())
+
+    def _busy(self, bucket: int) -> bool:
+        return self._holder.busy(bucket, self._clock())
+
+    async def _claims(self) -> None:
+        """Claims go out every while, and at once where an answer or news ask for it."""
+        forget = self._clock() + FORGET
+        while True:
+            self._hurry.clear()
+            now = self._clock()
+            asked = self._claimer.round(now, self._busy)
+            for member in self._claimer.members:
+                if self._asking.get(member, 0) < 3:
+                    task = asyncio.ensure_future(self._ask(member, asked))
+                    self._tasks.add(task)
+                    task.add_done_callback(self._tasks.discard)
+            if now >= forget:
+                forget = now + FORGET
+                self._reserve.forget(now)
+            self._tell(len(asked.renew))
+            await asyncio.sleep(GAP / 1000)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout((EVERY if wanted(asked) else QUIET) / 1000):
+                    await self._hurry.wait()
+
+    async def _ask(self, member: str, asked: Asked) -> None:
+        """One claim to one coordinator; silence is the next claim's matter."""
+        self._asking[member] = self._asking.get(member, 0) + 1
+        try:
+            answer = await self._links.call(member, Envelope(claim=Claim(
+                holder=asked.holder, life=asked.life, number=asked.number, members=asked.members, renew=asked.renew,
+                take=asked.take, release=asked.release, drop=asked.drop)), ANSWER)
+        except StepError:
+            return
+        finally:
+            self._asking[member] -= 1
+        granted, now = answer.granted, self._clock()
+        if self._claimer.answered(now, member, asked.number, Votes(
+                granted.ok, granted.life, granted.young, frozenset(granted.refused), tuple(granted.idle),
+                granted.seen)):
+            self._hurry.set()
+        self._reserve.heard(now, self._claimer.seen, True)
+
+    def _tell(self, held: int) -> None:
+        if held != self._held:
+            self._log.info(f"holds {held} buckets of tenants")
+            self._held = held
--- a/hallhitch/programs/coordinator.py
+++ b/hallhitch/programs/coordinator.py
@@ -16,6 +16,7 @@
 from hallhitch.node.logs import Part, Rarely
 from hallhitch.node.settings import Node
 from hallhitch.node.web import Reply, Web
+from hallhitch.planes.control.operator import Operator
 from hallhitch.planes.control.plane import ControlPlane
 from hallhitch.planes.discovery.directory import Directory
 from hallhitch.planes.discovery.listing import due, turn
@@ -48,11 +49,12 @@
         self._roster = Roster()
         self._circle = Circle(self._links, self._hub, self._own, self._unite)
         self._control = ControlPlane(node, self._links, self._told)
-        self._leases = LeaseKeeper(now)
+        self._leases = LeaseKeeper()
+        self._orders = Operator(node, self._control)
         self._directory = Directory(node.zones, node.bounds.ttl_most)
         self._platform = Platform(node.cloud) if node.cloud is not None else None
         self._rarely = Rarely(Part("list"))
-        self._operator = Web("operator", self._control.operator.call, BODY_MOST)
+        self._operator = Web("operator", self._orders.call, BODY_MOST)
         self._resolve = Web("directory", self._resolved)
         self._every = min(LIST_MOST, node.bounds.drain * LIST_SHARE)
         self._tasks: list[asyncio.Task[None]] = []
@@ -67,13 +69,12 @@
     def _handle(self, envelope: Envelope) -> Envelope | Awaitable[Envelope]:
         if envelope.HasField("pull"):
             return self._pulled(envelope)
-        for part in (self._control, self._leases):
-            answer = part.handle(envelope)
-            if answer is not None:
-                if envelope.HasField("claim"):
-                    self._hub.set_holders(self._leases.holders(now()))
-                return answer
-        return Envelope(error="a coordinator does not answer that")
+        if envelope.HasField("claim"):
+            granted = self._leases.handle(envelope)
+            self._hub.set_holders(self._leases.holders(now()))
+            return granted
+        answer = self._control.handle(envelope)
+        return answer if answer is not None else Envelope(error="a coordinator does not answer that")
 
     def _pulled(self, envelope: Envelope) -> Awaitable[Envelope]:
         other = gateway_of(envelope.pull.self)
@@ -96,6 +97,7 @@
     def _told(self, value: Value) -> None:
         """The register has a newer word."""
         self._hub.members = tuple(value.members)
+        self._leases.set_members(value.members)
         self._hub.take_word(value.serial, value.version, value.content, value.zones)
         self._circle.meet(value.members)
 
@@ -140,6 +142,7 @@
     def settings(self, node: Node) -> None:
         """Other seeds; the rest holds from the next start on."""
         self._control.settings(node)
+        self._orders.settings(node)
         self._circle.meet(node.peers)
 
     async def leave(self) -> None:
--- a/hallhitch/programs/gateway.py
+++ b/hallhitch/programs/gateway.py
@@ -12,7 +12,7 @@
 from hallhitch.node.logs import Part
 from hallhitch.node.settings import Node
 from hallhitch.node.web import Reply, Web
-from hallhitch.planes.data.choice import Choice, ChoiceSettings
+from hallhitch.planes.data.choice import Choice, Settings
 from hallhitch.planes.data.plane import DataPlane
 from hallhitch.planes.news.following import Follower
 from hallhitch.planes.news.hub import Hub
@@ -36,7 +36,10 @@
         self._hub = Hub(self._life)
         self._follower = Follower(self._links, self._hub, self._own, node.peers)
         self._quota = QuotaPlane(node, self._links, now)
-        decisions = Choice(ChoiceSettings.of(node), random.Random(self._life))
+        b = node.bounds
+        decisions = Choice(Settings(
+            node.name, node.zone, node.region, node.zones, b.retry_ratio, b.retry_window, b.retry_slack, b.cold_over,
+            b.cold_slack, node.cloud_lag), random.Random(self._life))
         self._data = DataPlane(node, decisions, self._quota.counter, now)
         self._readiness = Web("readiness", self._is_ready)
         self._word, self._backends, self._gateways = EMPTY, (0, 0), (0, 0)
@@ -55,8 +58,9 @@
     def _handle(self, envelope: Envelope) -> Envelope | Awaitable[Envelope]:
         if envelope.HasField("pull"):
             return self._hub.answer(envelope.pull)
-        answer = self._quota.handle(envelope)
-        return answer if answer is not None else Envelope(error="a gateway does not answer that")
+        if envelope.HasField("count"):
+            return self._quota.handle(envelope)
+        return Envelope(error="a gateway does not answer that")
 
     async def start(self) -> None:
         """Listen first, know then, be ready last."""
--- /dev/null
+++ b/tests/system/control/fleet.py
@@ -0,0 +1,230 @@
+"""Coordinators in one process: a loop whose clock jumps to the next timer, links without sockets, disks in memory."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import selectors
+from collections.abc import Awaitable, Callable, Coroutine, Mapping
+from pathlib import Path
+from typing import Any, TypeVar
+
+from hallhitch.messages.system_pb2 import Envelope, Value
+from hallhitch.node.errors import Silent
+from hallhitch.node.settings import Bounds, Node
+from hallhitch.planes.control.operator import Operator
+from hallhitch.planes.control.plane import ControlPlane
+
+T = TypeVar("T")
+ZONES = {"viti-a": "viti", "viti-b": "viti"}
+
+
+class _Skip(selectors.DefaultSelector):
+    """Waits for nothing: the clock is put forward instead."""
+
+    at = 0.0
+
+    def select(self, timeout: float | None = None) -> list[Any]:
+        ready = super().select(0)
+        if not ready:
+            if timeout is None:
+                raise RuntimeError("everything waits for something that never comes")
+            self.at += max(timeout, 0)
+        return ready
+
+
+class Loop(asyncio.SelectorEventLoop):
+    """An event loop in virtual time."""
+
+    def __init__(self) -> None:
+        self.skip = _Skip()
+        super().__init__(self.skip)
+
+    def time(self) -> float:
+        """Virtual seconds."""
+        return self.skip.at
+
+
+def play(scene: Callable[[Fleet], Coroutine[Any, Any, T]], seed: int = 1, **how: Any) -> T:
+    """Run a scene in virtual time."""
+    loop = Loop()
+    asyncio.set_event_loop(loop)
+    try:
+        return loop.run_until_complete(scene(Fleet(loop, seed, **how)))
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
+        asyncio.set_event_loop(None)
+        loop.close()
+
+
+class Memory:
+    """A disk in memory; what was not synced goes missing with the power."""
+
+    def __init__(self) -> None:
+        self.files: dict[str, Mapping[bytes, bytes]] = {}
+        self.kept: dict[str, Mapping[bytes, bytes]] = {}  # as after a loss of power
+        self._synced: dict[str, Mapping[bytes, bytes]] = {}
+        self.refuses = False
+
+    def names(self) -> list[str]:
+        """All files."""
+        return sorted(self.files)
+
+    def write(self, base: str, records: Mapping[bytes, bytes]) -> None:
+        """A new database; nothing of it is synced."""
+        if self.refuses:
+            raise OSError("no room")
+        self.files[f"{base}.dat"] = self.files[f"{base}.dir"] = dict(records)
+
+    def read(self, base: str) -> dict[bytes, bytes]:
+        """All records."""
+        return dict(self.files[f"{base}.dir"])
+
+    def sync(self, name: str) -> None:
+        """One file."""
+        if self.refuses:
+            raise OSError("no room")
+        self._synced[name] = self.files[name]
+
+    def sync_folder(self) -> None:
+        """The names."""
+        if self.refuses:
+            raise OSError("no room")
+        self.kept = {name: self._synced[name] for name in self.files if name in self._synced}
+
+    def remove(self, name: str) -> None:
+        """One file less."""
+        self.files.pop(name, None)
+
+    def power_lost(self) -> None:
+        """Only what was synced is there."""
+        self.files = dict(self.kept)
+
+
+class Machine:
+    """One coordinator with its disk, over its lives."""
+
+    def __init__(self, fleet: Fleet, address: str) -> None:
+        self.fleet, self.address = fleet, address
+        self.disk, self.slow = Memory(), 2.0  # ms for a write
+        self.plane: ControlPlane | None = None
+        self.operator: Operator | None = None
+        self.told: list[Value] = []
+
+    async def start(self, first: bool = False, seeds: tuple[str, ...] = ()) -> None:
+        """A new life on what the disk holds."""
+        node = self.fleet.node(self.address, first, seeds)
+        self.told = []
+        plane = ControlPlane(
+            node, _Wire(self.fleet, self), lambda value: self.told.append(value), disk=self.disk, run=self._run,
+            clock=self.fleet.clock, rng=random.Random(self.fleet.rng.random()))
+        self.plane, self.operator = plane, Operator(node, plane, self.fleet.clock)
+        await plane.start()
+
+    async def _run(self, call: Callable[[], None]) -> None:
+        """The disk's thread: of a life that has ended nothing is written any more."""
+        plane = self.plane
+        await asyncio.sleep(self.slow / 1000)
+        if self.plane is not plane:
+            await asyncio.Event().wait()
+        call()
+
+    async def kill(self) -> None:
+        """The process is gone; its files stay."""
+        plane, self.plane, self.operator = self.plane, None, None
+        if plane is not None:
+            await plane.stop()
+
+    async def wipe(self) -> None:
+        """The machine and its disk are gone."""
+        await self.kill()
+        self.disk = Memory()
+
+    async def lose_power(self) -> None:
+        """What was not synced is gone with the process."""
+        await self.kill()
+        self.disk.power_lost()
+
+
+class _Wire:
+    """A machine's links."""
+
+    def __init__(self, fleet: Fleet, machine: Machine) -> None:
+        self._fleet, self._machine = fleet, machine
+        self._life = object()
+        machine_life[machine] = self._life
+
+    async def call(self, address: str, envelope: Envelope, wait: float) -> Envelope:
+        """One call over ways that may be cut."""
+        fleet, own = self._fleet, self._machine.address
+        sent = Envelope.FromString(envelope.SerializeToString())
+        try:
+            async with asyncio.timeout(wait / 1000):
+                await fleet.way(own, address)
+                other = fleet.machines.get(address)
+                if other is None or other.plane is None:
+                    raise Silent("connect", address, "nobody there")
+                answer = other.plane.handle(sent)
+                if isinstance(answer, Awaitable):
+                    answer = await answer
+                assert answer is not None
+                await fleet.way(address, own)
+                if machine_life.get(self._machine) is not self._life:
+                    await asyncio.Event().wait()
+                return Envelope.FromString(answer.SerializeToString())
+        except TimeoutError:
+            raise Silent("call", address, "silence") from None
+
+
+machine_life: dict[Machine, object] = {}
+
+
+class Fleet:
+    """All machines and the ways between them."""
+
+    def __init__(self, loop: Loop, seed: int, losses: int = 1, founders: int = 3, delay: float = 1.0) -> None:
+        self.loop, self.rng, self.losses, self.delay = loop, random.Random(seed), losses, delay
+        self.seeds = tuple(f"10.0.0.{n}:7000" for n in range(1, founders + 1))
+        self.machines: dict[str, Machine] = {}
+        self.cut: set[frozenset[str]] = set()
+        for address in self.seeds:
+            self.add(address)
+
+    def add(self, address: str) -> Machine:
+        """One more machine, not started."""
+        self.machines[address] = Machine(self, address)
+        return self.machines[address]
+
+    def clock(self) -> float:
+        """Steady ms."""
+        return self.loop.time() * 1000
+
+    async def way(self, one: str, other: str) -> None:
+        """The time a message takes; for ever over a cut."""
+        await asyncio.sleep(self.rng.uniform(0.5, 1.5) * self.delay / 1000)
+        if frozenset((one, other)) in self.cut:
+            await asyncio.Event().wait()
+
+    def isolate(self, *addresses: str) -> None:
+        """Cut these off from all others."""
+        self.cut |= {frozenset((one, other)) for one in addresses for other in self.machines if other not in addresses}
+
+    async def found(self, *others: str) -> list[Machine]:
+        """The first start of the whole system."""
+        for address in others:
+            self.add(address)
+        for machine in self.machines.values():
+            await machine.start(first=True)
+        return list(self.machines.values())
+
+    def node(self, address: str, first: bool, seeds: tuple[str, ...] = ()) -> Node:
+        """The settings of one machine."""
+        host, port = address.split(":")
+        return Node(
+            name=host, role="coordinator", machine_class="core", serves=frozenset({"control_plane"}), ip=host,
+            zone="viti-a", region="viti", ports=(int(port), int(port) + 15),
+            seeds=tuple((one.split(":")[0], 9000) for one in seeds or self.seeds), first_start=first, zones=ZONES,
+            listen={}, bounds=Bounds(), losses=self.losses, memory=256, files=1024, data=Path("/nowhere"), cloud=None,
+            cloud_rate=1.0, cloud_lag=1000.0, cluster="")
--- /dev/null
+++ b/tests/system/data/front_rig.py
@@ -0,0 +1,223 @@
+"""A data plane on loopback between scripted clients and scripted backends, with plain stand-ins for the decisions."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
+from pathlib import Path
+from typing import Any
+
+import uvloop
+
+from hallhitch.node.clock import now
+from hallhitch.node.settings import Bounds, Node
+from hallhitch.planes.data.plane import DataPlane
+from hallhitch.planes.data.ports import Ask, Exchange, Fail, Hold, Outcome, Refuse, Send, Step, Taken
+from hallhitch.planes.values import Backend, Gateway, Limits, Route, Service, Tenant, Word
+
+Script = Callable[["Peer"], Awaitable[None]]
+
+
+def node(files: int = 1000) -> Node:
+    """Settings of one gateway on loopback."""
+    return Node(
+        name="edge-1", role="gateway", machine_class="edge", serves=frozenset(("edge",)), ip="127.0.0.1",
+        zone="a-1", region="a", ports=(0, 0), seeds=(), first_start=True, zones={"a-1": "a"},
+        listen={"frontend": ("127.0.0.1", 0)}, bounds=Bounds(), losses=0, memory=64, files=files, data=Path("/"),
+        cloud=None, cloud_rate=1.0, cloud_lag=0.0, cluster="")
+
+
+def route(kind: str = "idempotent", **more: Any) -> Route:
+    """A route to the service `shop`."""
+    given: dict[str, Any] = {
+        "name": "r", "host": "shop.example", "prefix": "/", "kind": kind, "timeout": 5000.0, "target": 500.0,
+        "priority": 1, "split": (("shop", 1.0),), "attempts": 3, "public": False} | more
+    return Route(**given)
+
+
+def word(*routes: Route, tenants: Sequence[Tenant] = (), limits: Limits | None = None) -> Word:
+    """A configuration with these routes, all of one host."""
+    return Word(
+        1, 1, {"shop.example": tuple(routes)}, {"shop": Service("shop", "/health", 40, 0.0, 0.0)},
+        {t.name: t for t in tenants}, {key: t for t in tenants for key in t.keys}, limits or Limits())
+
+
+class Plain:
+    """Decisions that name each backend once, in order; then what never ran is refused, and the rest fails."""
+
+    class Once:
+        """One try."""
+
+        def __init__(self, ask: Ask, entries: list[Backend]) -> None:
+            self.ask, self.entries, self.out, self.ran, self.finished = ask, list(entries), 0, False, False
+
+    def __init__(self, patience: float = 60_000.0) -> None:
+        self.patience, self.entries = patience, list[Backend]()
+        self.told: list[tuple[str, Outcome]] = []
+        self.asked: list[Ask] = []
+
+    def backends(self, now: float, entries: Sequence[Backend]) -> None:
+        self.entries = list(entries)
+
+    def gateways(self, now: float, own: str, entries: Sequence[Gateway]) -> None:
+        pass
+
+    def word(self, now: float, word: Word) -> None:
+        pass
+
+    def begin(self, now: float, ask: Ask) -> Exchange:
+        self.asked.append(ask)
+        return self.Once(ask, self.entries)
+
+    def next(self, now: float, exchange: Exchange) -> Step:
+        assert isinstance(exchange, Plain.Once)
+        if exchange.entries:
+            exchange.out += 1
+            return Send(exchange.entries.pop(0), self.patience)
+        if exchange.out:
+            return Hold(60_000.0)
+        return Fail(502) if exchange.ran else Refuse(250.0)
+
+    def ended(self, now: float, exchange: Exchange, backend: Backend, outcome: Outcome, lag: float) -> None:
+        assert isinstance(exchange, Plain.Once)
+        self.told.append((backend.instance, outcome))
+        if outcome is not Outcome.SILENT:
+            exchange.out -= 1
+        exchange.ran = exchange.ran or outcome.ran
+
+    def finish(self, now: float, exchange: Exchange) -> None:
+        assert isinstance(exchange, Plain.Once)
+        exchange.finished = True
+
+
+class Count:
+    """A counter that answers as told."""
+
+    def __init__(self) -> None:
+        self.answer, self.back, self.asked = Taken(True, token=1), list[Taken](), 0
+
+    async def take(self, tenant: Tenant, wait: float) -> Taken:
+        self.asked += 1
+        return self.answer
+
+    def give_back(self, taken: Taken) -> None:
+        self.back.append(taken)
+
+
+class Peer:
+    """One end of a connection: what was read of each message, and writing."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+        self.id = b""
+
+    async def head(self) -> tuple[bytes, dict[bytes, bytes]]:
+        """First line and fields (lower case) of the next message; raises IncompleteReadError at the end."""
+        first, *lines = (await self.reader.readuntil(b"\r\n\r\n"))[:-4].split(b"\r\n")
+        fields = {name.lower(): value for name, _, value in (line.partition(b": ") for line in lines)}
+        self.id = fields.get(b"hallhitch-request-id", self.id)
+        return first, fields
+
+    async def whole(self) -> tuple[bytes, dict[bytes, bytes], bytes]:
+        """The next message, with its body."""
+        first, fields = await self.head()
+        if b"chunked" in fields.get(b"transfer-encoding", b""):
+            body = b""
+            while size := int((await self.reader.readuntil(b"\r\n"))[:-2], 16):
+                body += (await self.reader.readexactly(size + 2))[:-2]
+            await self.reader.readexactly(2)
+            return first, fields, body
+        return first, fields, await self.reader.readexactly(int(fields.get(b"content-length", b"0")))
+
+    def write(self, data: bytes) -> None:
+        self.writer.write(data)
+
+    def answer(self, status: int = 200, body: bytes = b"", fields: bytes = b"Hallhitch-Response-Seal: s\r\n",
+               id: bytes | None = None) -> None:
+        """Write one answer, with the id of the last request."""
+        self.write(b"HTTP/1.1 %d X\r\nHallhitch-Request-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s" % (
+            status, self.id if id is None else id, fields, len(body), body))
+
+    def reset(self) -> None:
+        """Break the connection."""
+        self.writer.transport.abort()
+
+
+class Rig:
+    """The data plane with its stand-ins."""
+
+    def __init__(self, patience: float = 60_000.0, files: int = 1000) -> None:
+        self.decisions, self.count = Plain(patience), Count()
+        self.plane = DataPlane(node(files), self.decisions, self.count)
+        self.entries: list[Backend] = []
+        self._servers: list[asyncio.Server] = []
+        self._peers: list[Peer] = []
+        self.failures: list[BaseException] = []
+
+    async def backend(self, name: str, script: Script) -> Backend:
+        """A backend of `shop` that runs the script on each connection; its own end closes the connection."""
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            peer = Peer(reader, writer)
+            self._peers.append(peer)
+            try:
+                await script(peer)
+            except (asyncio.IncompleteReadError, ConnectionError):
+                pass
+            except BaseException as error:
+                self.failures.append(error)
+            finally:
+                writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self._servers.append(server)
+        port = server.sockets[0].getsockname()[1]
+        entry = Backend(name, "shop", "127.0.0.1", port, "a-1", "a", 3)
+        self.entries.append(entry)
+        self.plane.set_backends(self.entries)
+        return entry
+
+    async def client(self) -> Peer:
+        """A client's connection."""
+        peer = Peer(*await asyncio.open_connection("127.0.0.1", self.plane.front.port))
+        self._peers.append(peer)
+        return peer
+
+    async def ask(self, request: bytes) -> tuple[bytes, dict[bytes, bytes], bytes]:
+        """One request on a connection of its own, and its answer."""
+        peer = await self.client()
+        peer.write(request)
+        return await peer.whole()
+
+    async def close(self) -> None:
+        self.plane.close()
+        for peer in self._peers:
+            peer.writer.transport.abort()
+        for server in self._servers:
+            server.close()
+
+
+def get(path: str = "/x", id: str = "id-1", more: str = "", method: str = "GET", body: bytes = b"") -> bytes:
+    """A request's bytes."""
+    length = f"Content-Length: {len(body)}\r\n" if body else ""
+    return (f"{method} {path} HTTP/1.1\r\nHost: shop.example\r\nHallhitch-Request-Id: {id}\r\n{length}{more}\r\n"
+            ).encode() + body
+
+
+def run(test: Callable[[Rig], Coroutine[Any, Any, None]], **given: Any) -> None:
+    """Run a test on a loop of its own, with a rig that has a word of one idempotent route."""
+    async def whole() -> None:
+        rig = Rig(**given)
+        rig.plane.set_word(word(route()))
+        await rig.plane.start()
+        try:
+            async with asyncio.timeout(20):
+                await test(rig)
+        finally:
+            await rig.close()
+        assert not rig.failures, rig.failures
+
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(whole())
+
+
+__all__ = ["Peer", "Rig", "get", "now", "route", "run", "word"]
--- /dev/null
+++ b/tests/system/quota/fleet.py
@@ -0,0 +1,238 @@
+"""Gateways and coordinators in simulated time, under a seeded schedule of faults, against the sliding rule.
+
+Every process has a steady clock of its own. Only the decisions run here, with the messages between them.
+"""
+
+from __future__ import annotations
+
+import random
+from bisect import bisect_right, insort
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import simpy
+
+from hallhitch.planes.quota.claimer import Claimer
+from hallhitch.planes.quota.holder import Holder
+from hallhitch.planes.quota.lease import Asked, LeaseTable, Votes
+from hallhitch.planes.quota.limits import Quota, bucket_of
+from hallhitch.planes.quota.reserve import Reserve
+
+QUOTA = Quota(5000.0, 0.1, 20.0)
+
+
+@dataclass
+class Clock:
+    """A process's own steady clock."""
+
+    env: simpy.Environment
+    offset: float
+    speed: float
+
+    def __call__(self) -> float:
+        return float(self.offset + self.env.now * self.speed)
+
+
+@dataclass
+class Process:
+    """What can be killed, frozen and cut off; `life` is 0 while it is down."""
+
+    name: str
+    clock: Clock
+    life: int = 0
+    frozen_until: float = 0.0
+    side: int = 0
+    parked: list[Callable[[], None]] = field(default_factory=list)
+    table: LeaseTable | None = None
+    claimer: Claimer | None = None
+    holder: Holder | None = None
+    reserve: Reserve | None = None
+
+
+class Fleet:
+    """One run. `calm` has no faults of the network's either."""
+
+    def __init__(self, seed: int, gateways: int, coordinators: int, calm: bool = False) -> None:
+        self.rng, self.env, self.calm = random.Random(seed), simpy.Environment(initial_time=1e6), calm
+        self.passed: dict[str, list[float]] = {}
+        self.refused: dict[str, list[float]] = {}
+        self.alone = 0
+        self._lives = 0
+        self.doors = [self._process(f"10.0.0.{n}:7000") for n in range(gateways)]
+        self.core = [self._process(f"10.1.0.{n}:7000") for n in range(coordinators)]
+        self.members = [process.name for process in self.core]
+        for process in self.core + self.doors:
+            self.start(process)
+
+    def _process(self, name: str) -> Process:
+        speed = 1.0 if self.calm else self.rng.uniform(0.995, 1.005)
+        return Process(name, Clock(self.env, self.rng.uniform(0, 1e7), speed))
+
+    def later(self, delay: float, what: Callable[[], None]) -> None:
+        """Do something after so many ms."""
+        event = self.env.timeout(delay)
+        assert event.callbacks is not None
+        event.callbacks.append(lambda _: what())
+
+    # --- processes
+
+    def start(self, process: Process) -> None:
+        """Start it empty."""
+        self._lives += 1
+        process.life, process.parked = self._lives, []
+        now = process.clock()
+        if process in self.core:
+            process.table = LeaseTable(process.life, now)
+            process.table.set_members(now, self.members)
+            return
+        process.holder = Holder(QUOTA, process.life)
+        process.reserve = Reserve(QUOTA, now)
+        process.claimer = Claimer(process.name, process.life, QUOTA.window, process.holder.begin)
+        process.claimer.set_members(now, self.members)
+        self.look(process)
+        self._beat(process, process.life)
+
+    def kill(self, process: Process, down: float) -> None:
+        """End it, and start it again after so many ms."""
+        if process.life:
+            process.life, process.frozen_until = 0, 0.0
+            self.later(down, lambda: self.start(process))
+
+    def run_in(self, process: Process, life: int, what: Callable[[], None]) -> None:
+        """Something happens within this life of a process; while it is frozen it waits."""
+        if process.life != life:
+            return
+        if self.env.now < process.frozen_until:
+            wait = process.frozen_until - self.env.now + self.rng.random()
+            self.later(wait, lambda: self.run_in(process, life, what))
+        else:
+            what()
+
+    def send(self, source: Process, target: Process, what: Callable[[], None], doubled: bool = True) -> None:
+        """A message: it may be lost, late, or come twice; it reaches whatever life is there when it comes."""
+        if source.side != target.side:
+            return
+        times = 1
+        delay = lambda: self.rng.uniform(0.5, 60)  # noqa: E731
+        if not self.calm:
+            draw = self.rng.random()
+            times = 0 if draw < 0.03 else 2 if draw < 0.06 and doubled else 1
+            if self.rng.random() < 0.04:
+                delay = lambda: self.rng.uniform(50, 2500)  # noqa: E731
+        for _ in range(times):
+            self.later(delay(), lambda: self.run_in(target, target.life, what) if target.life else None)
+
+    # --- leases
+
+    def look(self, process: Process) -> None:
+        """A gateway hears who is there and who holds what, by one coordinator's word, which may be wrong."""
+        assert process.claimer is not None and process.reserve is not None
+        now, live = process.clock(), [door for door in self.doors if door.life]
+        seen = [door.name for door in live if self.calm or self.rng.random() > 0.1 or door is process]
+        process.claimer.set_gateways(now, seen)
+        process.reserve.heard(now, len(seen), False)
+        teller = self.rng.choice(self.core)
+        if teller.life and teller.side == process.side and teller.table is not None:
+            process.claimer.set_holders(now, teller.table.holders(teller.clock()))
+
+    def _beat(self, process: Process, life: int) -> None:
+        """The loop that claims."""
+        def beat() -> None:
+            if self.rng.random() < (1.0 if self.calm else 0.5):
+                self.look(process)
+            self.claim(process)
+            self.later(self.rng.uniform(300, 500), lambda: self.run_in(process, life, beat))
+        self.later(self.rng.uniform(0, 300), lambda: self.run_in(process, life, beat))
+
+    def claim(self, process: Process) -> None:
+        """One claim to every member."""
+        claimer, holder = process.claimer, process.holder
+        assert claimer is not None and holder is not None
+        now = process.clock()
+        asked = claimer.round(now, lambda bucket: holder.busy(bucket, now))
+        for member in self.core:
+            self.send(process, member, lambda member=member: self._vote(process, process.life, member, asked))
+
+    def _vote(self, process: Process, life: int, member: Process, asked: Asked) -> None:
+        assert member.table is not None
+        votes = member.table.claim(member.clock(), asked)
+
+        def answered() -> None:
+            assert process.claimer is not None and process.reserve is not None
+            # An answer reaches the life that asked: its connection died with the others.
+            if process.life != life:
+                return
+            if process.claimer.answered(process.clock(), member.name, asked.number, votes):
+                self.later(self.rng.uniform(0, 5), lambda: self.run_in(process, life, lambda: self.claim(process)))
+            process.reserve.heard(process.clock(), process.claimer.seen, True)
+        self.send(member, process, answered)
+
+    # --- requests
+
+    def holder_of(self, tenant: str) -> Process | None:
+        """Whoever holds the tenant's bucket by its own clock; two would be an error of the leases."""
+        bucket = bucket_of(tenant)
+        held = [door for door in self.doors
+                if door.life and door.claimer is not None and door.claimer.holds(door.clock(), bucket)]
+        assert len(held) < 2, f"two hold {tenant} at {self.env.now}"
+        return held[0] if held else None
+
+    def request(self, tenant: str, rate: float, burst: float, door: Process, never_runs: float = 0.0) -> None:
+        """A request comes to a gateway: the holder is asked, or the reserve where there is none or it is silent."""
+        if not door.life or self.env.now < door.frozen_until:
+            return
+        target, life = self.holder_of(tenant), door.life
+        if target is None or target.side != door.side or (not self.calm and self.rng.random() < 0.03):
+            return self.take_alone(tenant, rate, burst, door)
+
+        def asked() -> None:
+            assert target.claimer is not None and target.holder is not None
+            now = target.clock()
+            if not target.claimer.holds(now, bucket_of(tenant)):
+                return
+            told = target.holder.add(now, tenant, 1, rate, burst)
+            if told.over:
+                insort(self.refused.setdefault(tenant, []), self.env.now)
+                if told.fresh and door.life == life and self.env.now >= door.frozen_until:
+                    self.take_alone(tenant, rate, burst, door)
+            elif self.rng.random() < never_runs:
+                self.send(door, target, lambda: self._back(target, tenant, told.slot), doubled=False)
+            else:
+                self.pass_one(tenant)
+        if target is door:
+            asked()
+        else:
+            self.send(door, target, asked)
+
+    def _back(self, target: Process, tenant: str, slot: int) -> None:
+        assert target.claimer is not None and target.holder is not None
+        if target.claimer.holds(target.clock(), bucket_of(tenant)):
+            target.holder.give_back(target.clock(), tenant, 1, slot)
+
+    def take_alone(self, tenant: str, rate: float, burst: float, door: Process) -> None:
+        """One unit of the gateway's own reserve."""
+        assert door.reserve is not None
+        if door.reserve.take(door.clock(), tenant, rate, burst) is not None:
+            self.alone += 1
+            self.pass_one(tenant)
+        else:
+            insort(self.refused.setdefault(tenant, []), self.env.now)
+
+    def pass_one(self, tenant: str) -> None:
+        """A request goes on to a backend now: it was sent before and arrives after."""
+        insort(self.passed.setdefault(tenant, []), float(self.env.now))
+
+    def most(self, tenant: str) -> int:
+        """The most that passed in any sliding window."""
+        times = self.passed.get(tenant, [])
+        return max((bisect_right(times, start + QUOTA.window) - at for at, start in enumerate(times)), default=0)
+
+    def load(self, tenant: str, rate: float, burst: float, gap: float, never_runs: float = 0.0) -> None:
+        """Requests of a tenant at random gateways, `gap` ms apart on average, from now on."""
+        def one() -> None:
+            self.request(tenant, rate, burst, self.rng.choice(self.doors), never_runs)
+            self.later(self.rng.expovariate(1 / gap), one)
+        one()
+
+
+__all__ = ["QUOTA", "Asked", "Fleet", "Process", "Votes"]
