--- a/hallhitch/planes/quota/caller.py
+++ b/hallhitch/planes/quota/caller.py
@@ -19,7 +19,7 @@
 from hallhitch.planes.quota.reserve import Reserve
 from hallhitch.planes.values import Taken, Tenant
 
-LONGEST, SHORTEST = 300.0, 100.0  # ms that a holder is waited for
+FIRST, SHORTEST = 800.0, 200.0  # ms that a holder is waited for: where its time is not known yet, and at least
 AWAY = 300.0  # ms for which a silent holder is not asked again, but by one call
 ELSEWHERE = 200.0  # ms for which one that said that it does not hold a bucket is not asked about it
 COME_BACK = 400.0  # ms after which a request may return that nobody could be asked about
@@ -49,10 +49,19 @@
     """A holder as its callers see it."""
 
     trip: float = 0.0  # ms, smoothed; 0 = not known
+    swing: float = 0.0  # ms by which it varies, smoothed: links that carry long answers hold short ones up
     heard: float = float("-inf")
     away_until: float = 0.0
     trying: bool = False
 
+    def learn(self, took: float) -> None:
+        """One call took so many ms, or was given up after them (Jacobson's estimate, as for retransmissions)."""
+        if not self.trip:
+            self.trip, self.swing = took, took / 2
+        else:
+            self.swing += (abs(took - self.trip) - self.swing) / 4
+            self.trip += (took - self.trip) / 8
+
 
 @dataclass(frozen=True, slots=True)
 class _Token:
@@ -101,11 +110,11 @@
             return self._alone(now, tenant)
         peer.trying = trial
         try:
-            most = min(wait, LONGEST, max(SHORTEST, 2.5 * peer.trip + 50) if peer.trip else LONGEST)
+            most = min(wait, max(SHORTEST, 2 * peer.trip + 4 * peer.swing + 50) if peer.trip else FIRST)
             answer = (await self._calls.call(address, Envelope(count=Count(tenant=name)), most)).counted
             came = self._clock()
             peer.away_until, peer.heard = 0.0, came
-            peer.trip = peer.trip * 0.8 + (came - now) * 0.2 if peer.trip else came - now
+            peer.learn(came - now)
             if answer.unknown and came - now < wait:
                 count = Count(tenant=name, rate=tenant.rate, burst=tenant.burst)
                 left = min(most, wait - (came - now))
@@ -116,6 +125,7 @@
             # Not where little time was left, nor where it answered others meanwhile.
             if wait >= SHORTEST and peer.heard <= now:
                 peer.away_until = came + AWAY
+            peer.learn(came - now)
             return self._alone(came, tenant)
         finally:
             peer.trying = False
@@ -143,7 +153,7 @@
     async def _return(self, token: _Token) -> None:
         with contextlib.suppress(StepError):  # then it leaves with the window
             await self._calls.call(
-                token.address, Envelope(count=Count(tenant=token.tenant, units=-1, slot=token.slot)), LONGEST)
+                token.address, Envelope(count=Count(tenant=token.tenant, units=-1, slot=token.slot)), FIRST)
 
     def _told(
         self, now: float, tenant: Tenant, address: str, over: bool, spare: bool, slot: int, wait: float,
--- a/hallhitch/planes/quota/claimer.py
+++ b/hallhitch/planes/quota/claimer.py
@@ -18,7 +18,7 @@
 
 PATIENCE = 700.0  # ms that winning a bucket may take before it is let go
 NEXT = 350.0  # ms that a bucket stays free before the next in its order tries
-SETTLING = 600.0  # ms after the first view of the gateways, and after none of them were known, without taking
+SETTLING = 300.0  # ms after the first view of the gateways, and after none of them were known, without taking
 EVEN = 4000.0  # ms for which another must be a bucket's first, and we its holder, before it is handed over
 HAND_OVER = 24  # buckets in one claim
 
--- a/hallhitch/planes/quota/holder.py
+++ b/hallhitch/planes/quota/holder.py
@@ -18,6 +18,7 @@
 from hallhitch.planes.values import Tenant
 
 NEVER = float("-inf")
+HEARD = 15_000.0  # ms in which every gateway has heard a newer word, or uses nothing by an older one
 CELLS = 8  # of a window in an account
 MARKS = 1 << 13  # a unit's number tells its lease apart by so many marks
 
@@ -39,6 +40,7 @@
 class _Tenant:
     rate: float
     burst: float
+    fleet: int
     short: int
     held: int
     window: Window
@@ -62,10 +64,19 @@
         self._quota, self._mark = quota, life
         self._buckets = [_Bucket() for _ in range(BUCKETS)]
         self._word: Mapping[str, Tenant] = {}
+        self._fleet = self._noted = 0
+        self._noted_at = NEVER
 
-    def set_tenants(self, tenants: Mapping[str, Tenant]) -> None:
-        """The tenants of the word, whose limits go before a caller's."""
+    def set_tenants(self, now: float, tenants: Mapping[str, Tenant], fleet: int = 0) -> None:
+        """The tenants of the word, whose limits go before a caller's, and how many gateways it notes.
+
+        More gateways may mean more for the holder and less for reserves: it waits until all others have heard that.
+        """
         self._word = tenants
+        if not self._fleet:
+            self._fleet = self._noted = fleet
+        elif fleet != self._noted:
+            self._noted, self._noted_at = fleet, now
 
     def begin(self, bucket: int, others: float, now: float, left: Left | None = None, ended: float = NEVER) -> None:
         """A lease begins; no other gateway has counted there since `others`; see Claimer for `left`."""
@@ -107,7 +118,9 @@
         """Count units of a tenant against its limits, and read."""
         mine = self._buckets[bucket_of(tenant)]
         kept = mine.tenants.get(tenant)
-        if kept is None or kept.rate != rate or kept.burst != burst:
+        if self._fleet != self._noted and now - self._noted_at > HEARD:
+            self._fleet = self._noted
+        if kept is None or kept.rate != rate or kept.burst != burst or kept.fleet != self._fleet:
             kept = mine.tenants[tenant] = self._shaped(now, mine, tenant, rate, burst)
         window = kept.window
         window.advance(now)
@@ -132,15 +145,15 @@
     def _shaped(self, now: float, mine: _Bucket, name: str, rate: float, burst: float) -> _Tenant:
         """A tenant with these limits: counts stay where there are any."""
         kept = mine.tenants.get(name)
-        held = math.floor(self._quota.held(rate, burst))
-        length, most = self._quota.short(rate, burst)
+        held = math.floor(self._quota.held(rate, burst, self._fleet))
+        length, most = self._quota.short(rate, burst, self._fleet)
         short = math.floor(most)
-        own, limit, whole = self._quota.whole(rate, burst)
+        own, limit, whole = self._quota.whole(rate, burst, self._fleet)
         limits = math.floor(limit), math.floor(whole)
         if kept is not None:
             kept.window.reshape(now, length)
             kept.whole.reshape(now, own)
-            return _Tenant(rate, burst, short, held, kept.window, kept.whole, limits)
+            return _Tenant(rate, burst, self._fleet, short, held, kept.window, kept.whole, limits)
         window = Window(now, self._quota.window, length)
         told = mine.left
         sums = None
@@ -160,4 +173,4 @@
             for back, units in enumerate(sums):
                 window.fill(min(told.age - back * self._quota.window / CELLS, now), max(0, min(units, room)))
                 room -= units
-        return _Tenant(rate, burst, short, held, window, Window(now, self._quota.window, own), limits)
+        return _Tenant(rate, burst, self._fleet, short, held, window, Window(now, self._quota.window, own), limits)
--- a/hallhitch/planes/quota/plane.py
+++ b/hallhitch/planes/quota/plane.py
@@ -76,7 +76,7 @@
         """The operator's word; an older one than the last is passed over."""
         if word.serial >= self._serial:
             self._serial = word.serial
-            self._holder.set_tenants(word.tenants)
+            self._holder.set_tenants(self._clock(), word.tenants, word.fleet)
             self._reserve.note(word.fleet)
 
     def set_gateways(self, own: str, entries: Sequence[Gateway]) -> None:
--- a/hallhitch/programs/coordinator.py
+++ b/hallhitch/programs/coordinator.py
@@ -32,7 +32,7 @@
 from hallhitch.programs.running import main
 
 TICK = 100.0  # ms between looks at who fell silent and whether the list is to be read
-YOUNG = 800.0  # ms after its start in which a coordinator knows too few gateways to tell of them
+YOUNG = 600.0  # ms after its start in which a coordinator knows too few gateways to tell of them
 ALIVE = 1800.0  # ms within which another coordinator answered to count as live
 LIST_SHARE = 0.2  # of the drain bound: how often the list is read; its way to the last gateway takes the rest
 LIST_MOST = 1000.0  # ms between readings at most
