News: a gateway without a word asks others where the only coordinator has no majority

Cause: a coordinator that started again tells no word before a majority confirms it, and a gateway that started then stayed with it as its only source, though the gateways that it heard knew the word in force.

--- a/hallhitch/planes/news/following.py
+++ b/hallhitch/planes/news/following.py
@@ -157,7 +157,12 @@
                     spare = source
                     break
         # One that is out of touch with most of the others is better than nobody, if it is the only one.
-        return spare is not None and await self._ask(spare, WAIT, True)
+        if spare is None or not await self._ask(spare, WAIT, True):
+            return False
+        if not self._hub.word.serial:
+            # It tells no word that no majority confirms; the gateways that it hears may know the one in force.
+            await self._beside()
+        return True
 
     async def _beside(self) -> None:
         """No coordinator answers: other gateways may know more, and until then everything stays as it is."""
--- a/tests/system/news/test_knowledge.py
+++ b/tests/system/news/test_knowledge.py
@@ -1,14 +1,17 @@
 """What a process knows of words and backends never goes back, whoever tells it."""
 
+import asyncio
 import json
 import random
 import zlib
 
-from hallhitch.messages.system_pb2 import News, Pull
+from hallhitch.messages.system_pb2 import Envelope, News, Pull
+from hallhitch.node.clock import now
+from hallhitch.node.errors import Silent
 from hallhitch.planes.discovery.directory import nearest
 from hallhitch.planes.discovery.listing import Listed, due, read_page, settle, turn
 from hallhitch.planes.discovery.roster import SILENCE, Roster, united
-from hallhitch.planes.news.following import Source, rendezvous
+from hallhitch.planes.news.following import Follower, Source, rendezvous
 from hallhitch.planes.news.hub import Hub
 from hallhitch.planes.news.wording import read_word
 from hallhitch.planes.values import Gateway
@@ -46,7 +49,6 @@
 
 def test_an_older_list_of_backends_does_not_replace_a_newer_one() -> None:
     fresh, stale, me = Hub(1), Hub(2), Hub(3)
-    from hallhitch.node.clock import now
     fresh.take_list(now() - 50, [listed("a", draining=True)])
     stale.take_list(now() - 5000, [listed("a"), listed("b")])
     one, two = Source("1"), Source("2")
@@ -129,3 +131,29 @@
     assert found is not None and found.name == "r" and not found.repeatable and found.timeout == 2000.0
     assert word.route("h.example", "/b/") is None and word.route("other", "/a/") is None
     assert word.keys["k2"].name == "n" and word.services["s"].cold_time == 3000.0 and word.evacuated == {"z"}
+
+
+class Peers:
+    """Hubs at addresses, in place of the links to them."""
+
+    def __init__(self, hubs: dict[str, Hub]) -> None:
+        self.hubs = hubs
+
+    async def call(self, address: str, envelope: Envelope, wait: float) -> Envelope:
+        hub = self.hubs.get(address)
+        if hub is None:
+            raise Silent("call", address, "nobody there")
+        news = hub.news(Pull.FromString(envelope.pull.SerializeToString())) or hub._signed(News())
+        return Envelope(news=news)
+
+
+def test_a_gateway_takes_the_word_from_another_where_the_core_has_no_majority() -> None:
+    lonely, other, me = Hub(1), Hub(2), Hub(3)
+    lonely.lonely = True
+    lonely.set_gateways({"other:1": gateway("other")})
+    other.take_word(7, 21, b"", ["z"])
+    other.take_list(now(), [listed("a")])
+    follower = Follower(Peers({"core:1": lonely, "other:1": other}), me, lambda: gateway("me"),  # type: ignore[arg-type]
+                        ["core:1"])
+    assert asyncio.run(follower._round(["gone:1", "core:1"]))
+    assert me.word.serial == 7 and list(me.word.evacuated) == ["z"] and len(me.backends) == 1
