--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,11 @@
 VENV ?= .venv-dev
 PY = $(VENV)/bin/python
 
+# Files that the formatter keeps; others join as they are touched.
+FORMATTED = hallhitch/planes/control hallhitch/planes/distribution hallhitch/planes/quota hallhitch/planes/discovery \
+	hallhitch/planes/values.py hallhitch/messages/link.py hallhitch/programs hallhitch/node tests/system/control \
+	tests/system/quota tests/system/distribution tests/system/node
+
 .PHONY: build test soak lint run demo demo-gateway demo-control demo-fleet messages clean
 
 build: $(VENV)/done
@@ -21,6 +26,7 @@
 
 lint: build
 	$(VENV)/bin/ruff check hallhitch tests benchmarks
+	$(VENV)/bin/ruff format --check $(FORMATTED)
 	$(VENV)/bin/mypy
 	$(VENV)/bin/lint-imports
 
--- a/benchmarks/capacity_slopes.py
+++ b/benchmarks/capacity_slopes.py
@@ -22,7 +22,7 @@
 from typing import Any
 
 from benchmarks.resident import resident
-from hallhitch.messages.system_pb2 import Backends, Envelope, Gateways, Holders, Pull, Value
+from hallhitch.messages.system_pb2 import Backends, ClusterState, Envelope, Gateways, Holders, Pull
 from hallhitch.node.errors import Silent
 from hallhitch.node.settings import Node, read
 from hallhitch.planes.control import changes, check
@@ -31,16 +31,16 @@
 from hallhitch.planes.data.ports import Ask, Outcome, Send
 from hallhitch.planes.discovery.directory import nearest
 from hallhitch.planes.discovery.listing import Listed, read_page
-from hallhitch.planes.discovery.roster import united
-from hallhitch.planes.news.feed import Feed
-from hallhitch.planes.news.hub import Hub, entry_of, sent_of
-from hallhitch.planes.news.wording import read_word
+from hallhitch.planes.discovery.registry import united
+from hallhitch.planes.distribution.config_compiler import compile_config
+from hallhitch.planes.distribution.feed import Feed
+from hallhitch.planes.distribution.hub import StateHub, entry_of, sent_of
 from hallhitch.planes.quota import wire
-from hallhitch.planes.quota.claimer import ranks
-from hallhitch.planes.quota.holder import Holder
+from hallhitch.planes.quota.holder import LeaseHolder
 from hallhitch.planes.quota.lease import Account, Asked
+from hallhitch.planes.quota.lease_client import ranks
 from hallhitch.planes.quota.limits import Quota
-from hallhitch.planes.values import Backend, Gateway, Route, Service, Word
+from hallhitch.planes.values import Backend, ClusterConfig, Gateway, Route, Service
 
 LETTERS = "abcdefghijkmnpqrstuvwxyz23456789"
 LARGE = 1e7  # bytes of a configuration from which the kernel tells what it holds; tracing takes too long
@@ -126,13 +126,13 @@
     gc.collect()
     gc.collect()
     before, began = resident(), time.thread_time()
-    word = read_word(1, 1, content, ())
+    word = compile_config(1, 1, content, ())
     took = time.thread_time() - began
     gc.collect()
     held, peak = (resident() - before) * 1024.0, resident(field="VmHWM") * 1024.0
     del word
     if raw < LARGE:
-        held = traced(lambda: read_word(1, 1, content, ()))
+        held = traced(lambda: compile_config(1, 1, content, ()))
     return routes, tenants, raw / 1e6, len(content) / 1e6, took * 1000, held / 1e6, peak / 1e6
 
 
@@ -141,8 +141,8 @@
     entries = [backend(n) for n in range(count)]
     size = len(Backends(entries=[sent_of(e, 0.0) for e in entries]).SerializeToString()) / count
 
-    def taken() -> Hub:
-        hub = Hub(1)
+    def taken() -> StateHub:
+        hub = StateHub(1)
         hub.take_list(1.0, [backend(n) for n in range(count)])
         return hub
 
@@ -190,13 +190,13 @@
     service, route = Service("s", "/health", 100, 0.0, 0.0), Route(
         "r", "h", "/", "idempotent", 3000.0, 800.0, 0, (("s", 1.0),), 2, True)
     own, zones = gateway(0), {f"namaka-{z}": f"region-{z % 28}" for z in range(58)}
-    word = Word(1, 1, {"h": (route,)}, {"s": service}, {}, {})
+    word = ClusterConfig(1, 1, {"h": (route,)}, {"s": service}, {}, {})
     here = [replace(gateway(n * 28), zone=f"namaka-{n % 2 * 28}", region="region-0") for n in range(1, gateways)]
     entries = [Backend(f"i-{n}", "s", "10.0.0.1", n, f"namaka-{n % 2 * 28}", "region-0", 3) for n in range(backends)]
 
     def built() -> Choice:
         choice = Choice(Settings(own.name, own.zone, own.region, zones), random.Random(1))
-        choice.word(0.0, word)
+        choice.config(0.0, word)
         choice.gateways(0.0, own.name, [own, *here])
         choice.backends(0.0, entries)
         return choice
@@ -229,8 +229,8 @@
     names = [f"tenant{n}" for n in range(tenants)]
     moment, turn = [1e6], [0]
 
-    def filled() -> Holder:
-        holder = Holder(Quota(5000.0, 0.1, 20.0), 1)
+    def filled() -> LeaseHolder:
+        holder = LeaseHolder(Quota(5000.0, 0.1, 20.0), 1)
         for name in names:
             holder.add(moment[0], name, 1, 100.0, 100.0)
         return holder
@@ -312,7 +312,7 @@
     return routes, sorted(wall)[2], sorted(busy)[2], written / 3e6
 
 
-def _ignored(value: Value) -> None:
+def _ignored(value: ClusterState) -> None:
     pass
 
 
--- a/benchmarks/system_capacity.py
+++ b/benchmarks/system_capacity.py
@@ -35,10 +35,10 @@
 from hallhitch.node.clock import now
 from hallhitch.node.settings import Node, read
 from hallhitch.node.web import Reply, Web
-from hallhitch.planes.news.following import Follower
-from hallhitch.planes.news.hub import Hub
-from hallhitch.planes.news.wording import EMPTY, read_word
-from hallhitch.planes.quota import claimer
+from hallhitch.planes.distribution.config_compiler import EMPTY, compile_config
+from hallhitch.planes.distribution.following import GatewaySync
+from hallhitch.planes.distribution.hub import StateHub
+from hallhitch.planes.quota import lease_client
 from hallhitch.planes.quota.limits import BUCKETS
 from hallhitch.planes.quota.plane import QuotaPlane
 from hallhitch.planes.values import Gateway
@@ -104,16 +104,16 @@
         self.node = replace(
             node, name=f"edge-{number}", role="gateway", machine_class="edge", data=None, cloud=None, zone=zone,
             region=ZONES[zone], ip=f"127.{10 * step + number // 250}.{number % 250 + 1}.1", listen={})
-        self.life = random.getrandbits(60) + 1
+        self.incarnation = random.getrandbits(60) + 1
         self.links = Links(node.cluster, self._handle)
-        self.hub = Hub(self.life)
-        self.follower = Follower(self.links, self.hub, self._own, node.peers)
+        self.hub = StateHub(self.incarnation)
+        self.follower = GatewaySync(self.links, self.hub, self._own, node.peers)
         self.quota = QuotaPlane(self.node, self.links)
-        self.word, self._gateways = EMPTY, (0, 0)
+        self.config, self._gateways = EMPTY, (0, 0)
 
     def _own(self) -> Gateway:
         n = self.node
-        return Gateway(n.name, n.internal, self.life, "edge", n.zone, n.region, f"{n.ip}:{PORT + 8}", True)
+        return Gateway(n.name, n.internal, self.incarnation, "edge", n.zone, n.region, f"{n.ip}:{PORT + 8}", True)
 
     def _handle(self, envelope: Envelope) -> Envelope | Awaitable[Envelope]:
         return self.hub.answer(envelope.pull) if envelope.HasField("pull") else self.quota.handle(envelope)
@@ -127,10 +127,10 @@
 
     def _learn(self) -> None:
         hub = self.hub
-        if hub.word.serial > self.word.serial:
-            w = hub.word
-            self.word = read_word(w.serial, w.version, w.content, w.evacuated, w.fleet)
-            self.quota.set_word(self.word)
+        if hub.config.serial > self.config.serial:
+            w = hub.config
+            self.config = compile_config(w.serial, w.version, w.content, w.evacuated, w.fleet)
+            self.quota.set_config(self.config)
         if (version := (hub.gateways.epoch, hub.gateways.number)) != self._gateways:
             self._gateways = version
             self.quota.set_gateways(self.node.name, [g for g in hub.gateways.values() if g.frontend])
@@ -183,8 +183,8 @@
 async def team(first: int, count: int, file: str) -> None:
     """The other side: run the gateways, answer each line on standard input with one line."""
     # All gateways here reckon the same order: once in this process, its time is in the table of gateways.
-    kept = functools.lru_cache(maxsize=4)(claimer.ranks)
-    claimer.ranks = lambda gateways: kept(frozenset(gateways))
+    kept = functools.lru_cache(maxsize=4)(lease_client.ranks)
+    lease_client.ranks = lambda gateways: kept(frozenset(gateways))
     node, reader = read(file), asyncio.StreamReader()
     await asyncio.get_running_loop().connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
     hollows, bare = [Hollow(n, node) for n in range(first, first + count)], resident()
@@ -196,8 +196,8 @@
         links = [hollow.links for hollow in hollows]
         told: object = {
             "known": min(len(h.hub.gateways) for h in hollows), "held": sum(len(h.quota.held()) for h in hollows),
-            "version": min(h.word.version for h in hollows),
-            "evacuated": all("zone-1" in h.word.evacuated for h in hollows),
+            "version": min(h.config.version for h in hollows),
+            "evacuated": all("zone-1" in h.config.evacuated for h in hollows),
             "drained": all((e := h.hub.backends.get(drains)) is not None and e.draining for h in hollows),
             "own": time.process_time(), "sent": sum(one.sent for one in links),
             "received": sum(one.received for one in links), "grown": resident() - bare,
@@ -235,7 +235,7 @@
     took = list[float]()
 
     async def one(hollow: Hollow) -> None:
-        ends, tenants = time.monotonic() + seconds, list(hollow.word.tenants.values())
+        ends, tenants = time.monotonic() + seconds, list(hollow.config.tenants.values())
         while time.monotonic() < ends and tenants:
             await asyncio.sleep(random.uniform(0, 2 / RATE))
             began = now()
--- a/hallhitch/lab/system/report.py
+++ b/hallhitch/lab/system/report.py
@@ -28,7 +28,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Part:
+class ComponentLogger:
     """What came of some requests; times in ms from a client's first try, of those served."""
 
     asked: int
@@ -52,12 +52,12 @@
                 str(self.failed), f"{self.p50:.0f}", f"{self.p99:.0f}", f"{self.tries / of:.2f}")
 
 
-def part(outcomes: Iterable[Outcome]) -> Part:
+def part(outcomes: Iterable[Outcome]) -> ComponentLogger:
     """Count some requests."""
     all_ = list(outcomes)
     times = [o.ended - o.at for o in all_ if o.served]
     refused = sum(o.status in (429, 503) for o in all_)
-    return Part(len(all_), len(times), sum(o.served and o.ended - o.at <= o.want.aim for o in all_), refused,
+    return ComponentLogger(len(all_), len(times), sum(o.served and o.ended - o.at <= o.want.aim for o in all_), refused,
                 len(all_) - len(times) - refused, percentile(times, 0.5), percentile(times, 0.99),
                 sum(o.tries for o in all_))
 
--- a/hallhitch/lab/system_compare.py
+++ b/hallhitch/lab/system_compare.py
@@ -11,7 +11,7 @@
 from hallhitch.lab.system_model import Machine, World
 from hallhitch.planes.data.choice import Choice, Settings
 from hallhitch.planes.data.ports import Ask, Decisions, Exchange, Fail, Hold, Outcome, Refuse, Send, Step
-from hallhitch.planes.values import Backend, Word
+from hallhitch.planes.values import Backend, ClusterConfig
 
 
 class SeesAll:
@@ -27,7 +27,7 @@
     def gateways(self, now: float, own: str, entries: object) -> None:
         """Not needed."""
 
-    def word(self, now: float, word: Word) -> None:
+    def config(self, now: float, config: ClusterConfig) -> None:
         """Not needed."""
 
     def begin(self, now: float, ask: Ask) -> Exchange:
--- a/hallhitch/lab/system_model.py
+++ b/hallhitch/lab/system_model.py
@@ -20,7 +20,7 @@
 from hallhitch.lab.system_cases import MIX, Case, Kind
 from hallhitch.planes.data.choice import Settings
 from hallhitch.planes.data.ports import Ask, Decisions, Fail, Hold, Outcome, Refuse, Send, Step
-from hallhitch.planes.values import Backend, Gateway, Limits, Service, Word
+from hallhitch.planes.values import Backend, ClusterConfig, Gateway, Limits, Service
 
 Steps = Generator[Any, Any, None]
 
@@ -100,13 +100,13 @@
         self.machines[name] = machine
         return machine
 
-    def word(self) -> Word:
-        """The operator's word as it stands."""
+    def config(self) -> ClusterConfig:
+        """The cluster configuration as it stands."""
         services = {n: Service(n, "/", 100, self.case.cold_time, self.case.cold_rate) for n in ("big", "small")}
-        return Word(1, 1, {}, services, {}, {}, Limits(), self.evacuated)
+        return ClusterConfig(1, 1, {}, services, {}, {}, Limits(), self.evacuated)
 
     def _tell(self, node: Gateway, mind: Decisions) -> Steps:
-        mind.word(self.now(), self.word())
+        mind.config(self.now(), self.config())
         seen = self.evacuated
         while True:
             entries = []
@@ -119,7 +119,7 @@
             mind.gateways(self.now(), node.name, self.nodes)
             if seen != self.evacuated:
                 seen = self.evacuated
-                mind.word(self.now(), self.word())
+                mind.config(self.now(), self.config())
             yield self.env.timeout(500.0)
 
     def delay(self, a: str, b: str) -> float:
--- a/hallhitch/messages/link.py
+++ b/hallhitch/messages/link.py
@@ -17,7 +17,7 @@
 from hallhitch.messages.system_pb2 import Envelope
 from hallhitch.node.clock import now
 from hallhitch.node.errors import Refused, Silent
-from hallhitch.node.logs import Part, Rarely
+from hallhitch.node.logs import ComponentLogger, RateLimitedLog
 
 FRAME_MOST = 64 * 1024 * 1024  # bytes: the largest word of an operator, and room
 UNHEARD = 2500  # ms without an acknowledgement by the peer's machine after which a connection is given up
@@ -57,13 +57,13 @@
         buffer += data
         at = 0
         while len(buffer) - at >= 4:
-            size = int.from_bytes(buffer[at:at + 4], "big")
+            size = int.from_bytes(buffer[at : at + 4], "big")
             if size > FRAME_MOST:
                 return self.spoilt("a frame too long")
             if len(buffer) - at - 4 < size:
                 break
             try:
-                envelope = Envelope.FromString(bytes(buffer[at + 4:at + 4 + size]))
+                envelope = Envelope.FromString(bytes(buffer[at + 4 : at + 4 + size]))
             except DecodeError:
                 return self.spoilt("bytes that are no message")
             at += 4 + size
@@ -153,10 +153,11 @@
 class Links:
     """All connections between this process and the system's others."""
 
-    def __init__(self, cluster: str, handler: Handler | None = None) -> None:
+    def __init__(self, cluster: str, handler: Handler | None = None, address: str = "", incarnation: int = 0) -> None:
         self.cluster, self.handler = cluster_number(cluster), handler
-        log = Part("link")
-        self.spoilt, self.failed = Rarely(log), Rarely(log)
+        self.address, self.incarnation = address, incarnation
+        log = ComponentLogger("link")
+        self.spoilt, self.failed = RateLimitedLog(log), RateLimitedLog(log)
         self.tasks: set[asyncio.Future[None]] = set()
         self.incoming: set[_Incoming] = set()
         self._out: dict[str, _Outgoing] = {}
@@ -170,7 +171,8 @@
         """Listen at our internal address."""
         host, port = split(address)
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: _Incoming(self), host, port, reuse_address=True, backlog=512)
+            lambda: _Incoming(self), host, port, reuse_address=True, backlog=512
+        )
 
     def close(self) -> None:
         """End all connections."""
@@ -232,8 +234,7 @@
     async def _connect(self, address: str) -> _Outgoing:
         host, port = split(address)
         async with asyncio.timeout(UNHEARD / 1000):
-            _, link = await asyncio.get_running_loop().create_connection(
-                lambda: _Outgoing(self, address), host, port)
+            _, link = await asyncio.get_running_loop().create_connection(lambda: _Outgoing(self, address), host, port)
         if not link.closed:
             self._out[address] = link
         return link
--- a/hallhitch/node/logs.py
+++ b/hallhitch/node/logs.py
@@ -16,7 +16,7 @@
     root.setLevel(level)
 
 
-class Part:
+class ComponentLogger:
     """The log of one part: each line begins with its name."""
 
     def __init__(self, name: str) -> None:
@@ -35,10 +35,10 @@
         self._log.error("%s: %s", self._name, text)
 
 
-class Rarely:
+class RateLimitedLog:
     """Counts what may come in floods and lets one line a second through."""
 
-    def __init__(self, part: Part, gap: float = 1000.0) -> None:
+    def __init__(self, part: ComponentLogger, gap: float = 1000.0) -> None:
         self._part, self._gap, self._last, self.count = part, gap, float("-inf"), 0
 
     def warning(self, now: float, text: str) -> None:
--- a/hallhitch/node/settings.py
+++ b/hallhitch/node/settings.py
@@ -151,19 +151,30 @@
     data = top.get("dataDirectory", str, "")
     plain = Bounds()
     return Node(
-        name=top.get("nodeName", str), role=top.get("role", str), machine_class=top.get("machineClass", str),
-        serves=frozenset(top.get("serves", list)), ip=top.get("ipAddress", str), zone=top.get("zone", str),
-        region=top.get("region", str), ports=(ports[0], ports[1]),
+        name=top.get("nodeName", str),
+        role=top.get("role", str),
+        machine_class=top.get("machineClass", str),
+        serves=frozenset(top.get("serves", list)),
+        ip=top.get("ipAddress", str),
+        zone=top.get("zone", str),
+        region=top.get("region", str),
+        ports=(ports[0], ports[1]),
         seeds=tuple(top.address("seedNodes", seed) for seed in top.get("seedNodes", list)),
-        first_start=top.get("firstStart", bool, False), zones=dict(zones),
-        listen={name: top.table("listenAddresses").address(name, value)
-                for name, value in top.table("listenAddresses").items().items()},
+        first_start=top.get("firstStart", bool, False),
+        zones=dict(zones),
+        listen={
+            name: top.table("listenAddresses").address(name, value)
+            for name, value in top.table("listenAddresses").items().items()
+        },
         bounds=Bounds(
-            drain=bounds.time("drainTimeout", plain.drain), grace=bounds.time("gracePeriod", plain.grace),
-            config=bounds.time("configApply", plain.config), ack=bounds.time("ackTimeout", plain.ack),
+            drain=bounds.time("drainTimeout", plain.drain),
+            grace=bounds.time("gracePeriod", plain.grace),
+            config=bounds.time("configApply", plain.config),
+            ack=bounds.time("ackTimeout", plain.ack),
             evacuation=bounds.time("evacuation", plain.evacuation),
             catch_up=bounds.time("catchUp", plain.catch_up),
-            contact=bounds.time("contactWindow", plain.contact), seed_lag=bounds.time("seedLag", plain.seed_lag),
+            contact=bounds.time("contactWindow", plain.contact),
+            seed_lag=bounds.time("seedLag", plain.seed_lag),
             retry_ratio=bounds.number("retryBudgetRatio", plain.retry_ratio),
             retry_window=bounds.time("retryWindow", plain.retry_window),
             retry_slack=bounds.number("retryBudgetSlack", plain.retry_slack),
@@ -172,10 +183,14 @@
             quota_slack=bounds.number("quotaSlack", plain.quota_slack),
             cold_over=bounds.number("coldOvershoot", plain.cold_over),
             cold_slack=bounds.number("coldSlack", plain.cold_slack),
-            ttl_most=bounds.time("ttl_max", plain.ttl_most)),
+            ttl_most=bounds.time("ttl_max", plain.ttl_most),
+        ),
         losses=int(top.table("faultTolerance").number("machineLosses", 0)),
-        memory=limits.number("memoryMb", 256), files=int(limits.number("maxOpenFiles", 1024)),
+        memory=limits.number("memoryMb", 256),
+        files=int(limits.number("maxOpenFiles", 1024)),
         data=Path(data) if data else None,
         cloud=cloud.address("address", cloud.items()["address"]) if "address" in cloud.items() else None,
-        cloud_rate=cloud.number("ratePerS", 1.0), cloud_lag=cloud.time("maxLag", 1000.0),
-        cluster=top.get("clusterName", str, ""))
+        cloud_rate=cloud.number("ratePerS", 1.0),
+        cloud_lag=cloud.time("maxLag", 1000.0),
+        cluster=top.get("clusterName", str, ""),
+    )
--- a/hallhitch/node/web.py
+++ b/hallhitch/node/web.py
@@ -9,12 +9,22 @@
 import httptools
 
 from hallhitch.node.clock import now
-from hallhitch.node.logs import Part, Rarely
+from hallhitch.node.logs import ComponentLogger, RateLimitedLog
 
 HEAD_MOST = 64 * 1024
-REASONS = {200: "OK", 307: "Temporary Redirect", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-           409: "Conflict", 413: "Content Too Large", 422: "Unprocessable Content", 429: "Too Many Requests",
-           500: "Internal Server Error", 503: "Service Unavailable"}
+REASONS = {
+    200: "OK",
+    307: "Temporary Redirect",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    409: "Conflict",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+}
 Reply = tuple[int, Mapping[str, str], bytes]
 Answerer = Callable[[str, str, bytes], "Reply | Awaitable[Reply]"]  # method, target, body
 
@@ -60,8 +70,14 @@
         self._body += body
 
     def on_message_complete(self) -> None:
-        self._queue.append((self._parser.get_method().decode("latin-1"), self._url.decode("latin-1"),
-                            bytes(self._body), self._parser.should_keep_alive()))
+        self._queue.append(
+            (
+                self._parser.get_method().decode("latin-1"),
+                self._url.decode("latin-1"),
+                bytes(self._body),
+                self._parser.should_keep_alive(),
+            )
+        )
         self._url, self._body, self._size = b"", bytearray(), 0
         if not self._busy:
             self._next()
@@ -112,13 +128,14 @@
         self.answerer, self.most, self.closing = answerer, most, False
         self.connections: set[_Connection] = set()
         self.tasks: set[asyncio.Future[None]] = set()
-        self._rarely = Rarely(Part(name))
+        self._rarely = RateLimitedLog(ComponentLogger(name))
         self._server: asyncio.Server | None = None
 
     async def serve(self, address: tuple[str, int]) -> None:
         """Listen."""
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: _Connection(self), *address, reuse_address=True, backlog=512)
+            lambda: _Connection(self), *address, reuse_address=True, backlog=512
+        )
 
     def failed(self, error: Exception) -> Reply:
         """A call on which we failed."""
--- a/hallhitch/planes/control/__init__.py
+++ b/hallhitch/planes/control/__init__.py
@@ -1,1 +1,2 @@
-"""The operator's word: one register over a quorum of disks, its files, its replicas, and the calls of operators."""
+"""The cluster configuration: one register over a quorum of disks, its files, its replicas, and the calls of
+operators."""
--- a/hallhitch/planes/control/replica.py
+++ b/hallhitch/planes/control/acceptor.py
@@ -11,11 +11,11 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from hallhitch.messages.system_pb2 import Accept, Ballot, Envelope, Value
+from hallhitch.messages.system_pb2 import Accept, BallotMessage, ClusterState, Envelope
 from hallhitch.node.errors import StepError
-from hallhitch.node.logs import Part
+from hallhitch.node.logs import ComponentLogger
 from hallhitch.planes.control.files import Found, Store
-from hallhitch.planes.control.register import Replica
+from hallhitch.planes.control.register import AcceptorState
 
 LATE = 1500.0  # ms after which nobody waits for an answer any more
 Run = Callable[[Callable[[], None]], Awaitable[None]]
@@ -67,14 +67,14 @@
         self._jobs.put(None)
 
 
-class Keeper:
+class DurableAcceptor:
     """One replica with its disk; `state` is what is kept, never ahead of it."""
 
     def __init__(self, address: str, store: Store | None, run: Run, clock: Callable[[], float]) -> None:
-        self.state = Replica(address, forgetful=True)
+        self.state = AcceptorState(address, recovering=True)
         self._store, self._run, self._clock = store, run, clock
         self._lock = asyncio.Lock()
-        self._log = Part("replica")
+        self._log = ComponentLogger("replica")
 
     @property
     def busy(self) -> bool:
@@ -99,7 +99,7 @@
             self.state = held
         return found[0]
 
-    async def become(self, replica: Replica) -> None:
+    async def become(self, replica: AcceptorState) -> None:
         """Go on as this one: a founder's, or what was read from others. Raises OSError."""
         async with self._lock:
             await self._keep(replica)
@@ -112,7 +112,7 @@
                 return Envelope(recovered=read)
         # Shielded: a caller that leaves must not make us go on before what is being written is known.
         turn = asyncio.ensure_future(self._in_turn(envelope))
-        turn.add_done_callback(_heeded)
+        turn.add_done_callback(consume_exception)
         return await asyncio.shield(turn)
 
     async def _in_turn(self, envelope: Envelope) -> Envelope:
@@ -137,20 +137,20 @@
                     raise StepError("keep", self.state.address, f"the disk refused: {error}") from None
             return answer
 
-    async def take(self, ballot: Ballot, value: Value) -> None:
+    async def take(self, ballot: BallotMessage, value: ClusterState) -> None:
         """Accept what others hold, as if the accept had come late."""
         await self.handle(Envelope(accept=Accept(ballot=ballot, value=value)))
 
-    async def _keep(self, replica: Replica) -> None:
+    async def _keep(self, replica: AcceptorState) -> None:
         store = self._store
         if store is None:
             raise OSError("there is no data folder")
         await self._run(lambda: store.save(replica))
         self.state = replica
-        asyncio.ensure_future(self._run(store.tidy)).add_done_callback(_heeded)
+        asyncio.ensure_future(self._run(store.tidy)).add_done_callback(consume_exception)
 
 
-def _heeded(done: asyncio.Future[Any]) -> None:
+def consume_exception(done: asyncio.Future[Any]) -> None:
     """Its error, if any, was told to whoever still waited, or matters to nobody."""
     if not done.cancelled():
         done.exception()
--- a/hallhitch/planes/control/changes.py
+++ b/hallhitch/planes/control/changes.py
@@ -1,4 +1,5 @@
-"""The changes of the operator's word, each a plain function from value to value; the same object = nothing changed.
+"""The changes of the cluster configuration, each a plain function from value to value; the same object = nothing
+changed.
 
 An order that changes nothing is acknowledged all the same, once a majority has confirmed the value it met. Evacuations
 carry no version, so a `start` that was sent again and comes late looks just like a new one. It is not told by content
@@ -10,83 +11,107 @@
 
 from __future__ import annotations
 
-from hallhitch.messages.system_pb2 import Value
-from hallhitch.planes.control.register import Change, Config, config, copied
+from collections.abc import Iterable
 
+from hallhitch.messages.system_pb2 import ClusterState
+from hallhitch.planes.control.register import Change, Membership, copied
 
-def identity(value: Value) -> Value:
+
+def identity(value: ClusterState) -> ClusterState:
     """A read; where a majority agrees, nothing is written for it."""
     return value
 
 
-def renew(value: Value) -> Value:
+def renew(value: ClusterState) -> ClusterState:
     """The same value under a new ballot, for those who are behind."""
     return value
 
 
 def put(version: int, content: bytes) -> Change:
     """A whole configuration: the highest version prevails, the first of equal ones stays."""
-    def change(value: Value) -> Value:
+
+    def change(value: ClusterState) -> ClusterState:
         if version <= value.version:
             return value
         after = _next(value)
         after.version, after.content = version, content
         return after
+
     return change
 
 
 def evacuate(zone: str) -> Change:
     """Nothing more is sent to the zone's backends."""
-    def change(value: Value) -> Value:
+
+    def change(value: ClusterState) -> ClusterState:
         if zone in value.zones:
             return value
         after = _next(value)
         after.zones[zone] = after.serial
         return after
+
     return change
 
 
 def restore(zone: str) -> Change:
     """The zone is taken back."""
-    def change(value: Value) -> Value:
+
+    def change(value: ClusterState) -> ClusterState:
         if zone not in value.zones:
             return value
         after = _next(value)
         del after.zones[zone]
         return after
+
     return change
 
 
 def note(name: str, text: str) -> Change:
     """A mark that must outlive a loss of everything."""
-    def change(value: Value) -> Value:
+
+    def change(value: ClusterState) -> ClusterState:
         if value.notes.get(name) == text:
             return value
         after = _next(value)
         after.notes[name] = text
         return after
+
     return change
 
 
-def add(address: str, among: Config) -> Change:
-    """One more member, if the members are still those."""
-    def change(value: Value) -> Value:
-        if config(value) != among or value.previous or address in value.members:
+def reconfigure(members: Iterable[str], among: Membership) -> Change:
+    """Other members in one joint change, if the members are still those of `among` and no change is under way.
+
+    The state names both sets until `settle`. Votes on leases by the old set count until `end_lease_transition`.
+    """
+    target = sorted(set(members))
+
+    def change(value: ClusterState) -> ClusterState:
+        if Membership.of(value) != among or value.previous or value.lease_previous or target == list(value.members):
+            return value
+        if not target:
             return value
-        return _members(value, [*value.members, address])
+        after = _next(value)
+        after.previous[:] = value.members
+        after.lease_previous[:] = value.members
+        after.members[:] = target
+        after.members_version += 1
+        return after
+
     return change
 
 
-def remove(address: str, among: Config) -> Change:
+def add(address: str, among: Membership) -> Change:
+    """One more member, if the members are still those."""
+    return reconfigure([*among.members, address], among)
+
+
+def remove(address: str, among: Membership) -> Change:
     """One member less, if the members are still those; never the last one."""
-    def change(value: Value) -> Value:
-        if config(value) != among or value.previous or address not in value.members or len(value.members) < 2:
-            return value
-        return _members(value, [one for one in value.members if one != address])
-    return change
+    return reconfigure([one for one in among.members if one != address], among)
 
 
-def settle(value: Value) -> Value:
+def settle(value: ClusterState) -> ClusterState:
     """The second half of a change of members: only the new ones count from now on."""
     if not value.previous:
         return value
@@ -96,15 +121,17 @@
     return after
 
 
-def _members(value: Value, members: list[str]) -> Value:
+def end_lease_transition(value: ClusterState) -> ClusterState:
+    """The end of a change of members for leases: votes of the former members have all ended."""
+    if not value.lease_previous or value.previous:
+        return value
     after = _next(value)
-    after.previous[:] = value.members
-    after.members[:] = sorted(members)
+    del after.lease_previous[:]
     after.members_version += 1
     return after
 
 
-def _next(value: Value) -> Value:
+def _next(value: ClusterState) -> ClusterState:
     after = copied(value)
     after.serial += 1
     return after
--- a/hallhitch/planes/control/check.py
+++ b/hallhitch/planes/control/check.py
@@ -59,18 +59,36 @@
 
 _TIME, _NUMBER, _WHOLE = ({"nullable": True, "check_with": one} for one in (_is_time, _is_number, _is_whole))
 _TABLE = {"type": "dict"}
-_OUTER = Validator({
-    "configVersion": {"required": True, "nullable": False, "check_with": _is_whole, "max": HIGHEST},
-    "routes": {"required": True, **_TABLE}, "services": {"required": True, **_TABLE},
-    "tenants": {"nullable": True, **_TABLE}, "limits": {"nullable": True, "type": "dict"},
-}, allow_unknown=True)
-_SERVICE = Validator({
-    "healthPath": {"type": "string", "regex": r"/[!-~]*"}, "maxConnections": _WHOLE, "protocol": {"type": "string"},
-    "tls": {"type": "boolean"}, "coldStart": _TIME, "coldPerS": _NUMBER,
-}, allow_unknown=True)
-_LIMITS = Validator({
-    "maxHeaderBytes": _WHOLE, "maxBodyBytes": _WHOLE, "headerTimeout": _TIME, "idleTimeout": _TIME,
-}, allow_unknown=True)
+_OUTER = Validator(
+    {
+        "configVersion": {"required": True, "nullable": False, "check_with": _is_whole, "max": HIGHEST},
+        "routes": {"required": True, **_TABLE},
+        "services": {"required": True, **_TABLE},
+        "tenants": {"nullable": True, **_TABLE},
+        "limits": {"nullable": True, "type": "dict"},
+    },
+    allow_unknown=True,
+)
+_SERVICE = Validator(
+    {
+        "healthPath": {"type": "string", "regex": r"/[!-~]*"},
+        "maxConnections": _WHOLE,
+        "protocol": {"type": "string"},
+        "tls": {"type": "boolean"},
+        "coldStart": _TIME,
+        "coldPerS": _NUMBER,
+    },
+    allow_unknown=True,
+)
+_LIMITS = Validator(
+    {
+        "maxHeaderBytes": _WHOLE,
+        "maxBodyBytes": _WHOLE,
+        "headerTimeout": _TIME,
+        "idleTimeout": _TIME,
+    },
+    allow_unknown=True,
+)
 
 
 def read(body: bytes) -> Checked:
--- a/hallhitch/planes/control/files.py
+++ b/hallhitch/planes/control/files.py
@@ -31,8 +31,8 @@
 
 from google.protobuf.message import DecodeError
 
-from hallhitch.messages.system_pb2 import Promise, Value
-from hallhitch.planes.control.register import NEVER, Replica, ballot, copied, stamp
+from hallhitch.messages.system_pb2 import ClusterState, Promise
+from hallhitch.planes.control.register import NEVER, AcceptorState, Ballot, copied
 
 GENERATION = re.compile(r"state-(\d{12})\.(dat|dir|bak)")
 CONTENT = re.compile(r"word-([0-9a-f]{32})\.(dat|dir|bak)")
@@ -135,7 +135,7 @@
 class Found:
     """What a start found: a replica to go on from, or None; `empty` where there was nothing at all."""
 
-    replica: Replica | None
+    replica: AcceptorState | None
     empty: bool
     notes: tuple[str, ...] = ()  # what was torn, foreign or left over, a sentence each
 
@@ -160,7 +160,7 @@
             except Damaged as error:
                 notes.append(str(error))
                 continue
-            self._kept = _base(number), _word(replica.value.content)
+            self._kept = _base(number), _config(replica.value.content)
             for base in reversed(self._kept):
                 self._disk.sync(f"{base}.dat")
                 self._disk.sync(f"{base}.dir")
@@ -171,23 +171,28 @@
         self._number = 0 if empty else self._number
         return Found(None, empty, tuple(notes))
 
-    def save(self, replica: Replica) -> None:
+    def save(self, replica: AcceptorState) -> None:
         """Keep a new generation; on return it lasts. Raises OSError, and then the one before counts on."""
-        founding = replica.promised == NEVER and not replica.lives
+        founding = replica.promised == NEVER and not replica.incarnations
         self._number = max(self._number + 1, 1 if founding else 2)
-        base, word = _base(self._number), _word(replica.value.content)
+        base, word = _base(self._number), _config(replica.value.content)
         light = copied(replica.value)
         light.content = b""
-        votes = Promise(promised=ballot(replica.promised), accepted=ballot(replica.accepted), lives=replica.lives)
+        votes = Promise(
+            promised=replica.promised.message(), accepted=replica.accepted.message(), incarnations=replica.incarnations
+        )
         try:
             if word not in self._synced:
                 self._write(word, {b"content": replica.value.content})
                 self._synced.add(word)
-            self._write(base, {
-                b"votes": votes.SerializeToString(),
-                b"value": light.SerializeToString(),
-                b"content": word.encode(),
-            })
+            self._write(
+                base,
+                {
+                    b"votes": votes.SerializeToString(),
+                    b"value": light.SerializeToString(),
+                    b"content": word.encode(),
+                },
+            )
             self._disk.sync_folder()
         except OSError:
             for name in (f"{base}.dir", f"{base}.dat"):  # a full disk has no room for leavings
@@ -212,18 +217,20 @@
         self._disk.sync(f"{base}.dat")
         self._disk.sync(f"{base}.dir")
 
-    def _read(self, number: int) -> Replica:
+    def _read(self, number: int) -> AcceptorState:
         base = _base(number)
         records = self._records(base)
         try:
-            value = Value.FromString(records[b"value"])
+            value = ClusterState.FromString(records[b"value"])
             word = records[b"content"].decode()
             votes = Promise.FromString(records[b"votes"])
-            replica = Replica(self._address, stamp(votes.promised), stamp(votes.accepted), value, dict(votes.lives))
+            replica = AcceptorState(
+                self._address, Ballot.of(votes.promised), Ballot.of(votes.accepted), value, dict(votes.incarnations)
+            )
         except (KeyError, ValueError, DecodeError) as error:
             raise Damaged(f"{base} lacks a record: {error}") from None
         value.content = self._records(word).get(b"content", b"")
-        if _word(value.content) != word:
+        if _config(value.content) != word:
             raise Damaged(f"{word} holds something else")
         return replace(replica, value=value)
 
@@ -257,5 +264,5 @@
     return f"state-{number:012}"
 
 
-def _word(content: bytes) -> str:
+def _config(content: bytes) -> str:
     return f"word-{hashlib.sha256(content).hexdigest()[:32]}"
--- a/hallhitch/planes/control/members.py
+++ b/hallhitch/planes/control/members.py
@@ -9,7 +9,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from hallhitch.messages.system_pb2 import Value
+from hallhitch.messages.system_pb2 import ClusterState
 
 SILENT = 15_000.0  # ms without an answer after which a member may be replaced
 FRESH = 5000.0  # ms within which an answer shows that a member can be reached
@@ -49,8 +49,9 @@
     return frozenset(one for one, at in heard.items() if now - at <= FRESH)
 
 
-def step(value: Value, now: float, since: float, heard: Mapping[str, float], asking: Mapping[str, float],
-         losses: int) -> Step | None:
+def step(
+    value: ClusterState, now: float, since: float, heard: Mapping[str, float], asking: Mapping[str, float], losses: int
+) -> Step | None:
     """What to change next. `heard`: when each last answered (ms), own included; `asking`: who wants in, and when;
     `since`: from when on this process has been listening without a break.
     """
@@ -71,7 +72,7 @@
     return None
 
 
-def turn(value: Value, address: str, now: float, heard: Mapping[str, float]) -> float:
+def turn(value: ClusterState, address: str, now: float, heard: Mapping[str, float]) -> float:
     """How long (ms) to leave what is to be done to others; endless for who is no member."""
     live = sorted(one for one in value.members if now - heard.get(one, float("-inf")) <= FRESH or one == address)
     return live.index(address) * TURN if address in live else float("inf")
--- a/hallhitch/planes/control/operator.py
+++ b/hallhitch/planes/control/operator.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from urllib.parse import parse_qs, urlsplit
 
-from hallhitch.messages.system_pb2 import Value
+from hallhitch.messages.system_pb2 import ClusterState
 from hallhitch.node.clock import now
 from hallhitch.node.errors import StepError
 from hallhitch.node.settings import Node
@@ -46,8 +46,12 @@
         except ValueError as error:
             return _error(400, f"{target[:200]!r} cannot be read: {error}")
         name, of = query.get("call", [""])[0], query.get("of", [""])[0]
-        if url.path != PATH or name not in ("config.replace", "config.describe", "evacuations.start",
-                                            "evacuations.stop"):
+        if url.path != PATH or name not in (
+            "config.replace",
+            "config.describe",
+            "evacuations.start",
+            "evacuations.stop",
+        ):
             return _error(404, f"there is no {name or url.path}")
         if method != "POST":
             return _error(405, "only POST is answered here", {"Allow": "POST"})
@@ -89,7 +93,7 @@
     async def _describe(self) -> Answer:
         began = self._clock()
         try:
-            value: Value = await self._plane.change(changes.identity, READ)
+            value: ClusterState = await self._plane.change(changes.identity, READ)
         except StepError as error:
             # Disks in trouble are no reason not to read; being cut off from most others is: what is known here may
             # be older than what was acknowledged elsewhere, and the caller can ask there.
--- a/hallhitch/planes/control/plane.py
+++ b/hallhitch/planes/control/plane.py
@@ -12,30 +12,25 @@
 from contextlib import suppress
 from typing import Protocol
 
-from hallhitch.messages.system_pb2 import Envelope, Recover, Recovered, Value
+from hallhitch.messages.system_pb2 import ClusterState, Envelope, Recover, Recovered
 from hallhitch.node.clock import now
 from hallhitch.node.errors import StepError
-from hallhitch.node.logs import Part, Rarely
+from hallhitch.node.logs import ComponentLogger, RateLimitedLog
 from hallhitch.node.settings import Node
 from hallhitch.planes.control import changes, members
+from hallhitch.planes.control.acceptor import DurableAcceptor, Run, Worker
 from hallhitch.planes.control.files import Disk, Folder, Store
 from hallhitch.planes.control.proposer import Proposer
 from hallhitch.planes.control.register import (
     NEVER,
+    AcceptorState,
+    Ballot,
     Change,
+    Membership,
     Recovery,
-    Replica,
-    Stamp,
     Tally,
-    ballot,
-    config,
-    everybody,
     founded,
-    reached,
-    sets,
-    stamp,
 )
-from hallhitch.planes.control.replica import Keeper, Run, Worker
 
 HURRY, CALM = 300.0, 2000.0  # ms between rounds: until the committed value is known, and after
 ANSWER = 800.0  # ms for the answers of a round
@@ -53,11 +48,19 @@
 
 
 class ControlPlane:
-    """The operator's word on one coordinator. `told` hears each newer committed value, on the loop."""
-
-    def __init__(self, node: Node, links: Peers, told: Callable[[Value], None], *, disk: Disk | None = None,
-                 run: Run | None = None, clock: Callable[[], float] = now,
-                 rng: random.Random | None = None) -> None:
+    """The cluster configuration on one coordinator. `told` hears each newer committed value, on the loop."""
+
+    def __init__(
+        self,
+        node: Node,
+        links: Peers,
+        told: Callable[[ClusterState], None],
+        *,
+        disk: Disk | None = None,
+        run: Run | None = None,
+        clock: Callable[[], float] = now,
+        rng: random.Random | None = None,
+    ) -> None:
         self._node, self._links, self._told, self._clock = node, links, told, clock
         self._rng = rng or random.Random()
         self.address = node.internal
@@ -65,13 +68,20 @@
         if disk is None and node.data is not None:
             disk = Folder(node.data)
         store = Store(disk, self.address) if disk is not None else None
-        self._keeper = Keeper(self.address, store, run or self._worker.run, clock)
+        self._acceptor = DurableAcceptor(self.address, store, run or self._worker.run, clock)
         self._proposer = Proposer(
-            self._keeper, f"{self._rng.getrandbits(64):016x}", links.call, self._learnt, self._likely, clock, self._rng)
-        self._value = Value(version=-1)
-        self._at: Stamp = NEVER  # the ballot of the newest value that a majority is known to hold
+            self._acceptor,
+            f"{self._rng.getrandbits(64):016x}",
+            links.call,
+            self._learnt,
+            self._likely,
+            clock,
+            self._rng,
+        )
+        self._value = ClusterState(version=-1)
+        self._at: Ballot = NEVER  # the ballot of the newest value that a majority is known to hold
         self.agreed = float("-inf")  # when a majority was last found to hold one and the same value
-        self._known = False  # whether such a value was met in this life
+        self._known = False  # whether such a value was met in this incarnation
         self._loaded = self._stepping = self._lonely = False
         self._loading: asyncio.Task[None] | None = None
         self._heard: dict[str, float] = {}
@@ -81,20 +91,20 @@
         self._began = self._since = self._ticked = clock()
         self._stood = float("-inf")
         self._tasks: list[asyncio.Task[None]] = []
-        self._log = Part("control")
-        self._failing = Rarely(self._log)
+        self._log = ComponentLogger("control")
+        self._failing = RateLimitedLog(self._log)
 
     # --- What the program sees.
 
     @property
-    def value(self) -> Value:
+    def value(self) -> ClusterState:
         """The newest value known to be committed; serial 0 before any. Not to be changed."""
         return self._value
 
     @property
     def members(self) -> tuple[str, ...]:
         """The internal addresses of the replicas, as far as known."""
-        return tuple(self._value.members or self._proposer.met[1].members or self._keeper.state.value.members)
+        return tuple(self._value.members or self._proposer.met[1].members or self._acceptor.state.value.members)
 
     async def start(self) -> None:
         """Read the disk and begin; a disk in trouble is asked again in the background. Never raises for it."""
@@ -118,7 +128,7 @@
         """The internal addresses of the coordinators that live, as discovery tells."""
         self._told_of = frozenset(addresses)
 
-    def adopt(self, value: Value) -> None:
+    def adopt(self, value: ClusterState) -> None:
         """A committed value that another coordinator told; taken if it is newer."""
         if value.serial > self._value.serial:
             self._value = value
@@ -133,20 +143,21 @@
             asked = envelope.recover
             if asked.address and asked.sound:
                 self._asking[asked.address] = self._clock()
-            return self._keeper.handle(envelope)
+            return self._acceptor.handle(envelope)
         if envelope.HasField("prepare") or envelope.HasField("accept"):
-            return self._keeper.handle(envelope)
+            return self._acceptor.handle(envelope)
         return None
 
-    async def change(self, change: Change, patience: float) -> Value:
+    async def change(self, change: Change, patience: float) -> ClusterState:
         """Put a change to the register; the committed value after it. Raises Silent after `patience` ms."""
         return await self._proposer.change(change, patience)
 
     @property
     def short(self) -> bool:
         """Whether more replicas are needed for the losses to be borne, and may still be on their way."""
-        return (self._clock() - self._began < YOUNG
-                and (not self._known or len(self._proposer.settled[1]) < members.needed(self._node.losses)))
+        return self._clock() - self._began < YOUNG and (
+            not self._known or len(self._proposer.settled.members) < members.needed(self._node.losses)
+        )
 
     @property
     def stood(self) -> bool:
@@ -158,7 +169,7 @@
 
     async def _load(self) -> None:
         try:
-            found = await self._keeper.load()
+            found = await self._acceptor.load()
         except OSError as error:
             self._failing.warning(self._clock(), f"the data folder cannot be read: {error}")
             return
@@ -175,7 +186,7 @@
     async def _found(self) -> bool:
         """The first start of the whole system: nobody has voted yet, and the seeds are the members."""
         try:
-            await self._keeper.become(Replica(self.address, value=founded(self._node.peers)))
+            await self._acceptor.become(AcceptorState(self.address, value=founded(self._node.peers)))
         except OSError as error:
             self._failing.warning(self._clock(), f"founding failed: {error}")
             return False
@@ -184,11 +195,11 @@
     def _likely(self, address: str) -> bool:
         return self._clock() - self._heard.get(address, float("-inf")) <= members.FRESH or address == self.address
 
-    def _learnt(self, value: Value, at: Stamp) -> None:
+    def _learnt(self, value: ClusterState, at: Ballot) -> None:
         """A majority holds this value under this ballot."""
         if at >= self._at:
             self._at, self._known = at, True
-            self._proposer.settled = config(value)
+            self._proposer.settled = Membership.of(value)
         if at > self._proposer.met[0]:
             self._proposer.met = at, value
         self.adopt(value)
@@ -213,23 +224,24 @@
 
     def _gap(self) -> float:
         """How long to rest between rounds (ms)."""
-        if not self._known or self._keeper.state.forgetful or self._due[0] is not None or self._stepping:
+        if not self._known or self._acceptor.state.recovering or self._due[0] is not None or self._stepping:
             return HURRY
-        return CALM if self.address in self._proposer.settled[1] else 2 * HURRY
+        return CALM if self.address in self._proposer.settled.members else 2 * HURRY
 
     async def _round(self) -> None:
         if not self._loaded and (self._loading is None or self._loading.done()):
             self._loading = asyncio.ensure_future(self._load())
             await asyncio.wait([self._loading], timeout=LOAD / 1000)
-        if self._keeper.state.forgetful:
-            await self._remember()
+        if self._acceptor.state.recovering:
+            await self._recover()
         await self._hear()
-        if not self._keeper.state.forgetful:
+        if not self._acceptor.state.recovering:
             await self._upkeep()
 
     def _others(self) -> frozenset[str]:
         """Whom to ask: all who count under any value met; where none is, the seeds and whom discovery tells."""
-        known = everybody(self._keeper.state.value) | everybody(self._proposer.met[1]) | everybody(self._value)
+        states = self._acceptor.state.value, self._proposer.met[1], self._value
+        known = frozenset[str]().union(*(Membership.of(state).everybody for state in states))
         if not self._known or self._lonely or self.address not in known:
             known |= frozenset(self._node.peers) | self._told_of
         fresh = (one for one, at in self._asking.items() if self._clock() - at <= members.FRESH)
@@ -237,6 +249,7 @@
 
     async def _read(self, addresses: frozenset[str], asked: Recover, wait: float = ANSWER) -> dict[str, Recovered]:
         """What the others hold; those who do not answer are left out."""
+
         async def one(address: str) -> tuple[str, Recovered | None]:
             try:
                 answer = await self._links.call(address, Envelope(recover=asked), wait)
@@ -244,6 +257,7 @@
                 return address, None
             self._heard[address] = self._clock()
             return address, answer.recovered
+
         answers = await asyncio.gather(*(one(address) for address in sorted(addresses)))
         return {address: answer for address, answer in answers if answer is not None}
 
@@ -255,36 +269,38 @@
 
     async def _hear(self, wait: float = ANSWER) -> None:
         """What do the others hold? Take what is newer, and learn what a majority has."""
-        state = self._keeper.state
-        asked = Recover(address=self.address, known=ballot(state.accepted), sound=not state.forgetful)
+        state = self._acceptor.state
+        asked = Recover(address=self.address, known=state.accepted.message(), sound=not state.recovering)
         answers = {one: answer for one, answer in (await self._read(self._others(), asked, wait)).items() if answer.ok}
         for answer in answers.values():
-            if stamp(answer.accepted) == state.accepted != NEVER:
+            if Ballot.of(answer.accepted) == state.accepted != NEVER:
                 answer.value.CopyFrom(state.value)
-        if not state.forgetful:
+        if not state.recovering:
             self._heard[self.address] = self._clock()
             answers[self.address] = state.recover(Recover(address=self.address))[1]
         if not answers:
             self._lonely = True
             return
-        newest = max(answers.values(), key=lambda one: stamp(one.accepted))
-        at, value = stamp(newest.accepted), newest.value
+        newest = max(answers.values(), key=lambda one: Ballot.of(one.accepted))
+        at, value = Ballot.of(newest.accepted), newest.value
         if at > self._proposer.met[0] or not self._proposer.met[1].members:
             self._proposer.met = at, value
-        tally = Tally(sets(value))
+        tally = Tally(Membership.of(value).sets)
         for member, answer in answers.items():
-            tally.add(member, stamp(answer.accepted) == at, answer.lives)
-        self._lonely = not reached(sets(value), answers)  # all whom it knows may have been exchanged
+            tally.add(member, Ballot.of(answer.accepted) == at, answer.incarnations)
+        self._lonely = not Membership.of(value).quorum_reached(answers)  # all whom it knows may have been exchanged
         if tally.reached():
             self.agreed = self._clock()
             self._learnt(value, at)
-            behind = [one for one in everybody(value) & answers.keys() if stamp(answers[one].accepted) < at]
+            behind = [
+                one for one in Membership.of(value).everybody & answers.keys() if Ballot.of(answers[one].accepted) < at
+            ]
             self._wanted(("behind", at) if behind else None)
         else:
             self._wanted(("agree", at))
-        if at > state.accepted and not state.forgetful and not self._keeper.busy:
+        if at > state.accepted and not state.recovering and not self._acceptor.busy:
             # The accept that did not reach this replica, or not yet: it may come from anybody.
-            await asyncio.wait_for(self._keeper.take(newest.accepted, value), ANSWER / 1000)
+            await asyncio.wait_for(self._acceptor.take(newest.accepted, value), ANSWER / 1000)
 
     def _wanted(self, what: object) -> None:
         if self._due[0] != what:
@@ -297,11 +313,11 @@
         wait = members.turn(value, self.address, at, self._heard) + HURRY
         self._stepping = False
         if what is not None:
-            if at - self._due[1] >= wait and reached(sets(value), members.reachable(at, self._heard)):
+            if at - self._due[1] >= wait and Membership.of(value).quorum_reached(members.reachable(at, self._heard)):
                 await self.change(changes.renew, ANSWER)
                 self._wanted(None)
             return
-        if config(value) != self._proposer.settled:
+        if Membership.of(value) != self._proposer.settled:
             return
         step = members.step(value, at, self._since, self._heard, self._asking, self._node.losses)
         if step is None or wait == float("inf"):
@@ -310,9 +326,9 @@
         if wait > HURRY:
             await asyncio.sleep((wait - HURRY) / 1000)
             await self.look(ANSWER)
-        if config(self._proposer.met[1]) != config(value):
+        if Membership.of(self._proposer.met[1]) != Membership.of(value):
             return
-        among = config(value)
+        among = Membership.of(value)
         match step:
             case members.Settle():
                 change: Change = changes.settle
@@ -324,11 +340,13 @@
                 change = changes.remove(address, among)
         after = await self.change(change, ANSWER)
         if after.previous:
-            await self.change(changes.settle, ANSWER)
+            after = await self.change(changes.settle, ANSWER)
+        if after.lease_previous and not after.previous:
+            await self.change(changes.end_lease_transition, ANSWER)
 
-    async def _remember(self) -> None:
+    async def _recover(self) -> None:
         """This replica does not know what it voted: read so many others that nothing it voted can be missed."""
-        if not self._loaded or self._keeper.diskless:
+        if not self._loaded or self._acceptor.diskless:
             return
         if not self._others() and self._clock() - self._began > YOUNG:
             self._log.warning("no other machine is known: beginning anew, alone")
@@ -338,22 +356,22 @@
         await self._consult(first)
         if not first.enough():
             return
-        second = Recovery(self.address, first.next_life())
+        second = Recovery(self.address, first.next_incarnation())
         await self._consult(second)
-        if not second.enough() or not self._keeper.state.forgetful:
+        if not second.enough() or not self._acceptor.state.recovering:
             return
         try:
-            await self._keeper.become(second.replica())
+            await self._acceptor.become(second.replica())
         except OSError as error:
             self._failing.warning(self._clock(), f"what was read back cannot be kept: {error}")
             return
-        self._log.info(f"memory read back from the others, life {second.life}")
+        self._log.info(f"memory read back from the others, incarnation {second.incarnation}")
 
     async def _consult(self, recovery: Recovery) -> None:
         """Ask by the newest members met, until they stay the same."""
         asked = frozenset[str]()
-        while more := (self._others() | everybody(recovery.newest())) - asked - {self.address}:
+        while more := (self._others() | Membership.of(recovery.newest()).everybody) - asked - {self.address}:
             asked |= more
-            message = Recover(address=self.address, life=recovery.life)
+            message = Recover(address=self.address, incarnation=recovery.incarnation)
             for member, answer in (await self._read(more, message)).items():
                 recovery.answer(member, answer)
--- a/hallhitch/planes/control/proposer.py
+++ b/hallhitch/planes/control/proposer.py
@@ -11,13 +11,22 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from hallhitch.messages.system_pb2 import Envelope, Value
+from hallhitch.messages.system_pb2 import ClusterState, Envelope
 from hallhitch.node.clock import now
 from hallhitch.node.errors import Silent, StepError
-from hallhitch.node.logs import Part
+from hallhitch.node.logs import ComponentLogger
+from hallhitch.planes.control.acceptor import DurableAcceptor
 from hallhitch.planes.control.changes import identity
-from hallhitch.planes.control.register import NEVER, Change, Config, Moved, Proposal, Propose, Settled, Stamp, config
-from hallhitch.planes.control.replica import Keeper
+from hallhitch.planes.control.register import (
+    NEVER,
+    AlreadyChosen,
+    Ballot,
+    Change,
+    Membership,
+    MembershipChanged,
+    Proposal,
+    SendAccepts,
+)
 
 PREPARE, ACCEPT = 900.0, 2500.0  # ms for one answer; a big word on a thin link takes its time
 ANSWERED = 20.0  # ms before its caller's patience ends in which nothing more is waited for
@@ -31,29 +40,41 @@
 class _Order:
     change: Change
     ends: float  # ms, when its caller is answered at the latest
-    done: asyncio.Future[Value]
+    done: asyncio.Future[ClusterState]
 
 
 class Proposer:
     """Puts changes to the register. `learnt` is told each value that a majority holds."""
 
-    def __init__(self, keeper: Keeper, life: str, call: Call, learnt: Callable[[Value, Stamp], None],
-                 likely: Callable[[str], bool], clock: Callable[[], float] = now,
-                 rng: random.Random | None = None) -> None:
-        self._keeper, self._call, self._learnt, self._likely = keeper, call, learnt, likely
-        self._name = f"{keeper.state.address}#{life}"
+    def __init__(
+        self,
+        acceptor: DurableAcceptor,
+        incarnation: str,
+        call: Call,
+        learnt: Callable[[ClusterState, Ballot], None],
+        likely: Callable[[str], bool],
+        clock: Callable[[], float] = now,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._acceptor, self._call, self._learnt, self._likely = acceptor, call, learnt, likely
+        self._name = f"{acceptor.state.address}#{incarnation}"
         self._clock, self._rng = clock, rng or random.Random()
         self._round = 0
         self._orders: list[_Order] = []
         self._taken: list[_Order] = []  # those that the ballot under way has applied
         self._work: asyncio.Task[None] | None = None
-        self._ballot: asyncio.Task[Value | Moved | None] | None = None
+        self._ballot: asyncio.Task[ClusterState | MembershipChanged | None] | None = None
         self._calls: set[asyncio.Task[None]] = set()
-        self._log = Part("register")
-        self.settled: Config = config(Value())  # the newest members that a majority is known to have taken
-        self.met: tuple[Stamp, Value] = (NEVER, Value())  # the newest value met anywhere: by its members we ask
-
-    async def change(self, change: Change, patience: float) -> Value:
+        self._log = ComponentLogger("register")
+        self.settled: Membership = Membership.of(
+            ClusterState()
+        )  # the newest members that a majority is known to have taken
+        self.met: tuple[Ballot, ClusterState] = (
+            NEVER,
+            ClusterState(),
+        )  # the newest value met anywhere: by its members we ask
+
+    async def change(self, change: Change, patience: float) -> ClusterState:
         """Put a change to the register; the value after it. Raises Silent after `patience` ms: it may come yet."""
         order = _Order(change, self._clock() + patience, asyncio.get_running_loop().create_future())
         self._orders.append(order)
@@ -81,7 +102,7 @@
 
     async def _serve(self) -> None:
         pause, moves = FIRST_PAUSE, 0
-        ask: tuple[Stamp, Value] | None = None
+        ask: tuple[Ballot, ClusterState] | None = None
         while self._orders:
             self._taken, began, result = [], self._clock(), None
             self._ballot = asyncio.ensure_future(self._one(ask))
@@ -95,8 +116,8 @@
                 self._log.error(f"a ballot failed: {type(error).__name__}: {error}")
             finally:
                 self._ballot = None
-            ask = result.held if isinstance(result, Moved) else None
-            if isinstance(result, Value):
+            ask = result.held if isinstance(result, MembershipChanged) else None
+            if isinstance(result, ClusterState):
                 pause, moves = FIRST_PAUSE, 0
                 for order in self._taken:
                     if not order.done.done():
@@ -111,14 +132,14 @@
                 await asyncio.sleep(self._rng.uniform(0.2, 1.0) * longest / 1000)
                 pause = min(2 * pause, LONGEST_PAUSE)
 
-    async def _one(self, ask: tuple[Stamp, Value] | None) -> Value | Moved | None:
+    async def _one(self, ask: tuple[Ballot, ClusterState] | None) -> ClusterState | MembershipChanged | None:
         """One ballot: the value that a majority holds, by whose members to start over, or None."""
-        held = self._keeper.state
-        known: tuple[Stamp, Value] = (NEVER, Value()) if held.forgetful else (held.accepted, held.value)
+        held = self._acceptor.state
+        known: tuple[Ballot, ClusterState] = (NEVER, ClusterState()) if held.recovering else (held.accepted, held.value)
         asked = ask or (known if known[0] > self.met[0] or not self.met[1].members else self.met)
-        self._round = max(self._round, held.promised[0], asked[0][0]) + 1
+        self._round = max(self._round, held.promised.round, asked[0].round) + 1
 
-        def change(value: Value) -> Value:
+        def change(value: ClusterState) -> ClusterState:
             # Only now, and only for those who still wait: see `changes` on orders that come late.
             for order in self._orders:
                 if not order.done.done():
@@ -127,7 +148,7 @@
                     value = order.change(value)
             return value
 
-        proposal = Proposal((self._round, self._name), asked[1], known, change, self.settled)
+        proposal = Proposal(Ballot(self._round, self._name), asked[1], known, change, self.settled)
         proposal.firm = False
         if not proposal.to:
             return None
@@ -140,12 +161,12 @@
             member, answer = await answers.get()
             if answer.HasField("promise"):
                 chosen = proposal.promise(member, answer.promise)
-                if isinstance(chosen, Moved):
+                if isinstance(chosen, MembershipChanged):
                     return chosen
-                if isinstance(chosen, Settled):
+                if isinstance(chosen, AlreadyChosen):
                     self._learnt(chosen.value, proposal.base[0])
                     return chosen.value
-                if isinstance(chosen, Propose):
+                if isinstance(chosen, SendAccepts):
                     missing |= chosen.to
                     for one in sorted(chosen.to):
                         self._ask(one, Envelope(accept=proposal.accept(one)), ACCEPT, answers)
@@ -165,8 +186,9 @@
             await self._linger(proposal, missing, answers)
         return value
 
-    async def _linger(self, proposal: Proposal, missing: set[str],
-                      answers: asyncio.Queue[tuple[str, Envelope]]) -> None:
+    async def _linger(
+        self, proposal: Proposal, missing: set[str], answers: asyncio.Queue[tuple[str, Envelope]]
+    ) -> None:
         """A majority has it; wait a little for the others that are likely to answer."""
         try:
             left = min([LINGER, *(order.ends - self._clock() - ANSWERED for order in self._taken)])
@@ -181,17 +203,17 @@
         except TimeoutError:
             pass
 
-    def _ask(self, member: str, envelope: Envelope, wait: float,
-             answers: asyncio.Queue[tuple[str, Envelope]]) -> None:
+    def _ask(self, member: str, envelope: Envelope, wait: float, answers: asyncio.Queue[tuple[str, Envelope]]) -> None:
         async def ask() -> None:
             try:
-                if member == self._keeper.state.address:
-                    answer = await self._keeper.handle(envelope)
+                if member == self._acceptor.state.address:
+                    answer = await self._acceptor.handle(envelope)
                 else:
                     answer = await self._call(member, envelope, wait)
             except StepError:
                 answer = Envelope()
             answers.put_nowait((member, answer))
+
         task = asyncio.ensure_future(ask())
         self._calls.add(task)
         task.add_done_callback(self._calls.discard)
--- a/hallhitch/planes/data/choice.py
+++ b/hallhitch/planes/data/choice.py
@@ -17,7 +17,7 @@
 from hallhitch.planes.data.pace import Usual
 from hallhitch.planes.data.ports import Ask, Exchange, Fail, Hold, Outcome, Refuse, Send, Step
 from hallhitch.planes.data.ranks import Weights, owners
-from hallhitch.planes.values import Backend, Gateway, Word
+from hallhitch.planes.values import Backend, ClusterConfig, Gateway
 
 HOLD_PART = 0.22  # of the target: refusals are early within a quarter of it, and the answer takes its way too
 HOLD_TRIED = 0.5  # of the target, for one that was turned away: refusing it is late already
@@ -66,7 +66,7 @@
         self._weights = Weights()
         self._cold = Cold(settings.name, settings.region, settings.cold_over, settings.cold_slack, settings.list_lag,
                           self._weights)
-        self._word: Word | None = None
+        self._config: ClusterConfig | None = None
         self._entries: Sequence[Backend] = ()
         self._seats: dict[str, Seat] = {}
         self._shape: Sequence[tuple[object, ...]] = ()
@@ -78,7 +78,7 @@
     def backends(self, now: float, entries: Sequence[Backend]) -> None:
         """All backends there are, as last told."""
         self._entries = entries
-        self._cold.backends(now, entries, self._word.services if self._word else {})
+        self._cold.backends(now, entries, self._config.services if self._config else {})
         seats: dict[str, Seat] = {}
         for entry in entries:
             seat = self._seats.get(entry.instance)
@@ -102,13 +102,13 @@
             self._peers = peers
             self._place()
 
-    def word(self, now: float, word: Word) -> None:
-        """The operator's word, whole."""
-        known, self._word = self._word, word
+    def config(self, now: float, config: ClusterConfig) -> None:
+        """The cluster configuration, whole."""
+        known, self._config = self._config, config
         if known is None:
-            self._cold.backends(now, self._entries, word.services)
-        self._cold.evacuated(now, word.evacuated, self._entries, word.services)
-        for name, service in word.services.items():
+            self._cold.backends(now, self._entries, config.services)
+        self._cold.evacuated(now, config.evacuated, self._entries, config.services)
+        for name, service in config.services.items():
             if name in self._fields:
                 self._fields[name].service = service
         self._place()
@@ -292,18 +292,18 @@
 
     def _place(self) -> None:
         """Sort all seats anew: by service, place and rank."""
-        if self._word is None:
+        if self._config is None:
             return
-        settings, word, weights = self._settings, self._word, self._weights
+        settings, config, weights = self._settings, self._config, self._weights
         weights.keep(set(self._seats), set(self._peers))
         region = [n for n, (_, r) in self._peers.items() if r == settings.region]
         in_zone = [n for n, (z, _) in self._peers.items() if z == settings.zone]
-        seats: dict[str, list[Seat]] = {name: [] for name in word.services}
+        seats: dict[str, list[Seat]] = {name: [] for name in config.services}
         for seat in self._seats.values():
             backend = seat.backend
-            if backend.service in seats and not backend.draining and backend.zone not in word.evacuated:
+            if backend.service in seats and not backend.draining and backend.zone not in config.evacuated:
                 seats[backend.service].append(seat)
-        for name, service in word.services.items():
+        for name, service in config.services.items():
             place = self._fields.get(name)
             if place is None:
                 place = self._fields[name] = Field(service, self._cold)
@@ -324,5 +324,5 @@
                     seat.tier = Tier.FAR
                     seat.rank = weights.rank(instance, settings.name, region)
             place.place(seats[name], len(region))
-        for name in [n for n in self._fields if n not in word.services]:
+        for name in [n for n in self._fields if n not in config.services]:
             del self._fields[name]
--- a/hallhitch/planes/data/exchange.py
+++ b/hallhitch/planes/data/exchange.py
@@ -34,7 +34,7 @@
     reply_of,
     request_head,
 )
-from hallhitch.planes.values import Limits, Route, Taken, Tenant, Word
+from hallhitch.planes.values import ClusterConfig, Limits, Route, Taken, Tenant
 
 UNKNOWING = 1000.0  # ms after which a client may ask again a gateway that knows no configuration yet
 LATE_AFTER = 100.0  # and one whose request found no room in its time
@@ -53,14 +53,14 @@
     pools: Pools
     clock: Callable[[], float]
     figures: dict[str, int]
-    word: Word | None = None
+    config: ClusterConfig | None = None
     leaving: bool = False
     plain: Limits = field(default_factory=Limits)
 
     @property
     def limits(self) -> Limits:
         """What a client may send and how long it may take."""
-        return self.word.limits if self.word is not None else self.plain
+        return self.config.limits if self.config is not None else self.plain
 
     def count(self, name: str) -> None:
         """Add one to a figure."""
@@ -123,19 +123,19 @@
 
     def _admit(self) -> Reply | None:
         """The refusal of a request that goes nowhere; None: its route, tenant and question are known."""
-        request, word, now = self._request, self._context.word, self._context.clock()
+        request, config, now = self._request, self._context.config, self._context.clock()
         headers = request.headers
         if malformed(request):
             return own_reply(400, request, close=True)
-        if word is None:
+        if config is None:
             return own_reply(503, request, UNKNOWING)
         host = headers.get(b"host", b"").decode("latin-1").partition(":")[0].lower()
-        route = word.route(host, path_of(request.target).decode("latin-1"))
+        route = config.route(host, path_of(request.target).decode("latin-1"))
         if route is None:
             return own_reply(404, request)
         tenant = None
-        if word.tenants:
-            tenant = word.keys.get(key_of(headers.get(b"authorization", b"")))
+        if config.tenants:
+            tenant = config.keys.get(key_of(headers.get(b"authorization", b"")))
             if tenant is None and not route.public:
                 return own_reply(401, request)
         homes = route.homes
--- a/hallhitch/planes/data/front.py
+++ b/hallhitch/planes/data/front.py
@@ -12,7 +12,7 @@
 
 from hallhitch.net.flow import Broken, Flow
 from hallhitch.net.http import Malformed, Message
-from hallhitch.node.logs import Part, Rarely
+from hallhitch.node.logs import ComponentLogger, RateLimitedLog
 from hallhitch.planes.data.exchange import Context, Driver
 from hallhitch.planes.data.wire import KEPT, ClientReader, Reply, Room, bodiless, own_reply, reply_head
 
@@ -273,7 +273,7 @@
         self.stuck: dict[Client, float] = {}  # the client takes nothing, since
         self.lingering: dict[Client, float] = {}  # answered for the last time
         self.tasks: set[asyncio.Task[None]] = set()
-        self.failed = Rarely(Part("front"))
+        self.failed = RateLimitedLog(ComponentLogger("front"))
         self.keep_alive = b""
         self._server: asyncio.Server | None = None
         self._gone: asyncio.Event = asyncio.Event()
--- a/hallhitch/planes/data/plane.py
+++ b/hallhitch/planes/data/plane.py
@@ -15,7 +15,7 @@
 from hallhitch.planes.data.ports import Counter, Decisions
 from hallhitch.planes.data.upstream import Pools
 from hallhitch.planes.data.wire import Room
-from hallhitch.planes.values import Backend, Gateway, Word
+from hallhitch.planes.values import Backend, ClusterConfig, Gateway
 
 SWEEP = 0.2  # s between looks at time-outs
 STALL = 500.0  # ms between two looks from which this process was held up
@@ -48,11 +48,11 @@
         await self.front.start()
         self._sweep()
 
-    def set_word(self, word: Word) -> None:
-        """The operator's word, whole; in force for each request that is read from now on."""
-        self._decisions.word(self._clock(), word)
-        self._pools.services(word.services)
-        self.context.word = word
+    def set_config(self, config: ClusterConfig) -> None:
+        """The cluster configuration, whole; in force for each request that is read from now on."""
+        self._decisions.config(self._clock(), config)
+        self._pools.services(config.services)
+        self.context.config = config
         self.front.retune()
 
     def set_backends(self, entries: Sequence[Backend]) -> None:
--- a/hallhitch/planes/data/ports.py
+++ b/hallhitch/planes/data/ports.py
@@ -10,14 +10,14 @@
 from enum import Enum
 from typing import Protocol
 
-from hallhitch.planes.values import Backend, Gateway, Route, Taken, Tenant, Word
+from hallhitch.planes.values import Backend, ClusterConfig, Gateway, Route, Taken, Tenant
 
 
 class Outcome(Enum):
     """How one attempt ended."""
 
     OK = "ok"  # a whole answer of the backend with its seal, below 500
-    FAILED = "failed"  # a whole answer of 500 or more without the word that it never ran: it ran
+    FAILED = "failed"  # a whole answer of 500 or more without the config that it never ran: it ran
     DECLINED = "declined"  # the backend said that it did not run it (full, late, 429)
     MOVED = "moved"  # 421: another backend has the address; it did not run
     UNREACHABLE = "unreachable"  # no connection, or nothing of it was written: it never ran
@@ -91,8 +91,8 @@
     def gateways(self, now: float, own: str, entries: Sequence[Gateway]) -> None:
         """All gateways that live, as last told."""
 
-    def word(self, now: float, word: Word) -> None:
-        """The operator's word, whole."""
+    def config(self, now: float, config: ClusterConfig) -> None:
+        """The cluster configuration, whole."""
 
     def begin(self, now: float, ask: Ask) -> Exchange:
         """A try was admitted."""
--- a/hallhitch/planes/discovery/listing.py
+++ b/hallhitch/planes/discovery/listing.py
@@ -61,14 +61,21 @@
     host, _, port = row["address"].rpartition(":")
     cold = span(row["coldRemaining"]) if row.get("coldRemaining") else 0.0
     return Listed(
-        row["instanceId"], row["targetService"], host, int(port), row.get("zone") or "", int(row.get("slotCount") or 1),
-        row.get("state") == "draining", now + cold if cold > 0 else 0.0)
+        row["instanceId"],
+        row["targetService"],
+        host,
+        int(port),
+        row.get("zone") or "",
+        int(row.get("slotCount") or 1),
+        row.get("state") == "draining",
+        now + cold if cold > 0 else 0.0,
+    )
 
 
 def settle(known: Mapping[str, Listed], read: Iterable[Listed]) -> dict[str, Listed]:
     """The list as it stands after a reading: what moved by nothing but the clock's grain stays the same.
 
-    A life that drains never serves again, so a page that lags behind another does not take that back.
+    A incarnation that drains never serves again, so a page that lags behind another does not take that back.
     """
     settled = {}
     for new in read:
--- a/hallhitch/planes/news/feed.py
+++ b/hallhitch/planes/distribution/feed.py
@@ -1,6 +1,7 @@
 """Keyed values with a version that grows by each change, for those who have an older one. No I/O, no clock.
 
-A version is (epoch, number): the epoch is the life of the process that numbers, so that numbers of a former life are
+A version is (epoch, number): the epoch is the incarnation of the process that numbers, so that numbers of a former
+incarnation are
 never taken for its own. Whoever has another epoch, or a number too old to be followed from, is given the whole.
 """
 
@@ -90,8 +91,12 @@
         if epoch != self.epoch or number < self._floor:
             return Changes(self.epoch, self.number, True, {k: v for k, (_, v) in self._items.items()}, ())
         return Changes(
-            self.epoch, self.number, False, {k: v for k, (n, v) in self._items.items() if n > number},
-            tuple(k for k, n in self._gone.items() if n > number))
+            self.epoch,
+            self.number,
+            False,
+            {k: v for k, (n, v) in self._items.items() if n > number},
+            tuple(k for k, n in self._gone.items() if n > number),
+        )
 
 
 class Followed(Generic[V]):
--- a/hallhitch/planes/news/hub.py
+++ b/hallhitch/planes/distribution/hub.py
@@ -1,6 +1,7 @@
 """What one process knows of the system's soft state, and what it tells those who pull from it.
 
-The word has its serial; of the rest each process numbers what it tells by a feed of its own. Nothing goes back: a word
+The configuration has its serial; of the rest each process numbers what it tells by a feed of its own. Nothing goes
+back: a configuration
 is taken only with a higher serial, a list of backends only if it was read later.
 """
 
@@ -14,17 +15,17 @@
     BackendEntry,
     Backends,
     Envelope,
+    FeedVersion,
     GatewayEntry,
     Gateways,
     Holders,
     News,
     Pull,
-    Stamp,
 )
-from hallhitch.messages.system_pb2 import Word as WordMessage
+from hallhitch.messages.system_pb2 import ConfigSnapshot as ConfigMessage
 from hallhitch.node.clock import now
 from hallhitch.planes.discovery.listing import Listed, settle
-from hallhitch.planes.news.feed import Changes, Feed
+from hallhitch.planes.distribution.feed import Changes, Feed
 from hallhitch.planes.values import Gateway
 
 HOLD_MOST = 1000.0  # ms for which a pull is held back at most
@@ -33,32 +34,47 @@
 def entry_of(g: Gateway) -> GatewayEntry:
     """A gateway as it is sent."""
     return GatewayEntry(
-        name=g.name, address=g.address, life=g.life, machine_class=g.machine_class, zone=g.zone, region=g.region,
-        frontend=g.frontend, ready=g.ready, leaving=g.leaving)
+        name=g.name,
+        address=g.address,
+        incarnation=g.incarnation,
+        machine_class=g.machine_class,
+        zone=g.zone,
+        region=g.region,
+        frontend=g.frontend,
+        ready=g.ready,
+        leaving=g.leaving,
+    )
 
 
 def gateway_of(e: GatewayEntry) -> Gateway:
     """And as it is received."""
-    return Gateway(e.name, e.address, e.life, e.machine_class, e.zone, e.region, e.frontend, e.ready, e.leaving)
+    return Gateway(e.name, e.address, e.incarnation, e.machine_class, e.zone, e.region, e.frontend, e.ready, e.leaving)
 
 
 def sent_of(e: Listed, clock: float) -> BackendEntry:
     """A backend as it is sent: what is left of its coldness, as clocks are each process's own."""
     return BackendEntry(
-        instance=e.instance, service=e.service, host=e.host, port=e.port, zone=e.zone, slots=e.slots,
-        draining=e.draining, cold_left=max(0.0, e.cold_until - clock))
-
-
-class Hub:
-    """One process's knowledge: the word, backends, gateways, holders."""
-
-    def __init__(self, life: int) -> None:
-        self.life = life
-        self.word = WordMessage(version=-1)
-        self.backends: Feed[Listed] = Feed(life)
+        instance=e.instance,
+        service=e.service,
+        host=e.host,
+        port=e.port,
+        zone=e.zone,
+        slots=e.slots,
+        draining=e.draining,
+        cold_left=max(0.0, e.cold_until - clock),
+    )
+
+
+class StateHub:
+    """One process's knowledge: the configuration, backends, gateways, holders."""
+
+    def __init__(self, incarnation: int, clock: Callable[[], float] = now) -> None:
+        self.incarnation, self._clock = incarnation, clock
+        self.config = ConfigMessage(version=-1)
+        self.backends: Feed[Listed] = Feed(incarnation)
         self.read_at = float("-inf")  # when the list of backends was read, by this process's clock
-        self.gateways: Feed[Gateway] = Feed(life)  # all that live, as far as known here
-        self.direct: Feed[Gateway] = Feed(life)  # those that pull from here
+        self.gateways: Feed[Gateway] = Feed(incarnation)  # all that live, as far as known here
+        self.direct: Feed[Gateway] = Feed(incarnation)  # those that pull from here
         self.holders: Mapping[int, str] = {}
         self._holders_number = 0
         self.core: tuple[str, ...] = ()
@@ -79,14 +95,20 @@
         for hear in self.on_change:
             hear()
 
-    def take_word(
-        self, serial: int, version: int, content: bytes, evacuated: Iterable[str], fleet: int = 0,
+    def take_config(
+        self,
+        serial: int,
+        version: int,
+        content: bytes,
+        evacuated: Iterable[str],
+        fleet: int = 0,
     ) -> bool:
-        """Take a newer word; whether it was newer."""
-        if serial <= self.word.serial:
+        """Take a newer configuration; whether it was newer."""
+        if serial <= self.config.serial:
             return False
-        self.word = WordMessage(serial=serial, version=version, content=content, evacuated=sorted(evacuated),
-                                fleet=fleet)
+        self.config = ConfigMessage(
+            serial=serial, version=version, content=content, evacuated=sorted(evacuated), fleet=fleet
+        )
         self.changed()
         return True
 
@@ -116,47 +138,58 @@
 
     def news(self, pull: Pull) -> News | None:
         """What the one that pulls lacks; None if nothing."""
-        news, any_news, clock = News(), False, now()
-        if self.word.serial > pull.have["word"].number:
-            news.word.CopyFrom(self.word)
+        news, any_news, clock = News(), False, self._clock()
+        if self.config.serial > pull.have["config"].number:
+            news.config.CopyFrom(self.config)
             any_news = True
         if self.read_at > float("-inf"):
             had = pull.have["backends"]
             changes = self.backends.since(had.epoch, had.number)
             if changes is not None:
-                news.backends.CopyFrom(Backends(
-                    stamp=_stamp(changes), whole=changes.whole, gone=changes.gone,
-                    entries=[sent_of(e, clock) for e in changes.entries.values()]))
+                news.backends.CopyFrom(
+                    Backends(
+                        stamp=_stamp(changes),
+                        whole=changes.whole,
+                        gone=changes.gone,
+                        entries=[sent_of(e, clock) for e in changes.entries.values()],
+                    )
+                )
                 any_news = True
         if self.tells_gateways or pull.direct:
             had = pull.have["gateways"]
             gateways = (self.direct if pull.direct else self.gateways).since(had.epoch, had.number)
             if gateways is not None:
-                news.gateways.CopyFrom(Gateways(
-                    stamp=_stamp(gateways), whole=gateways.whole, gone=gateways.gone,
-                    entries=[entry_of(g) for g in gateways.entries.values()]))
+                news.gateways.CopyFrom(
+                    Gateways(
+                        stamp=_stamp(gateways),
+                        whole=gateways.whole,
+                        gone=gateways.gone,
+                        entries=[entry_of(g) for g in gateways.entries.values()],
+                    )
+                )
                 any_news = True
         had = pull.have["holders"]
-        if self._holders_number and (had.epoch, had.number) != (self.life, self._holders_number):
-            news.holders.CopyFrom(Holders(
-                stamp=Stamp(epoch=self.life, number=self._holders_number), holders=self.holders))
+        if self._holders_number and (had.epoch, had.number) != (self.incarnation, self._holders_number):
+            news.holders.CopyFrom(
+                Holders(stamp=FeedVersion(epoch=self.incarnation, number=self._holders_number), holders=self.holders)
+            )
             any_news = True
         return self._signed(news) if any_news else None
 
     def _signed(self, news: News) -> News:
         """What goes with every answer."""
-        news.life, news.lonely = self.life, self.lonely
+        news.incarnation, news.lonely = self.incarnation, self.lonely
         if self.read_at > float("-inf"):
-            news.list_age = max(0.1, now() - self.read_at)
+            news.list_age = max(0.1, self._clock() - self.read_at)
         news.core.extend(self.core)
         news.members.extend(self.members)
         return news
 
     async def answer(self, pull: Pull) -> Envelope:
         """The answer to a pull: at once if there is news, else held back until there is or its wait is over."""
-        until = now() + min(pull.wait, HOLD_MOST)
+        until = self._clock() + min(pull.wait, HOLD_MOST)
         while (news := self.news(pull)) is None:
-            left = until - now()
+            left = until - self._clock()
             if left <= 0:
                 news = self._signed(News())
                 break
@@ -172,5 +205,5 @@
         return Envelope(news=news)
 
 
-def _stamp(changes: Changes[Any]) -> Stamp:
-    return Stamp(epoch=changes.epoch, number=changes.number)
+def _stamp(changes: Changes[Any]) -> FeedVersion:
+    return FeedVersion(epoch=changes.epoch, number=changes.number)
--- a/hallhitch/planes/quota/caller.py
+++ b/hallhitch/planes/quota/caller.py
@@ -16,7 +16,7 @@
 from hallhitch.node.errors import StepError
 from hallhitch.planes.quota.holder import Sum
 from hallhitch.planes.quota.limits import bucket_of
-from hallhitch.planes.quota.reserve import Reserve
+from hallhitch.planes.quota.local_allowance import LocalAllowance
 from hallhitch.planes.values import Taken, Tenant
 
 FIRST, SHORTEST = 800.0, 200.0  # ms that a holder is waited for: where its time is not known yet, and at least
@@ -75,8 +75,10 @@
 class CounterClient:
     """The counter as the data plane sees it (ports.Counter)."""
 
-    def __init__(self, own: str, calls: Calls, local: Local, reserve: Reserve, clock: Callable[[], float]) -> None:
-        self._own, self._calls, self._local, self._reserve, self._clock = own, calls, local, reserve, clock
+    def __init__(
+        self, own: str, calls: Calls, local: Local, reserve: LocalAllowance, clock: Callable[[], float]
+    ) -> None:
+        self._own, self._calls, self._local, self._allowance, self._clock = own, calls, local, reserve, clock
         self._holders: Mapping[int, str] = {}
         self._peers: dict[str, _Peer] = {}
         self._elsewhere: dict[int, float] = {}  # bucket -> until when its holder is not asked about it
@@ -84,8 +86,11 @@
 
     def set_holders(self, holders: Mapping[int, str]) -> None:
         """Bucket -> internal address of who holds it."""
-        self._elsewhere = {bucket: until for bucket, until in self._elsewhere.items()
-                           if holders.get(bucket) == self._holders.get(bucket)}
+        self._elsewhere = {
+            bucket: until
+            for bucket, until in self._elsewhere.items()
+            if holders.get(bucket) == self._holders.get(bucket)
+        }
         self._holders = dict(holders)
         live = set(holders.values())
         self._peers = {address: peer for address, peer in self._peers.items() if address in live}
@@ -97,7 +102,7 @@
         name, now = tenant.name, self._clock()
         mine = self._local.count(name, tenant.rate, tenant.burst)
         if mine is not None:
-            return self._told(now, tenant, self._own, mine.over, mine.spare, mine.slot, mine.wait)
+            return self._told(now, tenant, self._own, mine.over, mine.over_share, mine.slot, mine.wait)
         bucket = bucket_of(name)
         address = self._holders.get(bucket, self._own)
         if address == self._own or now < self._elsewhere.get(bucket, 0.0):
@@ -134,7 +139,7 @@
             return self._alone(came, tenant)
         if answer.unknown:
             return self._alone(came, tenant)
-        return self._told(came, tenant, address, answer.over, answer.spare, answer.slot, answer.wait)
+        return self._told(came, tenant, address, answer.over, answer.over_share, answer.slot, answer.wait)
 
     def give_back(self, taken: Taken) -> None:
         """A unit that surely never ran goes back, where its name still lives; nobody waits for it."""
@@ -142,7 +147,7 @@
         if not isinstance(token, _Token):
             return
         if not token.address:
-            self._reserve.give_back(self._clock(), token.tenant, token.slot)
+            self._allowance.give_back(self._clock(), token.tenant, token.slot)
         elif token.address == self._own:
             self._local.give_back(token.tenant, token.slot)
         else:
@@ -153,22 +158,30 @@
     async def _return(self, token: _Token) -> None:
         with contextlib.suppress(StepError):  # then it leaves with the window
             await self._calls.call(
-                token.address, Envelope(count=Count(tenant=token.tenant, units=-1, slot=token.slot)), FIRST)
+                token.address, Envelope(count=Count(tenant=token.tenant, units=-1, slot=token.slot)), FIRST
+            )
 
     def _told(
-        self, now: float, tenant: Tenant, address: str, over: bool, spare: bool, slot: int, wait: float,
+        self,
+        now: float,
+        tenant: Tenant,
+        address: str,
+        over: bool,
+        over_share: bool,
+        slot: int,
+        wait: float,
     ) -> Taken:
         if not over:
             return Taken(True, token=_Token(tenant.name, address, slot))
         # The reserve is counted apart from the holder's part, so it may be used where the tenant is inside its limit.
-        kept = self._reserve.take(now, tenant.name, tenant.rate, tenant.burst) if spare else None
+        kept = self._allowance.take(now, tenant.name, tenant.rate, tenant.burst) if over_share else None
         if kept is not None:
             return Taken(True, token=_Token(tenant.name, "", kept))
         # Room comes unit by unit, and as many wait for it: whoever comes back at once is refused once more.
         return Taken(False, after=max(wait, PRESSED))
 
     def _alone(self, now: float, tenant: Tenant) -> Taken:
-        kept = self._reserve.take(now, tenant.name, tenant.rate, tenant.burst)
+        kept = self._allowance.take(now, tenant.name, tenant.rate, tenant.burst)
         if kept is None:
             return Taken(False, after=COME_BACK, silent=True)
         return Taken(True, token=_Token(tenant.name, "", kept))
--- a/hallhitch/planes/quota/holder.py
+++ b/hallhitch/planes/quota/holder.py
@@ -25,15 +25,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Sum:
-    """What an add gave: refused units are not counted. `wait`: ms until there is room. `slot` is for giving back.
-
-    """
+    """What an add gave: refused units are not counted. `wait`: ms until there is room. `slot` is for giving back."""
 
     over: bool
     total: int
     slot: int
     wait: float = 0.0
-    spare: bool = False  # over for the holder's part alone: a caller's reserve may pass it
+    over_share: bool = False  # over for the holder's part alone: a caller's reserve may pass it
 
 
 @dataclass(slots=True)
@@ -57,13 +55,13 @@
     tenants: dict[str, _Tenant] = field(default_factory=dict)
 
 
-class Holder:
+class LeaseHolder:
     """Windows by tenant. Times are steady ms of this process."""
 
-    def __init__(self, quota: Quota, life: int) -> None:
-        self._quota, self._mark = quota, life
+    def __init__(self, quota: Quota, incarnation: int) -> None:
+        self._quota, self._mark = quota, incarnation
         self._buckets = [_Bucket() for _ in range(BUCKETS)]
-        self._word: Mapping[str, Tenant] = {}
+        self._config: Mapping[str, Tenant] = {}
         self._fleet = self._noted = 0
         self._noted_at = NEVER
 
@@ -72,14 +70,14 @@
 
         More gateways may mean more for the holder and less for reserves: it waits until all others have heard that.
         """
-        self._word = tenants
+        self._config = tenants
         if not self._fleet:
             self._fleet = self._noted = fleet
         elif fleet != self._noted:
             self._noted, self._noted_at = fleet, now
 
     def begin(self, bucket: int, others: float, now: float, left: Left | None = None, ended: float = NEVER) -> None:
-        """A lease begins; no other gateway has counted there since `others`; see Claimer for `left`."""
+        """A lease begins; no other gateway has counted there since `others`; see LeaseClient for `left`."""
         mine = self._buckets[bucket]
         if others <= mine.began:
             return  # nobody was there since our last lease began: what we counted is what there is
@@ -111,7 +109,7 @@
 
     def limits(self, tenant: str) -> tuple[float, float] | None:
         """Rate and burst as the word has them, where it limits this tenant."""
-        known = self._word.get(tenant)
+        known = self._config.get(tenant)
         return (known.rate, known.burst) if known is not None and known.rate > 0 else None
 
     def add(self, now: float, tenant: str, units: int, rate: float, burst: float) -> Sum:
@@ -131,7 +129,7 @@
         whole.add(now, units)
         if window.total + units > kept.held or window.short + units > kept.short:
             wait = window.room_in(now, units, kept.held, kept.short)
-            return Sum(True, whole.total, 0, wait, spare=True)
+            return Sum(True, whole.total, 0, wait, over_share=True)
         slot = window.add(now, units)
         return Sum(False, window.total, mine.mark * NUMBERS + slot)
 
@@ -139,8 +137,7 @@
         """Units go back to the slot they were counted in; False where that slot or the name is gone."""
         mine = self._buckets[bucket_of(tenant)]
         kept = mine.tenants.get(tenant)
-        return (kept is not None and slot // NUMBERS == mine.mark
-                and kept.window.give_back(now, slot % NUMBERS, units))
+        return kept is not None and slot // NUMBERS == mine.mark and kept.window.give_back(now, slot % NUMBERS, units)
 
     def _shaped(self, now: float, mine: _Bucket, name: str, rate: float, burst: float) -> _Tenant:
         """A tenant with these limits: counts stay where there are any."""
--- a/hallhitch/planes/quota/lease.py
+++ b/hallhitch/planes/quota/lease.py
@@ -1,8 +1,9 @@
 """A coordinator's votes on who holds which bucket. Owns its own votes alone; a lease is a majority of such votes.
 
-Nothing here is on disk. A coordinator that has just started has forgotten its votes, so for one LEASE it is young:
+Nothing here is on disk. A coordinator that has just started has forgotten its votes, so for one LEASE it is
+in_grace_period:
 it votes for nobody but a claimant whose lease runs by its own account. The same holds after a change of members.
-Why no bucket has two holders all the same: see claimer.py.
+Why no bucket has two holders all the same: see lease_client.py.
 """
 
 from __future__ import annotations
@@ -47,7 +48,7 @@
     """
 
     holder: str
-    life: int
+    incarnation: int
     number: int
     account: Account
     final: bool
@@ -59,7 +60,7 @@
     """The last vote on a bucket. `since`: from then on no other holder had one here (steady ms)."""
 
     holder: str
-    life: int
+    incarnation: int
     ends: float
     since: float
     before: Left | None = None  # what the last other holder left, its `age` being the moment it came
@@ -71,10 +72,10 @@
 class Asked:
     """One claim. `renew`: the claimant's lease runs; `take`: it wants one; `release`: it counts there no more;
     `drop`: the same, and it counted nothing there within a window. `accounts` are of what is renewed or released;
-    a bucket without one has counted nothing. `to`: the life of the coordinator it was written for."""
+    a bucket without one has counted nothing. `to`: the incarnation of the coordinator it was written for."""
 
     holder: str
-    life: int
+    incarnation: int
     number: int
     members: int
     renew: Sequence[int] = ()
@@ -90,12 +91,12 @@
     """What came of a claim. Without `ok` nothing was voted. All asked for and not refused have the vote.
 
     `idle` goes with `take`, in its order: ms for which no other had this coordinator's vote (0 where refused).
-    `seen`: claimants of the last minute; 0 while it is young and may have heard of few.
+    `seen`: claimants of the last minute; 0 while it is in_grace_period and may have heard of few.
     """
 
     ok: bool
-    life: int
-    young: bool = False
+    incarnation: int
+    in_grace_period: bool = False
     refused: frozenset[int] = frozenset()
     idle: tuple[int, ...] = ()
     seen: int = 0
@@ -104,9 +105,9 @@
 
 @dataclass(slots=True)
 class LeaseTable:
-    """The table of one coordinator's life."""
+    """The table of one coordinator's incarnation."""
 
-    life: int
+    incarnation: int
     started: float
     lease: float = LEASE
     version: int = 0  # grows whenever `holders` may have changed
@@ -114,11 +115,11 @@
     _numbers: dict[tuple[str, int], tuple[int, float]] = field(default_factory=dict)
     _seen: dict[str, float] = field(default_factory=dict)
     _members: int = 0
-    _young_until: float = 0.0
+    _grace_until: float = 0.0
     _shown: dict[int, str] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
-        self._young_until = self.started + self.lease
+        self._grace_until = self.started + self.lease
 
     def set_members(self, now: float, members: Iterable[str]) -> None:
         """Who votes. After a change, votes by the old list may still be counted by their holders for one LEASE."""
@@ -126,37 +127,41 @@
         if mark == self._members:
             return
         if self._members:
-            self._young_until = max(self._young_until, now + self.lease)
+            self._grace_until = max(self._grace_until, now + self.lease)
         self._members = mark
 
-    def young(self, now: float) -> bool:
+    def in_grace_period(self, now: float) -> bool:
         """Whether votes that are forgotten may still count somewhere."""
-        return now < self._young_until
+        return now < self._grace_until
 
     def claim(self, now: float, asked: Asked) -> Votes:
         """Vote on one claim."""
-        who = (asked.holder, asked.life)
-        # One that was overtaken must not undo the newer, and one for an earlier life of ours knows nothing of this.
-        if (asked.to != self.life or not asked.members or asked.members != self._members
-                or asked.number <= self._numbers.get(who, (-1, 0.0))[0]):
-            return Votes(False, self.life)
+        who = (asked.holder, asked.incarnation)
+        # One that was overtaken must not undo the newer; one for an earlier incarnation of ours knows nothing of this.
+        if (
+            asked.to != self.incarnation
+            or not asked.members
+            or asked.members != self._members
+            or asked.number <= self._numbers.get(who, (-1, 0.0))[0]
+        ):
+            return Votes(False, self.incarnation)
         self._numbers[who] = (asked.number, now)
         self._seen[asked.holder] = now
         for bucket in (*asked.release, *asked.drop):
             vote = self._votes.get(bucket)
-            if vote is not None and (vote.holder, vote.life) == who:
+            if vote is not None and (vote.holder, vote.incarnation) == who:
                 if bucket in asked.release:
                     vote.ends, vote.left = min(vote.ends, now), self._left(now, bucket, asked, True)
                 else:
                     vote.ends, vote.left = min(vote.ends, vote.since), vote.before
-        young = self.young(now)
+        in_grace_period = self.in_grace_period(now)
         refused = {bucket for bucket in asked.renew if not self._vote(now, bucket, who)}
         for bucket in asked.renew:
             if bucket not in refused:
                 self._votes[bucket].settled, self._votes[bucket].left = True, self._left(now, bucket, asked, False)
         idle, left = [], {}
         for bucket in asked.take:
-            given = not young and self._vote(now, bucket, who)
+            given = not in_grace_period and self._vote(now, bucket, who)
             idle.append(max(0, int(now - self._votes[bucket].since)) if given else 0)
             if not given:
                 refused.add(bucket)
@@ -166,8 +171,15 @@
             if vote.before is not None:
                 left[bucket] = replace(vote.before, age=now - vote.before.age)
         self._show(now)
-        return Votes(True, self.life, young, frozenset(refused), tuple(idle),
-                     0 if young else self._gateways(now), left)
+        return Votes(
+            True,
+            self.incarnation,
+            in_grace_period,
+            frozenset(refused),
+            tuple(idle),
+            0 if in_grace_period else self._gateways(now),
+            left,
+        )
 
     def holders(self, now: float) -> dict[int, str]:
         """Bucket -> internal address, of those whose lease runs as far as this coordinator knows."""
@@ -180,20 +192,20 @@
         return self.version
 
     def _left(self, now: float, bucket: int, asked: Asked, final: bool) -> Left | None:
-        """What a claimant's account is worth here: while young we may have forgotten a later holder."""
-        if self.young(now):
+        """What a claimant's account is worth here: while in_grace_period we may have forgotten a later holder."""
+        if self.in_grace_period(now):
             return None
         account = asked.accounts.get(bucket, _NOTHING)
-        return Left(asked.holder, asked.life, asked.number, account, final, now)
+        return Left(asked.holder, asked.incarnation, asked.number, account, final, now)
 
     def _vote(self, now: float, bucket: int, who: tuple[str, int]) -> bool:
         if not 0 <= bucket < BUCKETS:
             return False
         vote = self._votes.get(bucket)
         if vote is None:
-            # Votes of an earlier life, if there were any, end with its youth.
-            vote = self._votes[bucket] = _Vote(*who, now, self._young_until)
-        elif (vote.holder, vote.life) != who:
+            # Votes of an earlier incarnation, if there were any, end with its grace period.
+            vote = self._votes[bucket] = _Vote(*who, now, self._grace_until)
+        elif (vote.holder, vote.incarnation) != who:
             if now < vote.ends:
                 return False
             vote = self._votes[bucket] = _Vote(*who, now, max(vote.ends, vote.since), vote.left)
@@ -205,7 +217,7 @@
             if now - last > SEEN:
                 del self._seen[address]
         if len(self._numbers) > 4 * len(self._seen) + 64:
-            # A life that was silent for so long has no claim under way any more.
+            # A incarnation that was silent for so long has no claim under way any more.
             self._numbers = {who: told for who, told in self._numbers.items() if now - told[1] <= SEEN}
         return len(self._seen)
 
--- a/hallhitch/planes/quota/claimer.py
+++ b/hallhitch/planes/quota/lease_client.py
@@ -2,7 +2,8 @@
 
 A lease runs while a majority of the members' votes run, each from when its claim was *sent*. It begins only once
 there was one moment at which a majority's tables all had its votes: each had answered a claim before it and answers,
-in the same life, another one sent after it. When it lapses, everything known of the bucket's votes is void, answers
+in the same incarnation, another one sent after it. When it lapses, everything known of the bucket's votes is void,
+answers
 under way among them, and it is won anew. Both are needed because coordinators forget.
 """
 
@@ -29,10 +30,14 @@
     >>> len(ranks(["10.0.0.1:7000", "10.0.0.2:7000"])), sorted(ranks(["a", "b"])[0])
     (128, ['a', 'b'])
     """
-    scores = {gateway: struct.unpack(f">{BUCKETS}I", hashlib.shake_128(gateway.encode()).digest(4 * BUCKETS))
-              for gateway in set(gateways)}
-    return [[gateway for _, gateway in sorted((-score[bucket], gateway) for gateway, score in scores.items())]
-            for bucket in range(BUCKETS)]
+    scores = {
+        gateway: struct.unpack(f">{BUCKETS}I", hashlib.shake_128(gateway.encode()).digest(4 * BUCKETS))
+        for gateway in set(gateways)
+    }
+    return [
+        [gateway for _, gateway in sorted((-score[bucket], gateway) for gateway, score in scores.items())]
+        for bucket in range(BUCKETS)
+    ]
 
 
 @dataclass(slots=True)
@@ -48,7 +53,7 @@
 class _Vote:
     """A vote in an attempt: it surely stood from `since` to `seen` (steady ms, ours)."""
 
-    life: int
+    incarnation: int
     since: float
     seen: float
     ends: float
@@ -66,17 +71,23 @@
     against: set[str] = field(default_factory=set)
 
 
-class Claimer:
-    """The leases of one life of one gateway.
+class LeaseClient:
+    """The leases of one incarnation of one gateway.
 
     `begun(bucket, others, now, left, ended)` is told when a lease begins; `others`: until when another may have
     counted there; `left`: the newest account of the last one, where a majority knows who that was (its `age` is a
     moment); `ended`: the end of our own last lease.
     """
 
-    def __init__(self, own: str, life: int, window: float,
-                 begun: Callable[[int, float, float, Left | None, float], None], lease: float = LEASE) -> None:
-        self.own, self.life, self._window, self._begun, self._lease = own, life, window, begun, lease
+    def __init__(
+        self,
+        own: str,
+        incarnation: int,
+        window: float,
+        begun: Callable[[int, float, float, Left | None, float], None],
+        lease: float = LEASE,
+    ) -> None:
+        self.own, self.incarnation, self._window, self._begun, self._lease = own, incarnation, window, begun, lease
         self.until = [0.0] * BUCKETS  # steady ms until which we hold it
         self.seen = 0  # gateways that may exist, as far as a majority has told
         self._members: tuple[str, ...] = ()
@@ -86,7 +97,7 @@
         self._attempts: dict[int, _Attempt] = {}
         # bucket -> counted there, told until, whether our windows tell all there was
         self._letting: dict[int, tuple[bool, float, bool]] = {}
-        self._lives: dict[str, int] = {}  # of the coordinators
+        self._incarnations: dict[str, int] = {}  # of the coordinators
         self._held_until = [float("-inf")] * BUCKETS  # the end of our own last lease
         self._again = [0.0] * BUCKETS
         self._free_since: list[float | None] = [0.0] * BUCKETS
@@ -156,9 +167,9 @@
         for bucket in [*self._attempts]:
             self._abandon(now, bucket, 0.0)
 
-    def life_of(self, coordinator: str) -> int:
-        """The life of a coordinator that a claim to it is for (Asked.to)."""
-        return self._lives.get(coordinator, 0)
+    def incarnation_of(self, coordinator: str) -> int:
+        """The incarnation of a coordinator that a claim to it is for (Asked.to)."""
+        return self._incarnations.get(coordinator, 0)
 
     def round(self, now: float, busy: Callable[[int], bool], account: Callable[[int], Account | None]) -> Asked:
         """The claim to send to every member now; `busy` tells whether units of a bucket lie in the window.
@@ -175,11 +186,16 @@
         self._number += 1
         self._letting = {bucket: let for bucket, let in self._letting.items() if now < let[1]}
         asked = Asked(
-            self.own, self.life, self._number, members_mark(self._members),
-            renew=sorted(self._won), take=sorted(self._attempts),
+            self.own,
+            self.incarnation,
+            self._number,
+            members_mark(self._members),
+            renew=sorted(self._won),
+            take=sorted(self._attempts),
             release=sorted(bucket for bucket, (counted, *_) in self._letting.items() if counted),
             drop=sorted(bucket for bucket, (counted, *_) in self._letting.items() if not counted),
-            accounts=self._accounts(account))
+            accounts=self._accounts(account),
+        )
         self._sent[self._number] = (now, asked)
         for number in [number for number, (sent, _) in self._sent.items() if now - sent > self._lease]:
             del self._sent[number]
@@ -190,8 +206,8 @@
         if coordinator not in self._members or number not in self._sent:
             return False
         if not votes.ok:
-            known, self._lives[coordinator] = self._lives.get(coordinator), votes.life
-            return known != votes.life
+            known, self._incarnations[coordinator] = self._incarnations.get(coordinator), votes.incarnation
+            return known != votes.incarnation
         sent, asked = self._sent[number]
         ends = sent + self._lease - MARGIN
         if votes.seen:
@@ -218,15 +234,26 @@
                 attempt.votes.pop(coordinator, None)
                 attempt.against.add(coordinator)
                 if not self._majority(len(self._members) - len(attempt.against)):
-                    self._abandon(now, bucket, 300.0 + 100.0 * self._order[bucket].index(self.own)
-                                  if self.own in self._order[bucket] else 500.0)
+                    self._abandon(
+                        now,
+                        bucket,
+                        300.0 + 100.0 * self._order[bucket].index(self.own)
+                        if self.own in self._order[bucket]
+                        else 500.0,
+                    )
                     hurry = hurry or bool(attempt.votes)
             else:
                 attempt.against.discard(coordinator)
                 vote, left = attempt.votes.get(coordinator), votes.left.get(bucket)
-                if vote is None or vote.life != votes.life:
+                if vote is None or vote.incarnation != votes.incarnation:
                     attempt.votes[coordinator] = _Vote(
-                        votes.life, now, sent, ends, now - idle, replace(left, age=now - left.age) if left else None)
+                        votes.incarnation,
+                        now,
+                        sent,
+                        ends,
+                        now - idle,
+                        replace(left, age=now - left.age) if left else None,
+                    )
                     hurry = hurry or self._majority(len(attempt.votes))
                 else:
                     vote.seen, vote.ends = max(vote.seen, sent), max(vote.ends, ends)
@@ -239,11 +266,15 @@
             stood = {name: vote for name, vote in attempt.votes.items() if vote.since <= moment <= vote.seen}
             if self._majority(len(stood)) and all(now < vote.ends for vote in stood.values()):
                 del self._attempts[bucket]
-                won = self._won[bucket] = _Won(self._number + 1, {name: vote.ends for name, vote in stood.items()},
-                                               now)
+                won = self._won[bucket] = _Won(self._number + 1, {name: vote.ends for name, vote in stood.items()}, now)
                 self._reckon(bucket, won)
-                self._begun(bucket, max(vote.others for vote in stood.values()), now,
-                            newest([vote.left for vote in stood.values()]), self._held_until[bucket])
+                self._begun(
+                    bucket,
+                    max(vote.others for vote in stood.values()),
+                    now,
+                    newest([vote.left for vote in stood.values()]),
+                    self._held_until[bucket],
+                )
                 return True
         return False
 
@@ -291,8 +322,13 @@
             if given >= HAND_OVER:
                 break
             recent = now - self._held_until[bucket] < self._window  # an earlier lease of ours may have counted
-            if (order and order[0] != self.own and now - max(self._first_since[bucket], won.began) >= EVEN
-                    and not recent and not busy(bucket)):
+            if (
+                order
+                and order[0] != self.own
+                and now - max(self._first_since[bucket], won.began) >= EVEN
+                and not recent
+                and not busy(bucket)
+            ):
                 self._let(now, bucket, False)
                 self._again[bucket] = now + 2000.0
                 given += 1
@@ -304,7 +340,7 @@
             if free is None or bucket in self._won or bucket in self._attempts or now < self._again[bucket]:
                 continue
             order, gone = self._order[bucket], self._last[bucket]
-            rank = order.index(self.own) - (gone != self.own and gone in order[:order.index(self.own)])
+            rank = order.index(self.own) - (gone != self.own and gone in order[: order.index(self.own)])
             if now - max(free, self._settled) >= NEXT * rank:
                 self._letting.pop(bucket, None)
                 self._attempts[bucket] = _Attempt(now, self._number + 1)
@@ -318,7 +354,7 @@
     """
     best: Left | None = None
     for one in left:
-        if one is None or best is not None and (one.holder, one.life) != (best.holder, best.life):
+        if one is None or best is not None and (one.holder, one.incarnation) != (best.holder, best.incarnation):
             return None
         if best is None or one.number > best.number:
             best = one
@@ -330,4 +366,4 @@
     return bool(asked.renew or asked.take or asked.release or asked.drop)
 
 
-__all__: Sequence[str] = ("Claimer", "newest", "ranks", "wanted")
+__all__: Sequence[str] = ("LeaseClient", "newest", "ranks", "wanted")
--- a/hallhitch/planes/quota/reserve.py
+++ b/hallhitch/planes/quota/local_allowance.py
@@ -1,9 +1,10 @@
 """What a gateway passes on its own while no holder answers. Owns its windows and the count of gateways behind them.
 
 All reserves together stay within their part of the bound, whoever is cut off from whom: each gateway divides by as many
-gateways as the operator's word has noted that there may be, or by the most it has heard of lately, and more, where that
+gateways as the cluster configuration has noted that there may be, or by the most it has heard of lately, and more,
+where that
 is more or nothing is noted. A process that has just started waits out a window before it uses what belongs to it, as
-its earlier life may have used it.
+its earlier incarnation may have used it.
 """
 
 from __future__ import annotations
@@ -16,8 +17,8 @@
 LATELY = 60_000.0  # ms for which a count of gateways is remembered, at least
 
 
-class Reserve:
-    """The reserve of one life of one gateway; `started` in steady ms."""
+class LocalAllowance:
+    """The reserve of one incarnation of one gateway; `started` in steady ms."""
 
     def __init__(self, quota: Quota, started: float) -> None:
         self._quota, self._started = quota, started
@@ -31,7 +32,7 @@
         self._noted = 0
 
     def note(self, gateways: int) -> None:
-        """As many gateways as there may be, by the operator's word."""
+        """As many gateways as there may be, by the cluster configuration."""
         self._noted = gateways
 
     def heard(self, now: float, gateways: int, majority: bool) -> None:
--- a/hallhitch/planes/quota/plane.py
+++ b/hallhitch/planes/quota/plane.py
@@ -10,16 +10,16 @@
 from hallhitch.messages.system_pb2 import Counted, Envelope
 from hallhitch.node.clock import now as steady
 from hallhitch.node.errors import StepError
-from hallhitch.node.logs import Part
+from hallhitch.node.logs import ComponentLogger
 from hallhitch.node.settings import Node
 from hallhitch.planes.quota import wire
 from hallhitch.planes.quota.caller import Calls, CounterClient
-from hallhitch.planes.quota.claimer import Claimer, wanted
-from hallhitch.planes.quota.holder import Holder, Sum
+from hallhitch.planes.quota.holder import LeaseHolder, Sum
 from hallhitch.planes.quota.lease import Asked, LeaseTable
+from hallhitch.planes.quota.lease_client import LeaseClient, wanted
 from hallhitch.planes.quota.limits import Quota, bucket_of
-from hallhitch.planes.quota.reserve import Reserve
-from hallhitch.planes.values import Gateway, Word
+from hallhitch.planes.quota.local_allowance import LocalAllowance
+from hallhitch.planes.values import ClusterConfig, Gateway
 
 EVERY = 300.0  # ms between two claims of one that holds something
 QUIET = 900.0  # and of one that has nothing to say but that it is there
@@ -29,11 +29,11 @@
 
 
 class LeaseKeeper:
-    """A coordinator's side: votes on claims. `life` tells this process's start apart from its others."""
+    """A coordinator's side: votes on claims. `incarnation` tells this process's start apart from its others."""
 
-    def __init__(self, clock: Callable[[], float] = steady, life: int | None = None) -> None:
+    def __init__(self, clock: Callable[[], float] = steady, incarnation: int | None = None) -> None:
         self._clock = clock
-        self._table = LeaseTable(secrets.randbits(48) if life is None else life, clock())
+        self._table = LeaseTable(secrets.randbits(48) if incarnation is None else incarnation, clock())
 
     def set_members(self, addresses: Iterable[str]) -> None:
         """The internal addresses of the register's replicas. Without them nothing is voted."""
@@ -41,7 +41,9 @@
 
     def handle(self, envelope: Envelope) -> Envelope:
         """A Claim; the answer is Granted."""
-        return Envelope(granted=wire.granted(self._table.claim(self._clock(), wire.asked(envelope.claim))))
+        return Envelope(
+            lease_response=wire.granted(self._table.claim(self._clock(), wire.asked(envelope.lease_request)))
+        )
 
     def holders(self, now: float) -> dict[int, str]:
         """Bucket -> internal address, for News.holders."""
@@ -55,46 +57,48 @@
 class QuotaPlane:
     """A gateway's side: holds buckets, counts for callers, and is the counter of its own requests."""
 
-    def __init__(self, node: Node, links: Calls, clock: Callable[[], float] = steady, life: int | None = None) -> None:
-        life = secrets.randbits(48) if life is None else life
+    def __init__(
+        self, node: Node, links: Calls, clock: Callable[[], float] = steady, incarnation: int | None = None
+    ) -> None:
+        incarnation = secrets.randbits(48) if incarnation is None else incarnation
         bounds = node.bounds
         quota = Quota(bounds.quota_window, bounds.quota_over, bounds.quota_slack)
         self._own, self._links, self._clock = node.internal, links, clock
-        self._holder = Holder(quota, life)
-        self._claimer = Claimer(self._own, life, quota.window, self._holder.begin)
-        self._reserve = Reserve(quota, clock())
-        self.counter = CounterClient(self._own, links, self, self._reserve, clock)
+        self._holder = LeaseHolder(quota, incarnation)
+        self._lease_client = LeaseClient(self._own, incarnation, quota.window, self._holder.begin)
+        self._allowance = LocalAllowance(quota, clock())
+        self.counter = CounterClient(self._own, links, self, self._allowance, clock)
         self._serial = -1
-        self._log = Part("quota")
+        self._log = ComponentLogger("quota")
         self._hurry = asyncio.Event()
         self._loop: asyncio.Task[None] | None = None
         self._asking: dict[str, int] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._held = 0
 
-    def set_word(self, word: Word) -> None:
-        """The operator's word; an older one than the last is passed over."""
-        if word.serial >= self._serial:
-            self._serial = word.serial
-            self._holder.set_tenants(self._clock(), word.tenants, word.fleet)
-            self._reserve.note(word.fleet)
+    def set_config(self, config: ClusterConfig) -> None:
+        """The cluster configuration; an older one than the last is passed over."""
+        if config.serial >= self._serial:
+            self._serial = config.serial
+            self._holder.set_tenants(self._clock(), config.tenants, config.fleet)
+            self._allowance.note(config.fleet)
 
     def set_gateways(self, own: str, entries: Sequence[Gateway]) -> None:
         """All gateways that live, as last told; `own` is this one's name."""
         doors = [entry for entry in entries if entry.frontend]
         now = self._clock()
-        self._reserve.heard(now, len(doors), False)
-        self._claimer.set_gateways(now, [entry.address for entry in doors if entry.ready and not entry.leaving])
+        self._allowance.heard(now, len(doors), False)
+        self._lease_client.set_gateways(now, [entry.address for entry in doors if entry.ready and not entry.leaving])
         self._hurry.set()
 
     def set_holders(self, holders: Mapping[int, str]) -> None:
         """Bucket -> internal address, as last told."""
         self.counter.set_holders(holders)
-        self._claimer.set_holders(self._clock(), holders)
+        self._lease_client.set_holders(self._clock(), holders)
 
     def set_members(self, addresses: Iterable[str]) -> None:
         """The internal addresses of the register's replicas."""
-        self._claimer.set_members(self._clock(), addresses)
+        self._lease_client.set_members(self._clock(), addresses)
         self._hurry.set()
 
     async def start(self) -> None:
@@ -103,7 +107,7 @@
 
     async def leave(self) -> None:
         """Count nothing more, and let all buckets go; the counter still asks others."""
-        self._claimer.leave(self._clock())
+        self._lease_client.leave(self._clock())
         if self._loop is not None:
             self._loop.cancel()
             with contextlib.suppress(asyncio.CancelledError):
@@ -111,13 +115,13 @@
             self._loop = None
         asked = self._round()
         if wanted(asked):
-            await asyncio.gather(*(self._ask(member, asked) for member in self._claimer.members))
+            await asyncio.gather(*(self._ask(member, asked) for member in self._lease_client.members))
 
     def handle(self, envelope: Envelope) -> Envelope:
         """A Count; the answer is Counted."""
         count, now = envelope.count, self._clock()
         name = count.tenant
-        if not self._claimer.holds(now, bucket_of(name)):
+        if not self._lease_client.holds(now, bucket_of(name)):
             return Envelope(counted=Counted())
         if count.units < 0:
             self._holder.give_back(now, name, -count.units, count.slot)
@@ -126,30 +130,39 @@
         if limits is None:
             return Envelope(counted=Counted(held=True, unknown=True))
         told = self._holder.add(now, name, count.units or 1, *limits)
-        return Envelope(counted=Counted(
-            held=True, over=told.over, total=int(told.total), wait=int(told.wait), slot=told.slot, spare=told.spare))
+        return Envelope(
+            counted=Counted(
+                held=True,
+                over=told.over,
+                total=int(told.total),
+                wait=int(told.wait),
+                slot=told.slot,
+                over_share=told.over_share,
+            )
+        )
 
     def count(self, tenant: str, rate: float, burst: float) -> Sum | None:
         """One unit of a request of our own, or None where we do not hold its bucket (caller.Local)."""
         now = self._clock()
-        if not self._claimer.holds(now, bucket_of(tenant)):
+        if not self._lease_client.holds(now, bucket_of(tenant)):
             return None
         return self._holder.add(now, tenant, 1, *(self._holder.limits(tenant) or (rate, burst)))
 
     def give_back(self, tenant: str, slot: int) -> None:
         """A unit of a request of our own that never ran (caller.Local)."""
         now = self._clock()
-        if self._claimer.holds(now, bucket_of(tenant)):
+        if self._lease_client.holds(now, bucket_of(tenant)):
             self._holder.give_back(now, tenant, 1, slot)
 
     def held(self) -> list[int]:
         """The buckets held now."""
-        return self._claimer.held(self._clock())
+        return self._lease_client.held(self._clock())
 
     def _round(self) -> Asked:
         now = self._clock()
-        return self._claimer.round(now, lambda bucket: self._holder.busy(bucket, now),
-                                   lambda bucket: self._holder.account(bucket, now))
+        return self._lease_client.round(
+            now, lambda bucket: self._holder.busy(bucket, now), lambda bucket: self._holder.account(bucket, now)
+        )
 
     async def _claims(self) -> None:
         """Claims go out every while, and at once where an answer or news ask for it."""
@@ -158,14 +171,14 @@
             self._hurry.clear()
             now = self._clock()
             asked = self._round()
-            for member in self._claimer.members:
+            for member in self._lease_client.members:
                 if self._asking.get(member, 0) < 3:
                     task = asyncio.ensure_future(self._ask(member, asked))
                     self._tasks.add(task)
                     task.add_done_callback(self._tasks.discard)
             if now >= forget:
                 forget = now + FORGET
-                self._reserve.forget(now)
+                self._allowance.forget(now)
             self._tell(len(asked.renew))
             await asyncio.sleep(GAP / 1000)
             with contextlib.suppress(TimeoutError):
@@ -177,15 +190,16 @@
         self._asking[member] = self._asking.get(member, 0) + 1
         try:
             answer = await self._links.call(
-                member, Envelope(claim=wire.claim(asked, self._claimer.life_of(member))), ANSWER)
+                member, Envelope(lease_request=wire.claim(asked, self._lease_client.incarnation_of(member))), ANSWER
+            )
         except StepError:
             return
         finally:
             self._asking[member] -= 1
         now = self._clock()
-        if self._claimer.answered(now, member, asked.number, wire.votes(answer.granted)):
+        if self._lease_client.answered(now, member, asked.number, wire.votes(answer.lease_response)):
             self._hurry.set()
-        self._reserve.heard(now, self._claimer.seen, True)
+        self._allowance.heard(now, self._lease_client.seen, True)
 
     def _tell(self, held: int) -> None:
         if held != self._held:
--- a/hallhitch/planes/quota/window.py
+++ b/hallhitch/planes/quota/window.py
@@ -93,8 +93,10 @@
 
     def room_in(self, now: float, units: int, limit: float, short_limit: float) -> float:
         """ms until both windows have room for units, if nothing more is counted; `advance` comes first."""
-        return max(self._leaves(now, self.total + units - limit, self._keep),
-                   self._leaves(now, self.short + units - short_limit, self._short_keep))
+        return max(
+            self._leaves(now, self.total + units - limit, self._keep),
+            self._leaves(now, self.short + units - short_limit, self._short_keep),
+        )
 
     def _leaves(self, now: float, much: float, keep: int) -> float:
         """ms until so many units have left the last `keep` slots."""
--- a/hallhitch/planes/quota/wire.py
+++ b/hallhitch/planes/quota/wire.py
@@ -6,39 +6,80 @@
 from hallhitch.planes.quota.lease import Account, Asked, Left, Votes
 
 
-def claim(asked: Asked, to: int) -> messages.Claim:
-    """A claim for one life of a coordinator."""
-    return messages.Claim(
-        holder=asked.holder, life=asked.life, number=asked.number, members=asked.members, renew=asked.renew,
-        take=asked.take, release=asked.release, drop=asked.drop, to=to,
-        accounts=[messages.Account(bucket=bucket, partial=account.partial, sums=_sums(account))
-                  for bucket, account in asked.accounts.items()])
+def claim(asked: Asked, to: int) -> messages.LeaseRequest:
+    """A claim for one incarnation of a coordinator."""
+    return messages.LeaseRequest(
+        holder=asked.holder,
+        incarnation=asked.incarnation,
+        number=asked.number,
+        members=asked.members,
+        renew=asked.renew,
+        take=asked.take,
+        release=asked.release,
+        drop=asked.drop,
+        to=to,
+        accounts=[
+            messages.Account(bucket=bucket, partial=account.partial, sums=_sums(account))
+            for bucket, account in asked.accounts.items()
+        ],
+    )
 
 
-def asked(claim: messages.Claim) -> Asked:
+def asked(claim: messages.LeaseRequest) -> Asked:
     """What a claim asks."""
     return Asked(
-        claim.holder, claim.life, claim.number, claim.members, tuple(claim.renew), tuple(claim.take),
-        tuple(claim.release), tuple(claim.drop), {told.bucket: _account(told) for told in claim.accounts}, claim.to)
+        claim.holder,
+        claim.incarnation,
+        claim.number,
+        claim.members,
+        tuple(claim.renew),
+        tuple(claim.take),
+        tuple(claim.release),
+        tuple(claim.drop),
+        {told.bucket: _account(told) for told in claim.accounts},
+        claim.to,
+    )
 
 
-def granted(votes: Votes) -> messages.Granted:
+def granted(votes: Votes) -> messages.LeaseResponse:
     """A coordinator's answer."""
-    return messages.Granted(
-        ok=votes.ok, life=votes.life, young=votes.young, refused=sorted(votes.refused), idle=votes.idle,
-        seen=votes.seen, accounts=[
-            messages.Account(bucket=bucket, partial=left.account.partial, sums=_sums(left.account),
-                             holder=left.holder, life=left.life, number=left.number, age=int(left.age),
-                             final=left.final)
-            for bucket, left in votes.left.items()])
+    return messages.LeaseResponse(
+        ok=votes.ok,
+        incarnation=votes.incarnation,
+        in_grace_period=votes.in_grace_period,
+        refused=sorted(votes.refused),
+        idle=votes.idle,
+        seen=votes.seen,
+        accounts=[
+            messages.Account(
+                bucket=bucket,
+                partial=left.account.partial,
+                sums=_sums(left.account),
+                holder=left.holder,
+                incarnation=left.incarnation,
+                number=left.number,
+                age=int(left.age),
+                final=left.final,
+            )
+            for bucket, left in votes.left.items()
+        ],
+    )
 
 
-def votes(granted: messages.Granted) -> Votes:
+def votes(granted: messages.LeaseResponse) -> Votes:
     """What a coordinator answered."""
     return Votes(
-        granted.ok, granted.life, granted.young, frozenset(granted.refused), tuple(granted.idle), granted.seen,
-        {told.bucket: Left(told.holder, told.life, told.number, _account(told), told.final, told.age)
-         for told in granted.accounts})
+        granted.ok,
+        granted.incarnation,
+        granted.in_grace_period,
+        frozenset(granted.refused),
+        tuple(granted.idle),
+        granted.seen,
+        {
+            told.bucket: Left(told.holder, told.incarnation, told.number, _account(told), told.final, told.age)
+            for told in granted.accounts
+        },
+    )
 
 
 def _sums(account: Account) -> list[messages.TenantSum]:
--- a/hallhitch/planes/values.py
+++ b/hallhitch/planes/values.py
@@ -69,8 +69,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Word:
-    """The operator's word, compiled for look-ups; swapped whole, never changed.
+class ClusterConfig:
+    """The cluster configuration, compiled for look-ups; swapped whole, never changed.
 
     `serial` grows by one with each change that was agreed (configuration or evacuation); `version` is the
     operator's configVersion, -1 while none was given.
@@ -96,7 +96,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Backend:
-    """One life of a backend, as the platform's list shows it."""
+    """One incarnation of a backend, as the platform's list shows it."""
 
     instance: str
     service: str
@@ -111,11 +111,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Gateway:
-    """One process of the system, as the others know it; `life` is drawn anew at each start."""
+    """One process of the system, as the others know it; `incarnation` is drawn anew at each start."""
 
     name: str
     address: str  # "ip:port" of its internal port
-    life: int
+    incarnation: int
     machine_class: str
     zone: str
     region: str
--- a/hallhitch/programs/coordinator.py
+++ b/hallhitch/programs/coordinator.py
@@ -1,4 +1,4 @@
-"""The coordinator: keeps the operator's word, reads the platform's list, tells gateways.
+"""The coordinator: keeps the cluster configuration, reads the platform's list, tells gateways.
 
 `python -O -m hallhitch.programs.coordinator`
 """
@@ -11,11 +11,9 @@
 import random
 from collections.abc import Awaitable
 
-from hallhitch.messages.link import Links
-from hallhitch.messages.system_pb2 import Envelope, Value
-from hallhitch.node.clock import now
+from hallhitch.messages.system_pb2 import ClusterState, Envelope
 from hallhitch.node.errors import StepError
-from hallhitch.node.logs import Part, Rarely
+from hallhitch.node.logs import ComponentLogger, RateLimitedLog
 from hallhitch.node.settings import Node
 from hallhitch.node.web import Reply, Web
 from hallhitch.planes.control import changes
@@ -24,12 +22,13 @@
 from hallhitch.planes.discovery.directory import Directory
 from hallhitch.planes.discovery.listing import due, turn
 from hallhitch.planes.discovery.platform import Platform
-from hallhitch.planes.discovery.roster import Roster, united
-from hallhitch.planes.news.following import Circle
-from hallhitch.planes.news.hub import Hub, gateway_of
+from hallhitch.planes.discovery.registry import Registry, united
+from hallhitch.planes.distribution.following import PeerSync
+from hallhitch.planes.distribution.hub import StateHub, gateway_of
 from hallhitch.planes.quota.plane import LeaseKeeper
 from hallhitch.planes.values import Gateway
 from hallhitch.programs.running import main
+from hallhitch.programs.runtime import Runtime
 
 TICK = 100.0  # ms between looks at who fell silent and whether the list is to be read
 YOUNG = 600.0  # ms after its start in which a coordinator knows too few gateways to tell of them
@@ -45,21 +44,30 @@
 class CoordinatorProgram:
     """All parts of one coordinator."""
 
-    def __init__(self, node: Node) -> None:
-        self._node, self._log = node, Part("coordinator")
-        self._life = random.SystemRandom().getrandbits(62) + 1
-        self._began = now()
-        self._links = Links(node.cluster, self._handle)
-        self._hub = Hub(self._life)
+    def __init__(self, node: Node, runtime: Runtime | None = None) -> None:
+        runtime = runtime or Runtime()
+        self._node, self._log, self._clock = node, ComponentLogger("coordinator"), runtime.clock
+        self._incarnation = runtime.random.getrandbits(62) + 1
+        self._began = self._clock()
+        self._links = runtime.connect(node.cluster, node.internal, self._incarnation, self._handle)
+        self._hub = StateHub(self._incarnation, self._clock)
         self._hub.tells_gateways = False
-        self._roster = Roster()
-        self._circle = Circle(self._links, self._hub, self._own, self._unite)
-        self._control = ControlPlane(node, self._links, self._told)
-        self._leases = LeaseKeeper()
-        self._orders = Operator(node, self._control)
+        self._registry = Registry()
+        self._peer_sync = PeerSync(self._links, self._hub, self._own, self._unite, self._clock)
+        self._control = ControlPlane(
+            node,
+            self._links,
+            self._told,
+            disk=runtime.disk,
+            run=runtime.run,
+            clock=self._clock,
+            rng=random.Random(runtime.random.getrandbits(64)),
+        )
+        self._leases = LeaseKeeper(self._clock, runtime.random.getrandbits(48))
+        self._orders = Operator(node, self._control, self._clock)
         self._directory = Directory(node.zones, node.bounds.ttl_most)
         self._platform = Platform(node.cloud) if node.cloud is not None else None
-        self._rarely = Rarely(Part("list"))
+        self._rarely = RateLimitedLog(ComponentLogger("list"))
         self._operator = Web("operator", self._orders.call, BODY_MOST)
         self._resolve = Web("directory", self._resolved)
         self._every = min(LIST_MOST, node.bounds.drain * LIST_SHARE)
@@ -67,7 +75,7 @@
 
     def _own(self) -> Gateway:
         n = self._node
-        return Gateway(n.name, n.internal, self._life, n.machine_class, n.zone, n.region)
+        return Gateway(n.name, n.internal, self._incarnation, n.machine_class, n.zone, n.region)
 
     def _resolved(self, method: str, target: str, body: bytes) -> Reply:
         return self._directory.call(method, target, self._hub.gateways.values())
@@ -75,9 +83,9 @@
     def _handle(self, envelope: Envelope) -> Envelope | Awaitable[Envelope]:
         if envelope.HasField("pull"):
             return self._pulled(envelope)
-        if envelope.HasField("claim"):
+        if envelope.HasField("lease_request"):
             granted = self._leases.handle(envelope)
-            self._hub.set_holders(self._leases.holders(now()))
+            self._hub.set_holders(self._leases.holders(self._clock()))
             return granted
         answer = self._control.handle(envelope)
         return answer if answer is not None else Envelope(error="a coordinator does not answer that")
@@ -85,34 +93,36 @@
     def _pulled(self, envelope: Envelope) -> Awaitable[Envelope]:
         other = gateway_of(envelope.pull.self)
         if other.frontend:
-            self._roster.hear(now(), other)
+            self._registry.hear(self._clock(), other)
             self._unite()
         elif other.address:
-            self._circle.meet((other.address,))
+            self._peer_sync.meet((other.address,))
         return self._hub.answer(envelope.pull)
 
     def _unite(self) -> None:
-        """Who lives, out of what is heard here and by the others."""
-        if self._hub.direct.replace(self._roster.entries):
+        """Who incarnations, out of what is heard here and by the others."""
+        if self._hub.direct.replace(self._registry.entries):
             self._hub.changed()
-        clock = now()
-        self._hub.set_gateways(united(
-            self._roster.entries,
-            [s.gateways.items for s in self._circle.sources.values() if clock - s.heard < ALIVE]))
-
-    def _told(self, value: Value) -> None:
+        clock = self._clock()
+        self._hub.set_gateways(
+            united(
+                self._registry.entries,
+                [s.gateways.items for s in self._peer_sync.sources.values() if clock - s.heard < ALIVE],
+            )
+        )
+
+    def _told(self, value: ClusterState) -> None:
         """The register has a newer word."""
         self._hub.members = tuple(value.members)
         self._leases.set_members(value.members)
-        self._hub.take_word(
-            value.serial, value.version, value.content, value.zones, int(value.notes.get(FLEET, "0")))
-        self._circle.meet(value.members)
+        self._hub.take_config(value.serial, value.version, value.content, value.zones, int(value.notes.get(FLEET, "0")))
+        self._peer_sync.meet(value.members)
 
     async def start(self) -> None:
         """The register first; then whoever asks."""
         await self._links.serve(self._node.internal)
         await self._control.start()
-        self._circle.meet(self._node.peers)
+        self._peer_sync.meet(self._node.peers)
         for name, web in (("controlPlane", self._operator), ("directoryApi", self._resolve)):
             if name in self._node.listen:
                 await web.serve(self._node.listen[name])
@@ -122,11 +132,11 @@
         """Now and then: who fell silent, who is out of touch."""
         while True:
             await asyncio.sleep(TICK / 1000)
-            clock = now()
+            clock = self._clock()
             self._hub.tells_gateways = clock - self._began > YOUNG
-            self._roster.forget_silent(clock)
+            self._registry.forget_silent(clock)
             self._unite()
-            alive = self._circle.alive(ALIVE)
+            alive = self._peer_sync.alive(ALIVE)
             self._control.coordinators(alive)
             self._hub.core = (self._node.internal, *alive)
             members = set(self._hub.members or self._node.peers)
@@ -140,28 +150,27 @@
             await asyncio.sleep(NOTE_EVERY / 1000)
             seen = sum(1 for g in self._hub.gateways.values() if g.frontend)
             noted = int(self._control.value.notes.get(FLEET, "0"))
-            if seen > noted and turn(self._node.internal, self._circle.alive(ALIVE)) == 0:
+            if seen > noted and turn(self._node.internal, self._peer_sync.alive(ALIVE)) == 0:
                 with contextlib.suppress(StepError, TimeoutError):
-                    await self._control.change(
-                        changes.note(FLEET, str(math.ceil(seen * FLEET_ROOM))), NOTE_EVERY)
+                    await self._control.change(changes.note(FLEET, str(math.ceil(seen * FLEET_ROOM))), NOTE_EVERY)
 
     async def _read(self) -> None:
         """The platform's list, where it is this coordinator's turn."""
         while self._platform is not None:
             await asyncio.sleep(TICK / 2000)
-            place = turn(self._node.internal, self._circle.alive(ALIVE))
-            if due(now() - self._hub.read_at, place, self._every):
+            place = turn(self._node.internal, self._peer_sync.alive(ALIVE))
+            if due(self._clock() - self._hub.read_at, place, self._every):
                 try:
                     self._hub.take_list(*await self._platform.read())
                 except StepError as error:
-                    self._rarely.warning(now(), str(error))
+                    self._rarely.warning(self._clock(), str(error))
                     await asyncio.sleep(self._every / 4000)
 
     def settings(self, node: Node) -> None:
         """Other seeds; the rest holds from the next start on."""
         self._control.settings(node)
         self._orders.settings(node)
-        self._circle.meet(node.peers)
+        self._peer_sync.meet(node.peers)
 
     async def leave(self) -> None:
         """Calls under way end; the register needs nothing more."""
@@ -169,7 +178,7 @@
             await web.close()
         for task in self._tasks:
             task.cancel()
-        self._circle.stop()
+        self._peer_sync.stop()
         await self._control.stop()
         if self._platform is not None:
             self._platform.close()
--- a/hallhitch/programs/gateway.py
+++ b/hallhitch/programs/gateway.py
@@ -6,21 +6,21 @@
 import random
 from collections.abc import Awaitable
 
-from hallhitch.messages.link import Links
 from hallhitch.messages.system_pb2 import Envelope
 from hallhitch.node.clock import now
-from hallhitch.node.logs import Part
+from hallhitch.node.logs import ComponentLogger
 from hallhitch.node.settings import Node
 from hallhitch.node.web import Reply, Web
 from hallhitch.planes.data.choice import Choice, Settings
 from hallhitch.planes.data.plane import DataPlane
 from hallhitch.planes.discovery.directory import Directory
-from hallhitch.planes.news.following import Follower
-from hallhitch.planes.news.hub import Hub
-from hallhitch.planes.news.wording import EMPTY, read_word
+from hallhitch.planes.distribution.config_compiler import EMPTY, compile_config
+from hallhitch.planes.distribution.following import GatewaySync
+from hallhitch.planes.distribution.hub import StateHub
 from hallhitch.planes.quota.plane import QuotaPlane
 from hallhitch.planes.values import Backend, Gateway
 from hallhitch.programs.running import main
+from hallhitch.programs.runtime import Runtime
 
 LISTEN_SHARE = 0.5  # of the grace period in which a leaving gateway still takes connections: clients hold old answers
 FINISH_SHARE = 0.9  # of the grace period by which it has ended
@@ -29,29 +29,51 @@
 class GatewayProgram:
     """All parts of one gateway."""
 
-    def __init__(self, node: Node) -> None:
-        self._node, self._log = node, Part("gateway")
-        self._life = random.SystemRandom().getrandbits(62) + 1
+    def __init__(self, node: Node, runtime: Runtime | None = None) -> None:
+        runtime = runtime or Runtime()
+        self._node, self._log = node, ComponentLogger("gateway")
+        self._incarnation = runtime.random.getrandbits(62) + 1
         self._ready = self._leaving = False
-        self._links = Links(node.cluster, self._handle)
-        self._hub = Hub(self._life)
-        self._follower = Follower(self._links, self._hub, self._own, node.peers)
-        self._quota = QuotaPlane(node, self._links, now)
+        self._links = runtime.connect(node.cluster, node.internal, self._incarnation, self._handle)
+        self._hub = StateHub(self._incarnation, runtime.clock)
+        self._gateway_sync = GatewaySync(self._links, self._hub, self._own, node.peers, runtime.clock)
+        self._quota = QuotaPlane(node, self._links, runtime.clock)
         b = node.bounds
-        decisions = Choice(Settings(
-            node.name, node.zone, node.region, node.zones, b.retry_ratio, b.retry_window, b.retry_slack, b.cold_over,
-            b.cold_slack, node.cloud_lag), random.Random(self._life))
-        self._data = DataPlane(node, decisions, self._quota.counter, now)
+        decisions = Choice(
+            Settings(
+                node.name,
+                node.zone,
+                node.region,
+                node.zones,
+                b.retry_ratio,
+                b.retry_window,
+                b.retry_slack,
+                b.cold_over,
+                b.cold_slack,
+                node.cloud_lag,
+            ),
+            random.Random(self._incarnation),
+        )
+        self._data = DataPlane(node, decisions, self._quota.counter, runtime.clock)
         self._readiness = Web("readiness", self._is_ready)
         self._directory = Directory(node.zones, b.ttl_most)
         self._resolve = Web("directory", self._resolved)
-        self._word, self._backends, self._gateways = EMPTY, (0, 0), (0, 0)
+        self._config, self._backends, self._gateways = EMPTY, (0, 0), (0, 0)
 
     def _own(self) -> Gateway:
         n = self._node
         host, port = n.listen.get("frontend", ("", 0))
-        return Gateway(n.name, n.internal, self._life, n.machine_class, n.zone, n.region,
-                       f"{host}:{port}" if host else "", self._ready, self._leaving)
+        return Gateway(
+            n.name,
+            n.internal,
+            self._incarnation,
+            n.machine_class,
+            n.zone,
+            n.region,
+            f"{host}:{port}" if host else "",
+            self._ready,
+            self._leaving,
+        )
 
     def _is_ready(self, method: str, target: str, body: bytes) -> Reply:
         if target.partition("?")[0] != "/hallhitch/readiness":
@@ -77,21 +99,34 @@
         self._hub.on_change.append(self._learn)
         await self._data.start()
         await self._quota.start()
-        self._follower.start()
+        self._gateway_sync.start()
 
     def _learn(self) -> None:
         """The hub knows more: tell the planes."""
         hub = self._hub
-        if hub.word.serial > self._word.serial:
-            w = hub.word
-            self._word = read_word(w.serial, w.version, w.content, w.evacuated, w.fleet)
-            self._quota.set_word(self._word)
-            self._data.set_word(self._word)
+        if hub.config.serial > self._config.serial:
+            w = hub.config
+            self._config = compile_config(w.serial, w.version, w.content, w.evacuated, w.fleet)
+            self._quota.set_config(self._config)
+            self._data.set_config(self._config)
         if (version := (hub.backends.epoch, hub.backends.number)) != self._backends:
             self._backends = version
-            self._data.set_backends([
-                Backend(e.instance, e.service, e.host, e.port, e.zone, self._node.zones.get(e.zone, ""), e.slots,
-                        e.draining, e.cold_until) for e in hub.backends.values()])
+            self._data.set_backends(
+                [
+                    Backend(
+                        e.instance,
+                        e.service,
+                        e.host,
+                        e.port,
+                        e.zone,
+                        self._node.zones.get(e.zone, ""),
+                        e.slots,
+                        e.draining,
+                        e.cold_until,
+                    )
+                    for e in hub.backends.values()
+                ]
+            )
         if (version := (hub.gateways.epoch, hub.gateways.number)) != self._gateways:
             self._gateways = version
             entries = [g for g in hub.gateways.values() if g.frontend]
@@ -99,27 +134,27 @@
             self._data.set_gateways(self._node.name, entries)
         self._quota.set_members(hub.members)
         self._quota.set_holders(hub.holders)
-        ready = self._word.version >= 0 and self._backends[1] > 0 and self._follower.asked_all
+        ready = self._config.version >= 0 and self._backends[1] > 0 and self._gateway_sync.asked_all
         if ready and not self._ready:
             self._ready = True
-            self._log.info(f"ready with version {self._word.version} and {len(hub.backends)} backends")
-            self._follower.say()
+            self._log.info(f"ready with version {self._config.version} and {len(hub.backends)} backends")
+            self._gateway_sync.say()
 
     def settings(self, node: Node) -> None:
         """Other seeds; the rest holds from the next start on."""
-        self._follower.set_seeds(node.peers)
+        self._gateway_sync.set_seeds(node.peers)
 
     async def leave(self) -> None:
         """Out of the directory, then the last answers of connections, then the listener, then the end."""
         grace, began = self._node.bounds.grace, now()
         self._leaving = True
-        self._follower.say()
+        self._gateway_sync.say()
         self._data.leave()
         await self._quota.leave()
         await asyncio.sleep(grace * LISTEN_SHARE / 1000)
         self._data.close_listener()
         await self._data.drained(began + grace * FINISH_SHARE)
-        self._follower.stop()
+        self._gateway_sync.stop()
         self._links.close()
 
 
--- a/hallhitch/programs/running.py
+++ b/hallhitch/programs/running.py
@@ -45,7 +45,7 @@
 
 
 async def _run(program: Program, path: str) -> None:
-    log, loop, ending = logs.Part("node"), asyncio.get_running_loop(), asyncio.Event()
+    log, loop, ending = logs.ComponentLogger("node"), asyncio.get_running_loop(), asyncio.Event()
 
     def again() -> None:
         try:
--- a/tests/system/control/fleet.py
+++ b/tests/system/control/fleet.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
-from hallhitch.messages.system_pb2 import Envelope, Value
+from hallhitch.messages.system_pb2 import ClusterState, Envelope
 from hallhitch.node.errors import Silent
 from hallhitch.node.settings import Bounds, Node
 from hallhitch.planes.control.operator import Operator
@@ -104,27 +104,33 @@
 
 
 class Machine:
-    """One coordinator with its disk, over its lives."""
+    """One coordinator with its disk, over its incarnations."""
 
     def __init__(self, fleet: Fleet, address: str) -> None:
         self.fleet, self.address = fleet, address
         self.disk, self.slow = Memory(), 2.0  # ms for a write
         self.plane: ControlPlane | None = None
         self.operator: Operator | None = None
-        self.told: list[Value] = []
+        self.told: list[ClusterState] = []
 
     async def start(self, first: bool = False, seeds: tuple[str, ...] = ()) -> None:
-        """A new life on what the disk holds."""
+        """A new incarnation on what the disk holds."""
         node = self.fleet.node(self.address, first, seeds)
         self.told = []
         plane = ControlPlane(
-            node, _Wire(self.fleet, self), lambda value: self.told.append(value), disk=self.disk, run=self._run,
-            clock=self.fleet.clock, rng=random.Random(self.fleet.rng.random()))
+            node,
+            _Wire(self.fleet, self),
+            lambda value: self.told.append(value),
+            disk=self.disk,
+            run=self._run,
+            clock=self.fleet.clock,
+            rng=random.Random(self.fleet.rng.random()),
+        )
         self.plane, self.operator = plane, Operator(node, plane, self.fleet.clock)
         await plane.start()
 
     async def _run(self, call: Callable[[], None]) -> None:
-        """The disk's thread: of a life that has ended nothing is written any more."""
+        """The disk's thread: of an incarnation that has ended nothing is written any more."""
         plane = self.plane
         await asyncio.sleep(self.slow / 1000)
         if self.plane is not plane:
@@ -153,8 +159,8 @@
 
     def __init__(self, fleet: Fleet, machine: Machine) -> None:
         self._fleet, self._machine = fleet, machine
-        self._life = object()
-        machine_life[machine] = self._life
+        self._incarnation = object()
+        machine_incarnation[machine] = self._incarnation
 
     async def call(self, address: str, envelope: Envelope, wait: float) -> Envelope:
         """One call over ways that may be cut."""
@@ -171,14 +177,14 @@
                     answer = await answer
                 assert answer is not None
                 await fleet.way(address, own)
-                if machine_life.get(self._machine) is not self._life:
+                if machine_incarnation.get(self._machine) is not self._incarnation:
                     await asyncio.shield(fleet.never)
                 return Envelope.FromString(answer.SerializeToString())
         except TimeoutError:
             raise Silent("call", address, "silence") from None
 
 
-machine_life: dict[Machine, object] = {}
+machine_incarnation: dict[Machine, object] = {}
 
 
 class Fleet:
@@ -229,8 +235,25 @@
     """The settings of one coordinator."""
     host, port = address.split(":")
     return Node(
-        name=host, role="coordinator", machine_class="core", serves=frozenset({"control_plane"}), ip=host,
-        zone="viti-a", region="viti", ports=(int(port), int(port) + 15),
-        seeds=tuple((one.split(":")[0], 9000) for one in seeds), first_start=first, zones=ZONES, listen={},
-        bounds=Bounds(), losses=losses, memory=256, files=1024, data=data, cloud=None, cloud_rate=1.0,
-        cloud_lag=1000.0, cluster="")
+        name=host,
+        role="coordinator",
+        machine_class="core",
+        serves=frozenset({"control_plane"}),
+        ip=host,
+        zone="viti-a",
+        region="viti",
+        ports=(int(port), int(port) + 15),
+        seeds=tuple((one.split(":")[0], 9000) for one in seeds),
+        first_start=first,
+        zones=ZONES,
+        listen={},
+        bounds=Bounds(),
+        losses=losses,
+        memory=256,
+        files=1024,
+        data=data,
+        cloud=None,
+        cloud_rate=1.0,
+        cloud_lag=1000.0,
+        cluster="",
+    )
--- a/tests/system/control/test_check.py
+++ b/tests/system/control/test_check.py
@@ -15,16 +15,46 @@
 PLAIN: dict[str, Any] = {
     "configVersion": 7,
     "routes": {
-        "r-1": {"host": "a.example", "pathPrefix": "/one/", "routeKind": "idempotent", "timeout": "3000ms",
-                "targetLatency": "800ms", "priority": 2, "maxAttempts": 2, "public": False, "allowedRegions": [],
-                "trafficSplit": [{"targetService": "s", "weight": 90}, {"targetService": "t", "weight": 10}]},
-        "r-2": {"host": "a.example", "pathPrefix": "/two/", "routeKind": "non_idempotent", "timeout": "600s",
-                "targetLatency": "1s", "priority": 1, "targetService": "s", "maxAttempts": 1, "public": True}},
-    "services": {name: {"healthPath": "/health", "maxConnections": 100, "protocol": "h1", "tls": False,
-                        "coldStart": "3s", "coldPerS": 12.0} for name in "st"},
+        "r-1": {
+            "host": "a.example",
+            "pathPrefix": "/one/",
+            "routeKind": "idempotent",
+            "timeout": "3000ms",
+            "targetLatency": "800ms",
+            "priority": 2,
+            "maxAttempts": 2,
+            "public": False,
+            "allowedRegions": [],
+            "trafficSplit": [{"targetService": "s", "weight": 90}, {"targetService": "t", "weight": 10}],
+        },
+        "r-2": {
+            "host": "a.example",
+            "pathPrefix": "/two/",
+            "routeKind": "non_idempotent",
+            "timeout": "600s",
+            "targetLatency": "1s",
+            "priority": 1,
+            "targetService": "s",
+            "maxAttempts": 1,
+            "public": True,
+        },
+    },
+    "services": {
+        name: {
+            "healthPath": "/health",
+            "maxConnections": 100,
+            "protocol": "h1",
+            "tls": False,
+            "coldStart": "3s",
+            "coldPerS": 12.0,
+        }
+        for name in "st"
+    },
     "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeout": "3000ms", "idleTimeout": "15000ms"},
-    "tenants": {"x": {"apiKeys": ["k1", "k2"], "priority": 1, "ratePerS": 155, "burstSize": 155, "allowedRegions": []},
-                "y": {"apiKeys": []}},
+    "tenants": {
+        "x": {"apiKeys": ["k1", "k2"], "priority": 1, "ratePerS": 155, "burstSize": 155, "allowedRegions": []},
+        "y": {"apiKeys": []},
+    },
 }
 GONE = object()
 WRONG: list[tuple[str, list[Any]]] = [
@@ -42,9 +72,21 @@
     ("routes.r-1.priority", [-1, "1", True]),
     ("routes.r-1.public", ["no", 0, None]),
     ("routes.r-1.allowedRegions", ["viti", [1]]),
-    ("routes.r-1.trafficSplit", [GONE, [], {}, [{"targetService": "s"}], [{"targetService": "s", "weight": 0}], ["s"],
-                                 [{"targetService": "u", "weight": 1}], [{"targetService": "s", "weight": -1}],
-                                 [{"targetService": ["s"], "weight": 1}], [{"targetService": "s", "weight": True}]]),
+    (
+        "routes.r-1.trafficSplit",
+        [
+            GONE,
+            [],
+            {},
+            [{"targetService": "s"}],
+            [{"targetService": "s", "weight": 0}],
+            ["s"],
+            [{"targetService": "u", "weight": 1}],
+            [{"targetService": "s", "weight": -1}],
+            [{"targetService": ["s"], "weight": 1}],
+            [{"targetService": "s", "weight": True}],
+        ],
+    ),
     ("routes.r-2.targetService", [GONE, "u", "", 5, ["s"]]),
     ("services.s.coldStart", [3, "3"]),
     ("services.s.coldPerS", ["12", -1, True]),
@@ -80,12 +122,27 @@
 
 def test_what_cannot_be_read_whole() -> None:
     whole = json.dumps(PLAIN).encode()
-    doubled = [b'{"configVersion":8,' + whole[1:], whole.replace(b'"r-2"', b'"r-1"'),
-               whole.replace(b'"host": "a.example"', b'"host": "b.example", "host": "a.example"', 1)]
+    doubled = [
+        b'{"configVersion":8,' + whole[1:],
+        whole.replace(b'"r-2"', b'"r-1"'),
+        whole.replace(b'"host": "a.example"', b'"host": "b.example", "host": "a.example"', 1),
+    ]
     numbers = [whole.replace(b": 155,", b": " + text + b",", 1) for text in (b"NaN", b"Infinity", b"1e999", b"0155")]
     short = [whole[:at] for at in range(0, len(whole), 7)]
-    for body in [b"", b"[]", b"null", b"7", whole + b"x", whole.decode().encode("utf-16"), b"\xff" + whole,
-                 b"[" * 100_000, b'{"a":' * 100_000, *doubled, *numbers, *short]:
+    for body in [
+        b"",
+        b"[]",
+        b"null",
+        b"7",
+        whole + b"x",
+        whole.decode().encode("utf-16"),
+        b"\xff" + whole,
+        b"[" * 100_000,
+        b'{"a":' * 100_000,
+        *doubled,
+        *numbers,
+        *short,
+    ]:
         with pytest.raises(check.Invalid):
             check.read(body)
     with pytest.raises(check.TooLarge):
@@ -94,11 +151,23 @@
 
 def test_unknown_fields_and_left_out_ones_are_no_reason_to_refuse() -> None:
     assert check.read(json.dumps(PLAIN).encode()) == check.Checked(7, 2)
-    for path, value in (("extra", {"a": [1, None]}), ("routes.r-1.extra", [1]), ("services.s.extra", {}),
-                        ("tenants.x.extra", None), ("limits.extra", 1), ("tenants", GONE), ("tenants", {}),
-                        ("routes", {}), ("services.s", {}), ("limits", GONE), ("routes.r-1.targetService", None),
-                        ("routes.r-2.trafficSplit", []), ("tenants.x", {"apiKeys": ["k1", "k1"]}),
-                        ("configVersion", 0), ("routes.r-1.host", "ü.example")):
+    for path, value in (
+        ("extra", {"a": [1, None]}),
+        ("routes.r-1.extra", [1]),
+        ("services.s.extra", {}),
+        ("tenants.x.extra", None),
+        ("limits.extra", 1),
+        ("tenants", GONE),
+        ("tenants", {}),
+        ("routes", {}),
+        ("services.s", {}),
+        ("limits", GONE),
+        ("routes.r-1.targetService", None),
+        ("routes.r-2.trafficSplit", []),
+        ("tenants.x", {"apiKeys": ["k1", "k1"]}),
+        ("configVersion", 0),
+        ("routes.r-1.host", "ü.example"),
+    ):
         check.read(changed(path, value))
 
 
@@ -110,6 +179,7 @@
     def counted(validator: Validator, where: str, table: Mapping[str, Any]) -> None:
         validations.append(table)
         whole(validator, where, table)
+
     monkeypatch.setattr(check, "_validate", counted)
     config = copy.deepcopy(PLAIN)
     config["routes"] = {f"r-{n}": {**PLAIN["routes"]["r-1"], "pathPrefix": f"/{n}/"} for n in range(5000)}
--- a/tests/system/control/test_files.py
+++ b/tests/system/control/test_files.py
@@ -10,7 +10,7 @@
 import pytest
 
 from hallhitch.planes.control.files import Folder, Store
-from hallhitch.planes.control.register import Replica, copied, founded
+from hallhitch.planes.control.register import AcceptorState, Ballot, copied, founded
 
 ADDRESS = "10.0.0.1:7000"
 
@@ -63,8 +63,12 @@
         there = {file.name: file.read_bytes() for file in self.path.iterdir()}
         for name in there.keys() | self.surely.keys():
             now, then = there.get(name), self.surely.get(name)
-            kept = {"keep": now, "drop": then, "tear": _torn(now, then, rng),
-                    "any": rng.choice([now, then, _torn(now, then, rng)])}[fate]
+            kept = {
+                "keep": now,
+                "drop": then,
+                "tear": _torn(now, then, rng),
+                "any": rng.choice([now, then, _torn(now, then, rng)]),
+            }[fate]
             if now == then:
                 kept = now
             if kept is not None:
@@ -80,15 +84,15 @@
     return rng.choice([now[:cut], now[:cut] + bytes(len(now) - cut), bytes(cut) + now[cut:], b""])
 
 
-def states() -> list[Replica]:
+def states() -> list[AcceptorState]:
     """What a replica goes through: founded, a promise, a word, a promise on it, another word."""
     value = founded([ADDRESS, "10.0.0.2:7000"])
-    found = [Replica(ADDRESS, value=value), Replica(ADDRESS, (1, "a"), value=value)]
+    found = [AcceptorState(ADDRESS, value=value), AcceptorState(ADDRESS, Ballot(1, "a"), value=value)]
     for number, content in enumerate((b"one" * 300, b"two" * 3000), start=2):
         value = copied(value)
         value.serial, value.content = number, content
-        found.append(Replica(ADDRESS, (number, "a"), (number, "a"), value, {ADDRESS: 1, "x": number}))
-        found.append(Replica(ADDRESS, (number, "b"), (number, "a"), value, {ADDRESS: 1, "x": number}))
+        found.append(AcceptorState(ADDRESS, Ballot(number, "a"), Ballot(number, "a"), value, {ADDRESS: 1, "x": number}))
+        found.append(AcceptorState(ADDRESS, Ballot(number, "b"), Ballot(number, "a"), value, {ADDRESS: 1, "x": number}))
     return found[:5]
 
 
--- a/tests/system/control/test_plane.py
+++ b/tests/system/control/test_plane.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from hallhitch.messages.system_pb2 import Envelope, Value
+from hallhitch.messages.system_pb2 import ClusterState, Envelope
 from hallhitch.node.errors import Silent
 from hallhitch.planes.control.operator import Operator
 from hallhitch.planes.control.plane import ControlPlane
@@ -20,10 +20,25 @@
 
 def word(version: int, mark: str = "", routes: int = 1) -> bytes:
     """A configuration."""
-    return json.dumps({
-        "configVersion": version, "mark": mark, "services": {"s": {}}, "limits": {},
-        "routes": {f"r-{n}": {"host": "a.example", "pathPrefix": f"/{n}/", "routeKind": "idempotent", "timeout": "3s",
-                              "maxAttempts": 1, "targetService": "s"} for n in range(routes)}}).encode()
+    return json.dumps(
+        {
+            "configVersion": version,
+            "mark": mark,
+            "services": {"s": {}},
+            "limits": {},
+            "routes": {
+                f"r-{n}": {
+                    "host": "a.example",
+                    "pathPrefix": f"/{n}/",
+                    "routeKind": "idempotent",
+                    "timeout": "3s",
+                    "maxAttempts": 1,
+                    "targetService": "s",
+                }
+                for n in range(routes)
+            },
+        }
+    ).encode()
 
 
 async def call(machine: Machine, name: str, body: bytes = b"", method: str = "POST") -> tuple[int, Any]:
@@ -79,12 +94,22 @@
     play(scene)
 
 
-@pytest.mark.parametrize(("name", "body", "method", "status"), [
-    ("config.replaced", b"", "POST", 404), ("", b"", "POST", 404), ("config.replace", b"{}", "GET", 405),
-    ("config.describe", b"", "GET", 405), ("config.replace", b"{", "POST", 400), ("config.replace", b"", "POST", 400),
-    ("config.replace", b" " * 33_554_433, "POST", 413), ("evacuations.start", b"", "POST", 400),
-    ("evacuations.start&of=", b"", "POST", 400), ("evacuations.stop&of=nowhere", b"", "POST", 400),
-    ("evacuations.start&of=viti-a", b"", "PUT", 405)])
+@pytest.mark.parametrize(
+    ("name", "body", "method", "status"),
+    [
+        ("config.replaced", b"", "POST", 404),
+        ("", b"", "POST", 404),
+        ("config.replace", b"{}", "GET", 405),
+        ("config.describe", b"", "GET", 405),
+        ("config.replace", b"{", "POST", 400),
+        ("config.replace", b"", "POST", 400),
+        ("config.replace", b" " * 33_554_433, "POST", 413),
+        ("evacuations.start", b"", "POST", 400),
+        ("evacuations.start&of=", b"", "POST", 400),
+        ("evacuations.stop&of=nowhere", b"", "POST", 400),
+        ("evacuations.start&of=viti-a", b"", "PUT", 405),
+    ],
+)
 def test_what_is_no_proper_call(name: str, body: bytes, method: str, status: int) -> None:
     async def scene(fleet: Fleet) -> None:
         machine, *_ = await fleet.found()
@@ -136,8 +161,8 @@
         for machine in machines:  # nobody asked: each has found out by itself
             assert machine.plane is not None and machine.plane.value.version == 5
             assert await described(machine) == (5, "kept") and await zones(machine) == {"viti-b"}
-        for machine in machines[:fleet.losses]:  # and it votes again: others may go now
-            assert not machine.plane._keeper.state.forgetful  # type: ignore[union-attr]
+        for machine in machines[: fleet.losses]:  # and it votes again: others may go now
+            assert not machine.plane._acceptor.state.recovering  # type: ignore[union-attr]
 
     for seed in range(4):
         play(scene, seed)
@@ -221,10 +246,10 @@
         await a.kill()
         a.slow = 3000
         await a.start()
-        assert a.plane is not None and a.plane._keeper.state.forgetful
+        assert a.plane is not None and a.plane._acceptor.state.recovering
         assert await described(a) == (6, "six")
         await asyncio.sleep(5)
-        assert not a.plane._keeper.state.forgetful
+        assert not a.plane._acceptor.state.recovering
 
     play(scene)
 
@@ -256,13 +281,14 @@
 
 def test_one_machine_alone_on_real_files(tmp_path: Path) -> None:
     """The thread and the files as they are in service; the loop's own clock."""
+
     class Nobody:
         async def call(self, address: str, envelope: Envelope, wait: float) -> Envelope:
             raise Silent("connect", address, "nobody there")
 
-    async def life(version: int, first: bool) -> tuple[int, int]:
+    async def incarnation(version: int, first: bool) -> tuple[int, int]:
         node = settings("10.0.0.1:7000", first, ("10.0.0.1:7000",), 0, tmp_path / "data")
-        heard: list[Value] = []
+        heard: list[ClusterState] = []
         plane = ControlPlane(node, Nobody(), heard.append)
         await plane.start()
         await plane.look(1000)
@@ -272,9 +298,9 @@
         await plane.stop()
         return found, len(list((tmp_path / "data").iterdir()))
 
-    assert asyncio.run(life(3, True))[0] == -1
-    assert asyncio.run(life(4, False))[0] == 3
-    assert asyncio.run(life(5, True))[0] == 4
+    assert asyncio.run(incarnation(3, True))[0] == -1
+    assert asyncio.run(incarnation(4, False))[0] == 3
+    assert asyncio.run(incarnation(5, True))[0] == 4
 
 
 def test_a_day_of_everything() -> None:
--- a/tests/system/control/test_register.py
+++ b/tests/system/control/test_register.py
@@ -8,27 +8,22 @@
 
 import pytest
 
-from hallhitch.messages.system_pb2 import Accept, Accepted, Prepare, Promise, Recover, Recovered, Value
+from hallhitch.messages.system_pb2 import Accept, Accepted, ClusterState, Prepare, Promise, Recover, Recovered
 from hallhitch.planes.control import changes
 from hallhitch.planes.control.register import (
     NEVER,
+    AcceptorState,
+    AlreadyChosen,
+    Ballot,
     Change,
-    Config,
-    Moved,
+    Membership,
+    MembershipChanged,
     Proposal,
-    Propose,
     Recovery,
-    Replica,
-    Settled,
-    Stamp,
+    SendAccepts,
     Tally,
-    ballot,
-    config,
     copied,
-    everybody,
     founded,
-    sets,
-    stamp,
 )
 
 SEEDS, STEPS = 80, 600  # schedules for each kind of fleet, and how long each is
@@ -38,20 +33,20 @@
 class Machine:
     """One machine: what its disk holds, and what its process is about."""
 
-    def __init__(self, name: str, value: Value | None) -> None:
-        self.replica = Replica(name, forgetful=True) if value is None else Replica(name, value=value)
-        self.life = 0
+    def __init__(self, name: str, value: ClusterState | None) -> None:
+        self.replica = AcceptorState(name, recovering=True) if value is None else AcceptorState(name, value=value)
+        self.incarnation = 0
         self.end()
 
     def end(self) -> None:
         """The process ends; the disk stays."""
-        self.life += 1
+        self.incarnation += 1
         self.proposal: Proposal | None = None
         self.order: str | None = None
         self.recovery: Recovery | None = None
         self.readers: dict[str, Recovered] = {}
-        self.met: tuple[Stamp, Value] = (NEVER, Value())
-        self.settled: Config = config(Value())
+        self.met: tuple[Ballot, ClusterState] = (NEVER, ClusterState())
+        self.settled: Membership = Membership.of(ClusterState())
         self.round = 0
 
 
@@ -61,17 +56,18 @@
     def __init__(self, seed: int, founders: int, spares: int, losses: int) -> None:
         self.rng, self.losses = random.Random(seed), losses
         first = founded("abcdefg"[:founders])
-        self.machines = {name: Machine(name, first if name in first.members else None)
-                         for name in "abcdefg"[:founders + spares]}
+        self.machines = {
+            name: Machine(name, first if name in first.members else None) for name in "abcdefg"[: founders + spares]
+        }
         self.first = first
         self.bag: list[tuple[str, str, object, Message]] = []  # from, to, whose answer it is, what
-        self.committed: dict[int, Value] = {}
+        self.committed: dict[int, ClusterState] = {}
         self.acknowledged: set[str] = set()
         self.orders = itertools.count()
 
     # --- What must hold.
 
-    def commit(self, value: Value) -> None:
+    def commit(self, value: ClusterState) -> None:
         """A majority is said to hold this value."""
         assert self.committed.setdefault(value.serial, value) == value, "two values in one place"
         later = [other for serial, other in self.committed.items() if serial > value.serial]
@@ -85,19 +81,19 @@
     def send(self, one: str, other: str, token: object, message: Message) -> None:
         self.bag.append((one, other, token, message))
 
-    def propose(self, name: str, order: str | None, members: Callable[[Value], Change] | None = None) -> None:
+    def propose(self, name: str, order: str | None, members: Callable[[ClusterState], Change] | None = None) -> None:
         """A ballot of this machine: an order, a change of members, or a read."""
         machine = self.machines[name]
         held = machine.replica
-        known = (NEVER, Value()) if held.forgetful else (held.accepted, held.value)
+        known = (NEVER, ClusterState()) if held.recovering else (held.accepted, held.value)
         asked = max(known, machine.met, key=lambda one: (one[0], bool(one[1].members)))
-        if machine.met[0] == (0, "moved"):
+        if machine.met[0] == Ballot(0, "moved"):
             asked = machine.met
         if not asked[1].members:
             asked = NEVER, self.first
-        machine.round = max(machine.round, held.promised[0], asked[0][0]) + 1
+        machine.round = max(machine.round, held.promised.round, asked[0].round) + 1
 
-        def change(value: Value) -> Value:
+        def change(value: ClusterState) -> ClusterState:
             if members is not None:
                 return members(value)(value)
             if order is None or order in value.notes:
@@ -108,18 +104,21 @@
             if self.rng.random() < 0.5:
                 after.content = order.encode()
             return after
-        machine.proposal = Proposal((machine.round, f"{name}#{machine.life}"), asked[1], known, change, machine.settled)
+
+        machine.proposal = Proposal(
+            Ballot(machine.round, f"{name}#{machine.incarnation}"), asked[1], known, change, machine.settled
+        )
         machine.order = order
         for other in sorted(machine.proposal.to):
             self.send(name, other, machine.proposal, machine.proposal.prepare())
 
     def recover(self, name: str) -> None:
-        """The forgetful machine asks (again), in its first pass or in its second."""
+        """The recovering machine asks (again), in its first pass or in its second."""
         machine = self.machines[name]
         if machine.recovery is None:
             machine.recovery = Recovery(name)
         for other in sorted(self.machines.keys() - {name}):
-            self.send(name, other, machine.recovery, Recover(address=name, life=machine.recovery.life))
+            self.send(name, other, machine.recovery, Recover(address=name, incarnation=machine.recovery.incarnation))
 
     def deliver(self, one: str, other: str, token: object, message: Message) -> None:
         """One message arrives."""
@@ -145,8 +144,8 @@
             case Recovered() if token is machine.recovery and machine.recovery is not None:
                 machine.recovery.answer(one, message)
                 if machine.recovery.enough():
-                    if machine.recovery.life == 0:
-                        machine.recovery = Recovery(other, machine.recovery.next_life())
+                    if machine.recovery.incarnation == 0:
+                        machine.recovery = Recovery(other, machine.recovery.next_incarnation())
                         self.recover(other)
                     else:
                         machine.replica = machine.recovery.replica()
@@ -157,67 +156,74 @@
 
     def promised(self, name: str, machine: Machine, chosen: object) -> None:
         match chosen:
-            case Moved(held):
-                machine.proposal, machine.met = None, ((0, "moved"), held[1])
-            case Settled(value):
+            case MembershipChanged(held):
+                machine.proposal, machine.met = None, (Ballot(0, "moved"), held[1])
+            case AlreadyChosen(value):
                 assert machine.proposal is not None
                 self.done(machine, value, machine.proposal.base[0])
-            case Propose(to):
+            case SendAccepts(to):
                 assert machine.proposal is not None
                 for other in sorted(to):
                     self.send(name, other, machine.proposal, machine.proposal.accept(other))
 
-    def done(self, machine: Machine, value: Value, at: Stamp) -> None:
+    def done(self, machine: Machine, value: ClusterState, at: Ballot) -> None:
         self.commit(value)
         if machine.order is not None:
             assert machine.order in value.notes
             self.acknowledged.add(machine.order)
-        machine.settled, machine.proposal, machine.order = config(value), None, None
+        machine.settled, machine.proposal, machine.order = Membership.of(value), None, None
         machine.met = at, value
 
     def read(self, machine: Machine) -> None:
         """A round of the others' states: what a majority has is committed; what is newer is taken."""
-        newest = max(machine.readers.values(), key=lambda one: stamp(one.accepted))
-        at = stamp(newest.accepted)
-        tally = Tally(sets(newest.value))
+        newest = max(machine.readers.values(), key=lambda one: Ballot.of(one.accepted))
+        at = Ballot.of(newest.accepted)
+        tally = Tally(Membership.of(newest.value).sets)
         for member, answer in machine.readers.items():
-            tally.add(member, stamp(answer.accepted) == at, answer.lives)
+            tally.add(member, Ballot.of(answer.accepted) == at, answer.incarnations)
         if tally.reached():
             self.commit(newest.value)
-            machine.settled = config(newest.value)
-        if machine.met[0] != (0, "moved"):
+            machine.settled = Membership.of(newest.value)
+        if machine.met[0] != Ballot(0, "moved"):
             machine.met = max(machine.met, (at, newest.value), key=lambda one: one[0])
         if at != NEVER:
-            machine.replica, _ = machine.replica.accept(Accept(ballot=ballot(at), value=newest.value))
+            machine.replica, _ = machine.replica.accept(Accept(ballot=at.message(), value=newest.value))
 
-    def members(self, value: Value) -> Change:
+    def members(self, value: ClusterState) -> Change:
         """Some change of members."""
         if value.previous:
             return changes.settle
-        other = self.rng.choice([one for one, machine in self.machines.items() if not machine.replica.forgetful])
+        other = self.rng.choice([one for one, machine in self.machines.items() if not machine.replica.recovering])
         if other in value.members:
             spared = len(value.members) > 2 * self.losses + 1
-            return changes.remove(other, config(value)) if spared else changes.identity
-        return changes.add(other, config(value))
+            return changes.remove(other, Membership.of(value)) if spared else changes.identity
+        return changes.add(other, Membership.of(value))
 
     def wipe(self, name: str) -> None:
         """The disk is gone, if so many losses are to be borne and whoever may count now can bear it."""
-        lost = {one for one, machine in self.machines.items() if machine.replica.forgetful} | {name}
+        lost = {one for one, machine in self.machines.items() if machine.replica.recovering} | {name}
         values = [machine.replica.value for machine in self.machines.values()]
-        values += [machine.proposal.value for machine in self.machines.values()
-                   if machine.proposal is not None and machine.proposal.value is not None]
-        if all(len(one & lost) <= min(self.losses, (len(one) - 1) // 2) for value in values for one in sets(value)):
+        values += [
+            machine.proposal.value
+            for machine in self.machines.values()
+            if machine.proposal is not None and machine.proposal.value is not None
+        ]
+        if all(
+            len(one & lost) <= min(self.losses, (len(one) - 1) // 2)
+            for value in values
+            for one in Membership.of(value).sets
+        ):
             self.machines[name].end()
-            self.machines[name].replica = Replica(name, forgetful=True)
+            self.machines[name].replica = AcceptorState(name, recovering=True)
 
     def calm(self) -> None:
-        """Everybody is back and nothing is lost: the forgetful remember, and somebody reads."""
+        """Everybody is back and nothing is lost: the recovering remember, and somebody reads."""
         for turn in range(60):
             for message in [*self.bag]:
                 self.bag.remove(message)
                 self.deliver(*message)
             for name, machine in self.machines.items():
-                if machine.replica.forgetful and not self.bag:
+                if machine.replica.recovering and not self.bag:
                     self.recover(name)
             reader = sorted(self.machines)[turn // 12 % len(self.machines)]
             if not self.bag and self.machines[reader].proposal is None:
@@ -244,11 +250,11 @@
             machine.end()
         elif what < 0.3:
             self.wipe(name)
-        elif machine.replica.forgetful:
+        elif machine.replica.recovering:
             self.recover(name)
         elif machine.proposal is None or what > 0.95:
             kind = rng.random()
-            if kind < 0.25 and machine.settled[1]:
+            if kind < 0.25 and machine.settled.members:
                 self.propose(name, None, self.members)
             else:
                 self.propose(name, f"{next(self.orders)}" if kind < 0.75 else None)
@@ -263,8 +269,8 @@
             world.step()
         world.calm()
         for machine in world.machines.values():
-            assert not machine.replica.forgetful, "a machine never came back to its memory"
-            wiped += machine.replica.lives.get(machine.replica.address, 0) > 0
+            assert not machine.replica.recovering, "a machine never came back to its memory"
+            wiped += machine.replica.incarnations.get(machine.replica.address, 0) > 0
         newest = world.committed[max(world.committed)]
         assert world.acknowledged <= set(newest.notes)
         acknowledged += len(world.acknowledged)
@@ -279,9 +285,13 @@
     pairs, first, outcomes = list(itertools.combinations("abc", 2)), founded("abc"), set()
     for places in itertools.combinations(range(8), 4):
         for ways in itertools.product(pairs[:1], pairs, pairs, pairs):  # the first by symmetry
-            replicas = {name: Replica(name, value=first) for name in "abc"}
-            proposals = {who: Proposal((1, who), first, (NEVER, Value()), changes.put(7, who.encode()), config(first))
-                         for who in "AB"}
+            replicas = {name: AcceptorState(name, value=first) for name in "abc"}
+            proposals = {
+                who: Proposal(
+                    Ballot(1, who), first, (NEVER, ClusterState()), changes.put(7, who.encode()), Membership.of(first)
+                )
+                for who in "AB"
+            }
             targets = {"A": iter(ways[0] + ways[1]), "B": iter(ways[2] + ways[3])}
             told = set[bytes]()
             for place in range(8):
@@ -296,7 +306,9 @@
                     proposal.promise(name, promise)
             assert len(told) <= 1
             for quorum in pairs:
-                later = Proposal((2, "C"), first, (NEVER, Value()), changes.put(7, b"C"), config(first))
+                later = Proposal(
+                    Ballot(2, "C"), first, (NEVER, ClusterState()), changes.put(7, b"C"), Membership.of(first)
+                )
                 for name in quorum:
                     later.promise(name, replicas[name].prepare(later.prepare())[1])
                 assert later.value is not None
@@ -308,9 +320,9 @@
 def test_a_value_is_left_out_for_those_who_hold_it() -> None:
     held = founded("abc")
     held.content, held.serial = b"x" * 1000, 1
-    at = (3, "a#1")
-    replicas = {name: Replica(name, at, at, held) for name in "abc"}
-    proposal = Proposal((4, "b#1"), held, (at, held), changes.evacuate("z"), config(held))
+    at = Ballot(3, "a#1")
+    replicas = {name: AcceptorState(name, at, at, held) for name in "abc"}
+    proposal = Proposal(Ballot(4, "b#1"), held, (at, held), changes.evacuate("z"), Membership.of(held))
     for name in "ab":
         replicas[name], promise = replicas[name].prepare(proposal.prepare())
         assert promise.ByteSize() < 200
@@ -320,16 +332,16 @@
         replicas[name], accepted = replicas[name].accept(proposal.accept(name))
         assert accepted.ok and replicas[name].value.content == held.content and "z" in replicas[name].value.zones
     assert proposal.accept("c").value.content == held.content  # nothing was heard of it yet
-    assert everybody(held) == set("abc")
+    assert Membership.of(held).everybody == set("abc")
 
 
 def test_a_start_that_was_given_up_does_not_come_after_its_stop() -> None:
     """One replica took the start; the stop finds nothing to change at the two others, and is written all the same."""
     first = founded("abc")
-    replicas = {name: Replica(name, value=first) for name in "bc"}
-    replicas["a"] = Replica("a", (1, "x"), (1, "x"), changes.evacuate("z")(first))
+    replicas = {name: AcceptorState(name, value=first) for name in "bc"}
+    replicas["a"] = AcceptorState("a", Ballot(1, "x"), Ballot(1, "x"), changes.evacuate("z")(first))
     for turn, (order, quorum) in enumerate(((changes.restore("z"), "bc"), (changes.renew, "ab")), start=2):
-        proposal = Proposal((turn, "y"), first, (NEVER, Value()), order, config(first))
+        proposal = Proposal(Ballot(turn, "y"), first, (NEVER, ClusterState()), order, Membership.of(first))
         for name in quorum:
             replicas[name], promise = replicas[name].prepare(proposal.prepare())
             proposal.promise(name, promise)
@@ -342,27 +354,29 @@
 def test_a_vote_of_a_forgotten_life_does_not_count() -> None:
     """`a` promises, is wiped and reads b, c and e before their promises: its old promise may not make the majority."""
     first = founded("abcde")
-    replicas = {name: Replica(name, value=first) for name in "abcde"}
-    slow = Proposal((9, "d#1"), first, (NEVER, Value()), changes.put(1, b"late"), config(first))
+    replicas = {name: AcceptorState(name, value=first) for name in "abcde"}
+    slow = Proposal(Ballot(9, "d#1"), first, (NEVER, ClusterState()), changes.put(1, b"late"), Membership.of(first))
     promises = {"a": replicas["a"].prepare(slow.prepare())[1], "d": replicas["d"].prepare(slow.prepare())[1]}
-    recovery = Recovery("a", Recovery("a").next_life())
+    recovery = Recovery("a", Recovery("a").next_incarnation())
     for name in "bce":
         assert not recovery.enough()
-        replicas[name], recovered = replicas[name].recover(Recover(address="a", life=recovery.life))
+        replicas[name], recovered = replicas[name].recover(Recover(address="a", incarnation=recovery.incarnation))
         recovery.answer(name, recovered)
     assert recovery.enough() and recovery.replica().promised == NEVER
     promises["b"] = replicas["b"].prepare(slow.prepare())[1]
     assert [slow.promise(name, promises[name]) for name in "adb"] == [None] * 3
-    assert isinstance(slow.promise("e", replicas["e"].prepare(slow.prepare())[1]), Propose)
+    assert isinstance(slow.promise("e", replicas["e"].prepare(slow.prepare())[1]), SendAccepts)
 
 
 def test_members_change_only_on_top_of_members_that_a_majority_took() -> None:
-    half_made = changes.add("d", config(founded("abc")))(founded("abc"))
-    replicas = {name: Replica(name, value=founded("abc")) for name in "abd"}
-    replicas["d"] = Replica("d", (1, "x"), (1, "x"), half_made)
-    for settled, members in ((config(founded("abc")), config(half_made)),
-                             (config(half_made), (3, ("a", "b", "c", "d"), ()))):
-        proposal = Proposal((2, "d#1"), half_made, (NEVER, Value()), changes.settle, settled)
+    half_made = changes.add("d", Membership.of(founded("abc")))(founded("abc"))
+    replicas = {name: AcceptorState(name, value=founded("abc")) for name in "abd"}
+    replicas["d"] = AcceptorState("d", Ballot(1, "x"), Ballot(1, "x"), half_made)
+    for settled, members in (
+        (Membership.of(founded("abc")), Membership.of(half_made)),
+        (Membership.of(half_made), Membership(3, ("a", "b", "c", "d"), (), ("a", "b", "c"))),
+    ):
+        proposal = Proposal(Ballot(2, "d#1"), half_made, (NEVER, ClusterState()), changes.settle, settled)
         for name, replica in replicas.items():
             proposal.promise(name, replica.prepare(proposal.prepare())[1])
-        assert proposal.value is not None and config(proposal.value) == members
+        assert proposal.value is not None and Membership.of(proposal.value) == members
--- a/tests/system/data/choice_rig.py
+++ b/tests/system/data/choice_rig.py
@@ -6,7 +6,7 @@
 
 from hallhitch.planes.data.choice import Choice, Run, Settings
 from hallhitch.planes.data.ports import Ask, Outcome, Send, Step
-from hallhitch.planes.values import Backend, Gateway, Limits, Route, Service, Word
+from hallhitch.planes.values import Backend, ClusterConfig, Gateway, Limits, Route, Service
 
 ZONES = {"a1": "a", "a2": "a", "b1": "b"}
 START = 20_000.0  # ms: past the first window, so that the slack counts
@@ -28,9 +28,9 @@
     return Gateway(name, name, 1, "edge", zone, ZONES[zone], "x", True)
 
 
-def word(evacuated: frozenset[str] = frozenset(), service: Service = SERVICE) -> Word:
+def word(evacuated: frozenset[str] = frozenset(), service: Service = SERVICE) -> ClusterConfig:
     """A word with the one service."""
-    return Word(1, 1, {}, {"s": service}, {}, {}, Limits(), evacuated)
+    return ClusterConfig(1, 1, {}, {"s": service}, {}, {}, Limits(), evacuated)
 
 
 class Rig:
@@ -41,7 +41,7 @@
         own = gateways[0]
         settings = Settings(own.name, own.zone, own.region, ZONES, 0.2, 10_000.0, slack, 1.5, 5.0, 800.0)
         self.choice, self.entries = Choice(settings, Random(seed)), list(entries)
-        self.choice.word(0.0, word(evacuated))
+        self.choice.config(0.0, word(evacuated))
         self.choice.gateways(0.0, own.name, gateways)
         self.choice.backends(0.0, self.entries)
         self.choice.begin(0.0, self.ask(0.0))  # the window of the budget begins
--- a/tests/system/data/front_rig.py
+++ b/tests/system/data/front_rig.py
@@ -14,7 +14,7 @@
 from hallhitch.node.settings import Bounds, Node
 from hallhitch.planes.data.plane import DataPlane
 from hallhitch.planes.data.ports import Ask, Exchange, Fail, Hold, Outcome, Refuse, Send, Step
-from hallhitch.planes.values import Backend, Gateway, Limits, Route, Service, Taken, Tenant, Word
+from hallhitch.planes.values import Backend, ClusterConfig, Gateway, Limits, Route, Service, Taken, Tenant
 
 SEAL = b"Hallhitch-Response-Seal: s\r\n"
 Script = Callable[["Peer"], Awaitable[None]]
@@ -37,9 +37,9 @@
     return Route(**given)
 
 
-def word(*routes: Route, tenants: Sequence[Tenant] = (), limits: Limits | None = None) -> Word:
+def word(*routes: Route, tenants: Sequence[Tenant] = (), limits: Limits | None = None) -> ClusterConfig:
     """A configuration with these routes, all of one host."""
-    return Word(
+    return ClusterConfig(
         1, 1, {"shop.example": tuple(routes)}, {"shop": Service("shop", "/health", 40, 0.0, 0.0)},
         {t.name: t for t in tenants}, {key: t for t in tenants for key in t.keys}, limits or Limits())
 
@@ -64,7 +64,7 @@
     def gateways(self, now: float, own: str, entries: Sequence[Gateway]) -> None:
         pass
 
-    def word(self, now: float, word: Word) -> None:
+    def config(self, now: float, config: ClusterConfig) -> None:
         pass
 
     def begin(self, now: float, ask: Ask) -> Exchange:
@@ -235,7 +235,7 @@
     def wrap(test: Callable[..., Coroutine[Any, Any, None]]) -> Callable[..., None]:
         async def whole(**arguments: Any) -> None:
             rig = Rig(**given)
-            rig.plane.set_word(word(route()))
+            rig.plane.set_config(word(route()))
             await rig.plane.start()
             try:
                 async with asyncio.timeout(20):
--- a/tests/system/data/test_attempts_connections.py
+++ b/tests/system/data/test_attempts_connections.py
@@ -31,7 +31,7 @@
 
 @rigged()
 async def test_an_unsafe_request_is_not_written_to_a_connection_that_rested(rig: Rig) -> None:
-    rig.plane.set_word(word(route("non_idempotent", prefix="/once/"), route()))
+    rig.plane.set_config(word(route("non_idempotent", prefix="/once/"), route()))
     backend = Asked(says())
     await rig.backend("b-1", backend)
     await rig.ask(get())
@@ -61,7 +61,7 @@
         if late:
             peer.write(behind)
 
-    rig.plane.set_word(word(route("non_idempotent")))
+    rig.plane.set_config(word(route("non_idempotent")))
     await rig.backend("b-1", script)
     client = await rig.client()
     for _ in range(2):
