--- a/tests/system/data/test_attempts_outcomes.py
+++ b/tests/system/data/test_attempts_outcomes.py
@@ -51,7 +51,7 @@
     await rig.backend("b-2", good)
     assert (await rig.ask(get()))[2] == b"well"
     assert rig.decisions.told == [("b-1", outcome), ("b-2", Outcome.OK)]
-    rig.plane.set_word(word(route("non_idempotent"), tenants=LIMITED))
+    rig.plane.set_config(word(route("non_idempotent"), tenants=LIMITED))
     first, fields, body = await rig.ask(get(method="POST", body=b"x", more=KEYED))
     assert (len(bad.seen), len(good.seen)) == (2, 1) and not rig.count.back
     assert first.split()[1] == (b"500" if body == b"own" and then is BAD[-2][0] else b"502")
@@ -66,7 +66,7 @@
 @rigged()
 async def test_what_never_ran_goes_elsewhere_and_then_back_to_its_client(
         rig: Rig, then: Callable[[Peer], None], outcome: Outcome) -> None:
-    rig.plane.set_word(word(route("non_idempotent"), tenants=LIMITED))
+    rig.plane.set_config(word(route("non_idempotent"), tenants=LIMITED))
     declines, good = Asked(then), Asked(says(b"well"))
     await rig.backend("b-1", declines)
     asked = get(method="POST", body=b"x", more=KEYED)
@@ -80,7 +80,7 @@
 
 @rigged()
 async def test_a_dead_port_is_no_attempt(rig: Rig) -> None:
-    rig.plane.set_word(word(route("non_idempotent", attempts=1)))
+    rig.plane.set_config(word(route("non_idempotent", attempts=1)))
     await rig.backend("b-1", Asked(says(b"well")))
     rig._servers[0].close()
     await rig.backend("b-2", Asked(says(b"well")))
@@ -130,7 +130,7 @@
 
 @rigged()
 async def test_at_its_end_a_request_that_is_out_is_504_and_one_never_sent_503(rig: Rig) -> None:
-    rig.plane.set_word(word(route("non_idempotent"), tenants=LIMITED))
+    rig.plane.set_config(word(route("non_idempotent"), tenants=LIMITED))
     await rig.backend("b-1", Asked(says(), held=True))
     more = "Hallhitch-Deadline-Remaining: 60\r\n" + KEYED
     assert (await rig.ask(get(method="POST", more=more)))[0].split()[1] == b"504"
--- a/tests/system/news/test_feed.py
+++ b/tests/system/distribution/test_feed.py
@@ -2,8 +2,8 @@
 
 import random
 
-from hallhitch.planes.news import feed as module
-from hallhitch.planes.news.feed import Feed, Followed
+from hallhitch.planes.distribution import feed as module
+from hallhitch.planes.distribution.feed import Feed, Followed
 
 
 def follow(feed: Feed[int], follower: Followed[int]) -> None:
--- a/tests/system/news/test_knowledge.py
+++ b/tests/system/distribution/test_knowledge.py
@@ -10,10 +10,10 @@
 from hallhitch.node.errors import Silent
 from hallhitch.planes.discovery.directory import nearest
 from hallhitch.planes.discovery.listing import Listed, due, read_page, settle, turn
-from hallhitch.planes.discovery.roster import SILENCE, Roster, united
-from hallhitch.planes.news.following import Follower, Source, rendezvous
-from hallhitch.planes.news.hub import Hub
-from hallhitch.planes.news.wording import read_word
+from hallhitch.planes.discovery.registry import SILENCE, Registry, united
+from hallhitch.planes.distribution.config_compiler import compile_config
+from hallhitch.planes.distribution.following import GatewaySync, Source, rendezvous
+from hallhitch.planes.distribution.hub import StateHub
 from hallhitch.planes.values import Gateway
 
 
@@ -25,30 +25,30 @@
     return Listed(instance, "s", "10.0.0.1", 80, "z", 3, draining, cold)
 
 
-def answer(hub: Hub, source: Source, at: Hub) -> News:
+def answer(hub: StateHub, source: Source, at: StateHub) -> News:
     pull = source.pull(gateway("me"), at, 0.0, False)
-    return hub.news(Pull.FromString(pull.SerializeToString())) or News(life=hub.life, list_age=1.0)
+    return hub.news(Pull.FromString(pull.SerializeToString())) or News(incarnation=hub.incarnation, list_age=1.0)
 
 
 def test_words_go_forward_through_whoever_is_asked() -> None:
     for seed in range(200):
         rng = random.Random(seed)
-        hubs = [Hub(n + 1) for n in range(3)]
-        me, sources = Hub(9), [Source(str(n)) for n in range(3)]
+        hubs = [StateHub(n + 1) for n in range(3)]
+        me, sources = StateHub(9), [Source(str(n)) for n in range(3)]
         seen = 0
         for serial in range(1, 30):
             for hub in hubs:  # each hears of a change, or is cut off and does not
                 if rng.random() < 0.5:
-                    hub.take_word(serial, serial * 3, b"", [])
+                    hub.take_config(serial, serial * 3, b"", [])
             n = rng.randrange(3)
             sources[n].take(answer(hubs[n], sources[n], me), me, True)
-            assert me.word.serial >= seen
-            seen = me.word.serial
+            assert me.config.serial >= seen
+            seen = me.config.serial
         assert seen > 20
 
 
 def test_an_older_list_of_backends_does_not_replace_a_newer_one() -> None:
-    fresh, stale, me = Hub(1), Hub(2), Hub(3)
+    fresh, stale, me = StateHub(1), StateHub(2), StateHub(3)
     fresh.take_list(now() - 50, [listed("a", draining=True)])
     stale.take_list(now() - 5000, [listed("a"), listed("b")])
     one, two = Source("1"), Source("2")
@@ -65,8 +65,15 @@
 
 
 def test_a_page_is_read_in_both_shapes_and_a_broken_one_is_said() -> None:
-    row = {"targetService": "s", "address": "10.0.0.9:8080", "zone": "z", "slotCount": 6, "state": "draining",
-           "coldRemaining": "1500ms", "instanceId": "i-1"}
+    row = {
+        "targetService": "s",
+        "address": "10.0.0.9:8080",
+        "zone": "z",
+        "slotCount": 6,
+        "state": "draining",
+        "coldRemaining": "1500ms",
+        "instanceId": "i-1",
+    }
     columns = {"instances": {"columnNames": list(row), "rowValues": [list(row.values())]}, "nextPageToken": "p-50"}
     for table in (columns, {"instances": [row], "nextPageToken": "p-50"}):
         page = read_page(json.dumps(table).encode(), 100.0)
@@ -88,18 +95,23 @@
 
 
 def test_silent_processes_go_and_the_leaving_are_leaving_for_all() -> None:
-    roster = Roster()
-    roster.hear(0.0, gateway("a"))
-    roster.hear(1000.0, gateway("b"))
-    roster.forget_silent(SILENCE + 1)
-    assert set(roster.entries) == {"b:1"}
-    union = united(roster.entries, [{"b:1": gateway("b", leaving=True)}, {"c:1": gateway("c")}])
+    registry = Registry()
+    registry.hear(0.0, gateway("a"))
+    registry.hear(1000.0, gateway("b"))
+    registry.forget_silent(SILENCE + 1)
+    assert set(registry.entries) == {"b:1"}
+    union = united(registry.entries, [{"b:1": gateway("b", leaving=True)}, {"c:1": gateway("c")}])
     assert union["b:1"].leaving and "c:1" in union
 
 
 def test_clients_are_sent_to_gateways_of_their_region_and_further_only_where_these_are_few() -> None:
-    there = [gateway("a1", "a"), gateway("a2", "a"), gateway("b1", "b"), gateway("a3", "a", leaving=True),
-             gateway("a4", "a", ready=False)]
+    there = [
+        gateway("a1", "a"),
+        gateway("a2", "a"),
+        gateway("b1", "b"),
+        gateway("a3", "a", leaving=True),
+        gateway("a4", "a", ready=False),
+    ]
     assert [g.name for g in nearest(there, "a", "", {})] == ["a1", "a2"]
     assert [g.name for g in nearest(there, "b", "", {})] == ["b1", "a1", "a2"]
     assert [g.name for g in nearest(there, "", "a-z", {"a-z": "a"})] == ["a1", "a2"]
@@ -117,14 +129,28 @@
 
 
 def test_the_longest_prefix_of_a_host_is_its_route() -> None:
-    table = {"configVersion": 3, "services": {"s": {"coldStart": "3s", "coldPerS": 10.0, "new": 1}, "t": {}},
-             "routes": {"r": {"host": "H.example", "pathPrefix": "/a/", "routeKind": "non_idempotent",
-                              "timeout": "2s", "targetService": "s", "maxAttempts": 2},
-                        "q": {"host": "h.example", "pathPrefix": "/a/b/", "timeout": "500ms",
-                              "trafficSplit": [{"targetService": "s", "weight": 9},
-                                               {"targetService": "t", "weight": 1}]}},
-             "tenants": {"n": {"apiKeys": ["k1", "k2"], "ratePerS": 5, "burstSize": 7, "allowedRegions": ["a"]}}}
-    word = read_word(1, 3, zlib.compress(json.dumps(table).encode()), ["z"])
+    table = {
+        "configVersion": 3,
+        "services": {"s": {"coldStart": "3s", "coldPerS": 10.0, "new": 1}, "t": {}},
+        "routes": {
+            "r": {
+                "host": "H.example",
+                "pathPrefix": "/a/",
+                "routeKind": "non_idempotent",
+                "timeout": "2s",
+                "targetService": "s",
+                "maxAttempts": 2,
+            },
+            "q": {
+                "host": "h.example",
+                "pathPrefix": "/a/b/",
+                "timeout": "500ms",
+                "trafficSplit": [{"targetService": "s", "weight": 9}, {"targetService": "t", "weight": 1}],
+            },
+        },
+        "tenants": {"n": {"apiKeys": ["k1", "k2"], "ratePerS": 5, "burstSize": 7, "allowedRegions": ["a"]}},
+    }
+    word = compile_config(1, 3, zlib.compress(json.dumps(table).encode()), ["z"])
     found = word.route("h.example", "/a/b/c")
     assert found is not None and found.name == "q" and found.split == (("s", 9.0), ("t", 1.0)) and found.repeatable
     found = word.route("h.example", "/a/c")
@@ -136,7 +162,7 @@
 class Peers:
     """Hubs at addresses, in place of the links to them."""
 
-    def __init__(self, hubs: dict[str, Hub]) -> None:
+    def __init__(self, hubs: dict[str, StateHub]) -> None:
         self.hubs = hubs
 
     async def call(self, address: str, envelope: Envelope, wait: float) -> Envelope:
@@ -148,12 +174,16 @@
 
 
 def test_a_gateway_takes_the_word_from_another_where_the_core_has_no_majority() -> None:
-    lonely, other, me = Hub(1), Hub(2), Hub(3)
+    lonely, other, me = StateHub(1), StateHub(2), StateHub(3)
     lonely.lonely = True
     lonely.set_gateways({"other:1": gateway("other")})
-    other.take_word(7, 21, b"", ["z"])
+    other.take_config(7, 21, b"", ["z"])
     other.take_list(now(), [listed("a")])
-    follower = Follower(Peers({"core:1": lonely, "other:1": other}), me, lambda: gateway("me"),  # type: ignore[arg-type]
-                        ["core:1"])
+    follower = GatewaySync(
+        Peers({"core:1": lonely, "other:1": other}),
+        me,
+        lambda: gateway("me"),
+        ["core:1"],
+    )
     assert asyncio.run(follower._round(["gone:1", "core:1"]))
-    assert me.word.serial == 7 and list(me.word.evacuated) == ["z"] and len(me.backends) == 1
+    assert me.config.serial == 7 and list(me.config.evacuated) == ["z"] and len(me.backends) == 1
--- a/tests/system/node/test_link.py
+++ b/tests/system/node/test_link.py
@@ -34,14 +34,16 @@
 
         server, caller = Links("x", handle), Links("x")
         address = await serving(server)
-        answers = await asyncio.gather(*(
-            caller.call(address, Envelope(count=Count(tenant=str(n))), 10_000) for n in range(3)))
+        answers = await asyncio.gather(
+            *(caller.call(address, Envelope(count=Count(tenant=str(n))), 10_000) for n in range(3))
+        )
         assert [a.counted.total for a in answers] == [0, 1, 2]
         assert len(server.incoming) == 1
         assert (caller.sent, caller.received) == (server.received, server.sent) and caller.sent > 0 < caller.received
         assert caller.frames_sent == caller.frames_received == 3 == server.frames_received
         caller.close()
         server.close()
+
     run(test())
 
 
@@ -61,6 +63,7 @@
         with pytest.raises(Silent):
             await caller.call(address, Envelope(count=Count()), 10_000)
         caller.close()
+
     run(test())
 
 
@@ -81,4 +84,5 @@
         assert server.spoilt.count == 4
         other.close()
         server.close()
+
     run(test())
--- a/tests/system/node/test_settings.py
+++ b/tests/system/node/test_settings.py
@@ -46,18 +46,21 @@
     assert node.listen["frontend"] == ("127.1.0.13", 8388) and node.data is None
 
 
-@pytest.mark.parametrize(("old", "new", "names"), [
-    ('nodeName = "edge-1"', "", "nodeName"),
-    ('nodeName = "edge-1"', "nodeName = 7", "nodeName"),
-    ("[7560, 7575]", "[7575]", "internalPortRange"),
-    ("[7560, 7575]", "[7575, 7560]", "internalPortRange"),
-    ('"127.1.0.15:8381"', '"127.1.0.15"', "seedNodes"),
-    ('"2.5s"', '"2.5 s"', "bounds.drainTimeout"),
-    ("retryBudgetRatio = 0.2", "retryBudgetRatio = -1", "bounds.retryBudgetRatio"),
-    ('frontend = "127.1.0.13:8388"', 'frontend = "127.1.0.13:99999"', "listenAddresses.frontend"),
-    ("firstStart = true", "firstStart = 1", "firstStart"),
-    ("[zones]", "[zones", "TOML"),
-])
+@pytest.mark.parametrize(
+    ("old", "new", "names"),
+    [
+        ('nodeName = "edge-1"', "", "nodeName"),
+        ('nodeName = "edge-1"', "nodeName = 7", "nodeName"),
+        ("[7560, 7575]", "[7575]", "internalPortRange"),
+        ("[7560, 7575]", "[7575, 7560]", "internalPortRange"),
+        ('"127.1.0.15:8381"', '"127.1.0.15"', "seedNodes"),
+        ('"2.5s"', '"2.5 s"', "bounds.drainTimeout"),
+        ("retryBudgetRatio = 0.2", "retryBudgetRatio = -1", "bounds.retryBudgetRatio"),
+        ('frontend = "127.1.0.13:8388"', 'frontend = "127.1.0.13:99999"', "listenAddresses.frontend"),
+        ("firstStart = true", "firstStart = 1", "firstStart"),
+        ("[zones]", "[zones", "TOML"),
+    ],
+)
 def test_what_cannot_be_used_is_named_with_its_file(tmp_path: Path, old: str, new: str, names: str) -> None:
     path = tmp_path / "s.toml"
     path.write_text(GOOD.replace(old, new))
--- a/tests/system/quota/fleet.py
+++ b/tests/system/quota/fleet.py
@@ -14,11 +14,11 @@
 
 import simpy
 
-from hallhitch.planes.quota.claimer import Claimer
-from hallhitch.planes.quota.holder import Holder
+from hallhitch.planes.quota.holder import LeaseHolder
 from hallhitch.planes.quota.lease import Asked, LeaseTable
+from hallhitch.planes.quota.lease_client import LeaseClient
 from hallhitch.planes.quota.limits import Quota, bucket_of
-from hallhitch.planes.quota.reserve import Reserve
+from hallhitch.planes.quota.local_allowance import LocalAllowance
 
 QUOTA = Quota(5000.0, 0.1, 20.0)
 
@@ -37,18 +37,18 @@
 
 @dataclass
 class Process:
-    """What can be killed, frozen and cut off; `life` is 0 while it is down."""
+    """What can be killed, frozen and cut off; `incarnation` is 0 while it is down."""
 
     name: str
     clock: Clock
-    life: int = 0
+    incarnation: int = 0
     frozen_until: float = 0.0
     died: float = 0.0
     side: int = 0
     table: LeaseTable | None = None
-    claimer: Claimer | None = None
-    holder: Holder | None = None
-    reserve: Reserve | None = None
+    lease_client: LeaseClient | None = None
+    holder: LeaseHolder | None = None
+    reserve: LocalAllowance | None = None
 
 
 def most(times: list[float], window: float) -> int:
@@ -66,8 +66,8 @@
         self.by_holders: dict[str, list[float]] = {}
         self.refused: dict[str, list[float]] = {}
         self.alone = 0
-        self._lives = 0
-        self._noted = gateways if self.rng.random() < 0.5 else 0  # what the operator's word says of their number
+        self._incarnations = 0
+        self._noted = gateways if self.rng.random() < 0.5 else 0  # what the cluster configuration says of their number
         self.doors = [self._process(f"10.0.0.{n}:7000") for n in range(gateways)]
         self.core = [self._process(f"10.1.0.{n}:7000") for n in range(coordinators)]
         self.members = [process.name for process in self.core]
@@ -88,41 +88,41 @@
 
     def start(self, process: Process) -> None:
         """Start it empty."""
-        self._lives += 1
-        process.life = self._lives
+        self._incarnations += 1
+        process.incarnation = self._incarnations
         now = process.clock()
         if process in self.core:
-            process.table = LeaseTable(process.life, now)
+            process.table = LeaseTable(process.incarnation, now)
             process.table.set_members(now, self.members)
             return
-        process.holder = Holder(QUOTA, process.life)
-        process.reserve = Reserve(QUOTA, now)
+        process.holder = LeaseHolder(QUOTA, process.incarnation)
+        process.reserve = LocalAllowance(QUOTA, now)
         process.reserve.note(self._noted)
         if self.calm or self.seed % 3:  # else nothing is noted yet
             process.reserve.note(math.ceil(len(self.doors) * 1.1))
-        process.claimer = Claimer(process.name, process.life, QUOTA.window, process.holder.begin)
-        process.claimer.set_members(now, self.members)
+        process.lease_client = LeaseClient(process.name, process.incarnation, QUOTA.window, process.holder.begin)
+        process.lease_client.set_members(now, self.members)
         self.look(process)
-        self._beat(process, process.life)
+        self._beat(process, process.incarnation)
 
     def kill(self, process: Process, down: float) -> None:
         """End it, and start it again after so many ms."""
-        if process.life:
-            process.life, process.frozen_until, process.died = 0, 0.0, self.env.now
+        if process.incarnation:
+            process.incarnation, process.frozen_until, process.died = 0, 0.0, self.env.now
             self.later(down, lambda: self.start(process))
 
-    def run_in(self, process: Process, life: int, what: Callable[[], None]) -> None:
-        """Something happens within this life of a process; while it is frozen it waits."""
-        if process.life != life:
+    def run_in(self, process: Process, incarnation: int, what: Callable[[], None]) -> None:
+        """Something happens within this incarnation of a process; while it is frozen it waits."""
+        if process.incarnation != incarnation:
             return
         if self.env.now < process.frozen_until:
             wait = process.frozen_until - self.env.now + self.rng.random()
-            self.later(wait, lambda: self.run_in(process, life, what))
+            self.later(wait, lambda: self.run_in(process, incarnation, what))
         else:
             what()
 
     def send(self, source: Process, target: Process, what: Callable[[], None], doubled: bool = True) -> None:
-        """A message: it may be lost, late, or come twice; it reaches whatever life is there when it comes."""
+        """A message: it may be lost, late, or come twice; it reaches whatever incarnation is there when it comes."""
         if source.side != target.side:
             return
         times = 1
@@ -133,31 +133,33 @@
             if self.rng.random() < 0.04:
                 longest = 2500.0
         for _ in range(times):
-            self.later(self.rng.uniform(0.5, longest), lambda: self.run_in(target, target.life or -1, what))
+            self.later(self.rng.uniform(0.5, longest), lambda: self.run_in(target, target.incarnation or -1, what))
 
     def leave(self, process: Process) -> None:
         """A gateway ends in order: it lets its buckets go, and is gone a little later."""
-        life = process.life
-        if life and process.claimer is not None:
-            process.claimer.leave(process.clock())
+        incarnation = process.incarnation
+        if incarnation and process.lease_client is not None:
+            process.lease_client.leave(process.clock())
             self.claim(process)
-            self.later(1000, lambda: self.kill(process, 300.0) if process.life == life else None)
+            self.later(1000, lambda: self.kill(process, 300.0) if process.incarnation == incarnation else None)
 
     def change_members(self) -> None:
         """One member joins or goes; everybody hears of it at another time."""
         names = [process.name for process in self.core]
-        spare = [name for name in names if name not in self.members]
-        if spare and self.rng.random() < 0.6:
-            self.members = [*self.members, spare[0]]
+        over_share = [name for name in names if name not in self.members]
+        if over_share and self.rng.random() < 0.6:
+            self.members = [*self.members, over_share[0]]
         elif len(self.members) > 2:
             self.members = self.members[1:]
         for process in self.doors + self.core:
-            self.later(self.rng.uniform(0, 1200), partial(self.run_in, process, process.life or -1, partial(
-                self._told_members, process)))
+            self.later(
+                self.rng.uniform(0, 1200),
+                partial(self.run_in, process, process.incarnation or -1, partial(self._told_members, process)),
+            )
 
     def _told_members(self, process: Process) -> None:
         """It learns the newest list."""
-        told = process.table or process.claimer
+        told = process.table or process.lease_client
         assert told is not None
         told.set_members(process.clock(), self.members)
 
@@ -165,47 +167,57 @@
 
     def look(self, process: Process) -> None:
         """A gateway hears who is there and who holds what, by one coordinator's word, which may be wrong."""
-        assert process.claimer is not None and process.reserve is not None
+        assert process.lease_client is not None and process.reserve is not None
         # Who has died is listed for a while.
-        now, live = process.clock(), [door for door in self.doors if door.life or self.env.now < door.died + 3000]
+        now, live = (
+            process.clock(),
+            [door for door in self.doors if door.incarnation or self.env.now < door.died + 3000],
+        )
         seen = [door.name for door in live if self.calm or self.rng.random() > 0.1 or door is process]
-        process.claimer.set_gateways(now, seen)
+        process.lease_client.set_gateways(now, seen)
         process.reserve.heard(now, len(seen), False)
         teller = self.rng.choice(self.core)
-        if teller.life and teller.side == process.side and teller.table is not None:
-            process.claimer.set_holders(now, teller.table.holders(teller.clock()))
+        if teller.incarnation and teller.side == process.side and teller.table is not None:
+            process.lease_client.set_holders(now, teller.table.holders(teller.clock()))
 
-    def _beat(self, process: Process, life: int) -> None:
+    def _beat(self, process: Process, incarnation: int) -> None:
         """The loop that claims."""
+
         def beat() -> None:
             if self.rng.random() < (1.0 if self.calm else 0.5):
                 self.look(process)
             self.claim(process)
-            self.later(self.rng.uniform(300, 500), lambda: self.run_in(process, life, beat))
-        self.later(self.rng.uniform(0, 300), lambda: self.run_in(process, life, beat))
+            self.later(self.rng.uniform(300, 500), lambda: self.run_in(process, incarnation, beat))
+
+        self.later(self.rng.uniform(0, 300), lambda: self.run_in(process, incarnation, beat))
 
     def claim(self, process: Process) -> None:
         """One claim to every member."""
-        claimer, holder = process.claimer, process.holder
-        assert claimer is not None and holder is not None
+        lease_client, holder = process.lease_client, process.holder
+        assert lease_client is not None and holder is not None
         now = process.clock()
-        asked = claimer.round(now, lambda bucket: holder.busy(bucket, now), lambda bucket: holder.account(bucket, now))
+        asked = lease_client.round(
+            now, lambda bucket: holder.busy(bucket, now), lambda bucket: holder.account(bucket, now)
+        )
         for member in self.core:
-            addressed = replace(asked, to=claimer.life_of(member.name))
-            self.send(process, member, partial(self._vote, process, process.life, member, addressed))
+            addressed = replace(asked, to=lease_client.incarnation_of(member.name))
+            self.send(process, member, partial(self._vote, process, process.incarnation, member, addressed))
 
-    def _vote(self, process: Process, life: int, member: Process, asked: Asked) -> None:
+    def _vote(self, process: Process, incarnation: int, member: Process, asked: Asked) -> None:
         assert member.table is not None
         votes = member.table.claim(member.clock(), asked)
 
         def answered() -> None:
-            assert process.claimer is not None and process.reserve is not None
-            # An answer reaches the life that asked: its connection died with the others.
-            if process.life != life:
+            assert process.lease_client is not None and process.reserve is not None
+            # An answer reaches the incarnation that asked: its connection died with the others.
+            if process.incarnation != incarnation:
                 return
-            if process.claimer.answered(process.clock(), member.name, asked.number, votes):
-                self.later(self.rng.uniform(0, 5), lambda: self.run_in(process, life, lambda: self.claim(process)))
-            process.reserve.heard(process.clock(), process.claimer.seen, True)
+            if process.lease_client.answered(process.clock(), member.name, asked.number, votes):
+                self.later(
+                    self.rng.uniform(0, 5), lambda: self.run_in(process, incarnation, lambda: self.claim(process))
+                )
+            process.reserve.heard(process.clock(), process.lease_client.seen, True)
+
         self.send(member, process, answered)
 
     # --- requests
@@ -213,43 +225,47 @@
     def holder_of(self, tenant: str) -> Process | None:
         """Whoever holds the tenant's bucket by its own clock; two would be an error of the leases."""
         bucket = bucket_of(tenant)
-        held = [door for door in self.doors
-                if door.life and door.claimer is not None and door.claimer.holds(door.clock(), bucket)]
+        held = [
+            door
+            for door in self.doors
+            if door.incarnation and door.lease_client is not None and door.lease_client.holds(door.clock(), bucket)
+        ]
         assert len(held) < 2, f"two hold {tenant} at {self.env.now}"
         return held[0] if held else None
 
     def request(self, tenant: str, rate: float, burst: float, door: Process, never_runs: float = 0.0) -> None:
         """A request comes to a gateway: the holder is asked, or the reserve where there is none or it is silent."""
-        if not door.life or self.env.now < door.frozen_until:
+        if not door.incarnation or self.env.now < door.frozen_until:
             return
-        target, life = self.holder_of(tenant), door.life
+        target, incarnation = self.holder_of(tenant), door.incarnation
         if target is None or target.side != door.side or (not self.calm and self.rng.random() < 0.03):
             return self.take_alone(tenant, rate, burst, door)
 
         def asked() -> None:
-            assert target.claimer is not None and target.holder is not None
+            assert target.lease_client is not None and target.holder is not None
             now = target.clock()
-            if not target.claimer.holds(now, bucket_of(tenant)):
+            if not target.lease_client.holds(now, bucket_of(tenant)):
                 return
             told = target.holder.add(now, tenant, 1, rate, burst)
-            if told.over and self.calm and not told.spare:
+            if told.over and self.calm and not told.over_share:
                 insort(self.refused.setdefault(tenant, []), self.env.now)
             elif told.over:  # a disturbed fleet's callers use their reserves even where they are told not to
-                if door.life == life and self.env.now >= door.frozen_until:
+                if door.incarnation == incarnation and self.env.now >= door.frozen_until:
                     self.take_alone(tenant, rate, burst, door)
             elif self.rng.random() < never_runs:
                 self.send(door, target, lambda: self._back(target, tenant, told.slot), doubled=False)
             else:
                 insort(self.by_holders.setdefault(tenant, []), float(self.env.now))
                 self.pass_one(tenant)
+
         if target is door:
             asked()
         else:
             self.send(door, target, asked)
 
     def _back(self, target: Process, tenant: str, slot: int) -> None:
-        assert target.claimer is not None and target.holder is not None
-        if target.claimer.holds(target.clock(), bucket_of(tenant)):
+        assert target.lease_client is not None and target.holder is not None
+        if target.lease_client.holds(target.clock(), bucket_of(tenant)):
             target.holder.give_back(target.clock(), tenant, 1, slot)
 
     def take_alone(self, tenant: str, rate: float, burst: float, door: Process) -> None:
@@ -275,7 +291,9 @@
 
     def load(self, tenant: str, rate: float, burst: float, gap: float, never_runs: float = 0.0) -> None:
         """Requests of a tenant at random gateways, `gap` ms apart on average, from now on."""
+
         def one() -> None:
             self.request(tenant, rate, burst, self.rng.choice(self.doors), never_runs)
             self.later(self.rng.expovariate(1 / gap), one)
+
         one()
--- a/tests/system/quota/test_caller.py
+++ b/tests/system/quota/test_caller.py
@@ -8,7 +8,7 @@
 from hallhitch.planes.quota.caller import AWAY, FIRST, CounterClient
 from hallhitch.planes.quota.holder import Sum
 from hallhitch.planes.quota.limits import BUCKETS, Quota
-from hallhitch.planes.quota.reserve import Reserve
+from hallhitch.planes.quota.local_allowance import LocalAllowance
 from hallhitch.planes.values import Tenant
 from tests.system.quota.virtual import VirtualLoop, Wires, run
 
@@ -35,7 +35,7 @@
 
 def client(loop: VirtualLoop, wires: Wires, gateways: int = 9) -> tuple[CounterClient, int]:
     """A caller whose reserve is open, and the units that it has."""
-    reserve = Reserve(QUOTA, loop.now() - 6000)
+    reserve = LocalAllowance(QUOTA, loop.now() - 6000)
     reserve.heard(loop.now(), gateways, True)
     made = CounterClient("me", wires, Nothing(), reserve, loop.now)
     made.set_holders(dict.fromkeys(range(BUCKETS), "holder"))
@@ -52,7 +52,7 @@
         counter.give_back(taken)
         await asyncio.sleep(1)
         assert (wires.calls[1][1].count.units, wires.calls[1][1].count.slot) == (-1, 7)
-        wires.handlers["holder"] = lambda _: Envelope(counted=Counted(held=True, over=True, spare=True, wait=420))
+        wires.handlers["holder"] = lambda _: Envelope(counted=Counted(held=True, over=True, over_share=True, wait=420))
         told = [await counter.take(TENANT, 1000.0) for _ in range(own + 1)]
         assert [one.passed for one in told] == [True] * own + [False]  # its own reserve on top, no more
         assert told[-1].after == 420 and not told[-1].silent
@@ -61,6 +61,7 @@
         again = await counter.take(TENANT, 1000.0)
         assert not again.passed and again.after == 250  # over its limit: no reserve, and no way back at once
         assert (await counter.take(FREE, 1000.0)).passed
+
     run(main)
 
 
@@ -69,9 +70,11 @@
         wires = Wires()
         counter, _ = client(loop, wires)
         wires.handlers["holder"] = lambda asked: Envelope(
-            counted=Counted(held=True, unknown=not asked.count.rate, slot=1))
+            counted=Counted(held=True, unknown=not asked.count.rate, slot=1)
+        )
         assert (await counter.take(TENANT, 1000.0)).passed
         assert [asked.count.rate for _, asked in wires.calls] == [0.0, 10.0]
+
     run(main)
 
 
@@ -92,6 +95,7 @@
         both = await asyncio.gather(counter.take(TENANT, 1000.0), counter.take(TENANT, 1000.0))
         assert sorted(one.passed for one in both) == [False, True] and len(wires.calls) == 2  # one call tries
         assert (await counter.take(TENANT, 1000.0)).passed and len(wires.calls) == 3
+
     run(main)
 
 
@@ -106,6 +110,7 @@
         counter.set_holders(dict.fromkeys(range(BUCKETS), "other"))
         wires.handlers["other"] = lambda _: Envelope(counted=Counted(held=True))
         assert (await counter.take(TENANT, 1000.0)).passed and len(wires.calls) == 2
+
     run(main)
 
 
@@ -115,7 +120,7 @@
         length, even, rest = QUOTA.reserve(155.0, 155.0, gateways)
         assert (5000 / length) % 1 == 0  # a window that is no whole part would let one more fit in
         assert QUOTA.held(155.0, 155.0) + gateways * (even * (5000 / length) + rest) <= bound
-    reserve = Reserve(QUOTA, 0.0)
+    reserve = LocalAllowance(QUOTA, 0.0)
     reserve.heard(100.0, 9, True)
     assert reserve.take(4000.0, "t", 155.0, 155.0) is None
     reserve.heard(6000.0, 3, False)
@@ -127,10 +132,10 @@
 
 def test_a_noted_fleet_opens_the_reserve_after_one_window_of_its_own() -> None:
     length, limit, _ = QUOTA.reserve(155.0, 155.0, 10)
-    reserve = Reserve(QUOTA, 0.0)
+    reserve = LocalAllowance(QUOTA, 0.0)
     reserve.note(10)
     reserve.heard(100.0, 2, False)
-    assert length < 1000.0 and reserve.take(length, "t", 155.0, 155.0) is None  # its last life may have used it
+    assert length < 1000.0 and reserve.take(length, "t", 155.0, 155.0) is None  # its last incarnation may have used it
     began = length + 100
     assert sum(reserve.take(began, "t", 155.0, 155.0) is not None for _ in range(100)) == int(limit)
     assert reserve.take(began + length - 60, "t", 155.0, 155.0) is None
--- a/tests/system/quota/test_calm.py
+++ b/tests/system/quota/test_calm.py
@@ -26,7 +26,7 @@
 
 
 def test_every_bucket_is_held_once_and_by_many(fleet: Fleet) -> None:
-    held = [door.claimer.held(door.clock()) for door in fleet.doors if door.claimer is not None]
+    held = [door.lease_client.held(door.clock()) for door in fleet.doors if door.lease_client is not None]
     assert sorted(bucket for buckets in held for bucket in buckets) == list(range(128))
     assert max(map(len, held)) < 32
 
--- a/tests/system/quota/test_lease.py
+++ b/tests/system/quota/test_lease.py
@@ -4,42 +4,43 @@
 
 from dataclasses import replace
 
-from hallhitch.planes.quota.claimer import SETTLING, Claimer, newest
 from hallhitch.planes.quota.lease import LEASE, Account, Asked, LeaseTable, Left, members_mark
+from hallhitch.planes.quota.lease_client import SETTLING, LeaseClient, newest
 
 MEMBERS = ["a", "b", "c"]
 BUCKET = 5
 START = 100_000.0
 
 
-def table(started: float, life: int, members: list[str] = MEMBERS) -> LeaseTable:
-    made = LeaseTable(life, started)
+def table(started: float, incarnation: int, members: list[str] = MEMBERS) -> LeaseTable:
+    made = LeaseTable(incarnation, started)
     made.set_members(started, members)
     return made
 
 
-def ask(life: int, number: int, to: int, holder: str = "x", **lists: tuple[int, ...]) -> Asked:
-    return Asked(holder, life, number, members_mark(MEMBERS), to=to, **lists)  # type: ignore[arg-type]
+def ask(incarnation: int, number: int, to: int, holder: str = "x", **lists: tuple[int, ...]) -> Asked:
+    return Asked(holder, incarnation, number, members_mark(MEMBERS), to=to, **lists)  # type: ignore[arg-type]
 
 
 class Gateway:
-    """A claimer of one bucket that talks to whichever tables it is let."""
+    """A lease_client of one bucket that talks to whichever tables it is let."""
 
     def __init__(self, name: str, now: float) -> None:
         self.begun: list[tuple[int, float, Left | None]] = []
-        self.claimer = Claimer(name, 1, 5000.0, lambda bucket, others, _, left, __: self.begun.append(
-            (bucket, others, left)))
-        self.claimer.set_members(now, MEMBERS)
-        self.claimer.set_gateways(now - SETTLING, [name])
+        self.lease_client = LeaseClient(
+            name, 1, 5000.0, lambda bucket, others, _, left, __: self.begun.append((bucket, others, left))
+        )
+        self.lease_client.set_members(now, MEMBERS)
+        self.lease_client.set_gateways(now - SETTLING, [name])
 
     def claim(self, now: float, tables: dict[str, LeaseTable], accounts: Account | None = None) -> None:
-        asked = self.claimer.round(now, lambda _: True, lambda _: accounts)
+        asked = self.lease_client.round(now, lambda _: True, lambda _: accounts)
         for name, one in tables.items():
-            votes = one.claim(now, replace(asked, to=self.claimer.life_of(name)))
-            self.claimer.answered(now, name, asked.number, votes)
+            votes = one.claim(now, replace(asked, to=self.lease_client.incarnation_of(name)))
+            self.lease_client.answered(now, name, asked.number, votes)
 
     def holds(self, now: float) -> bool:
-        return self.claimer.holds(now, BUCKET)
+        return self.lease_client.holds(now, BUCKET)
 
 
 def test_a_lease_needs_a_majority_twice_and_ends_by_the_holders_clock() -> None:
@@ -71,13 +72,13 @@
 
 
 def test_a_young_coordinator_votes_only_where_a_lease_runs() -> None:
-    young = table(START, 7)
-    assert young.claim(START + 10, ask(1, 1, 7, take=(BUCKET,))).refused == {BUCKET}
-    assert not young.claim(START + 20, ask(1, 2, 7, renew=(BUCKET,))).refused
-    assert young.claim(START + LEASE + 5, ask(2, 1, 7, "y", take=(BUCKET,))).refused == {BUCKET}
-    votes = young.claim(START + LEASE + 25, ask(2, 2, 7, "y", take=(BUCKET,)))
+    in_grace_period = table(START, 7)
+    assert in_grace_period.claim(START + 10, ask(1, 1, 7, take=(BUCKET,))).refused == {BUCKET}
+    assert not in_grace_period.claim(START + 20, ask(1, 2, 7, renew=(BUCKET,))).refused
+    assert in_grace_period.claim(START + LEASE + 5, ask(2, 1, 7, "y", take=(BUCKET,))).refused == {BUCKET}
+    votes = in_grace_period.claim(START + LEASE + 25, ask(2, 2, 7, "y", take=(BUCKET,)))
     assert not votes.refused and votes.idle == (5,)
-    assert BUCKET not in votes.left  # what x told while it was young may be older than another's
+    assert BUCKET not in votes.left  # what x told while it was in_grace_period may be older than another's
 
 
 def test_what_was_overtaken_or_meant_for_another_life_is_passed_over() -> None:
@@ -102,7 +103,7 @@
     x, y, counted = Gateway("x", START), Gateway("y", START), Account({"t": (3, 1)})
     for step in (0, 10, 20):
         x.claim(START + step, tables, counted)
-    x.claimer.leave(START + 100)
+    x.lease_client.leave(START + 100)
     assert not x.holds(START + 100)
     x.claim(START + 100, tables, counted)
     for step in (110, 120, 130):
@@ -115,4 +116,4 @@
 def test_accounts_count_only_where_all_voters_mean_the_same_holder() -> None:
     one, newer = (Left("x", 1, number, Account({}), False, 0.0) for number in (4, 5))
     assert newest([one, newer]) is newer
-    assert newest([one, None]) is None and newest([one, replace(newer, life=2)]) is None
+    assert newest([one, None]) is None and newest([one, replace(newer, incarnation=2)]) is None
--- a/tests/system/quota/test_plane.py
+++ b/tests/system/quota/test_plane.py
@@ -8,19 +8,37 @@
 from hallhitch.node.settings import Bounds, Node
 from hallhitch.planes.quota.limits import BUCKETS, bucket_of
 from hallhitch.planes.quota.plane import LeaseKeeper, QuotaPlane
-from hallhitch.planes.values import Gateway, Limits, Tenant, Word
+from hallhitch.planes.values import ClusterConfig, Gateway, Limits, Tenant
 from tests.system.quota.virtual import VirtualLoop, Wires, run
 
 TENANT = Tenant("t", ("k",), None, 50.0, 50.0)
-WORD = Word(1, 1, {}, {}, {"t": TENANT}, {"k": TENANT}, Limits())
+WORD = ClusterConfig(1, 1, {}, {}, {"t": TENANT}, {"k": TENANT}, Limits())
 
 
 def node(number: int) -> Node:
     return Node(
-        name=f"edge-{number}", role="gateway", machine_class="edge", serves=frozenset(), ip=f"10.0.0.{number}",
-        zone="z", region="r", ports=(7000, 7000), seeds=(), first_start=True, zones={}, listen={},
-        bounds=Bounds(quota_window=5000.0, quota_over=0.1, quota_slack=20.0), losses=1, memory=300.0, files=1000,
-        data=None, cloud=None, cloud_rate=1.0, cloud_lag=0.0, cluster="")
+        name=f"edge-{number}",
+        role="gateway",
+        machine_class="edge",
+        serves=frozenset(),
+        ip=f"10.0.0.{number}",
+        zone="z",
+        region="r",
+        ports=(7000, 7000),
+        seeds=(),
+        first_start=True,
+        zones={},
+        listen={},
+        bounds=Bounds(quota_window=5000.0, quota_over=0.1, quota_slack=20.0),
+        losses=1,
+        memory=300.0,
+        files=1000,
+        data=None,
+        cloud=None,
+        cloud_rate=1.0,
+        cloud_lag=0.0,
+        cluster="",
+    )
 
 
 class Planes:
@@ -35,7 +53,7 @@
             keeper.set_members(self.keepers)
             self.wires.handlers[address] = keeper.handle
         for one, plane in zip(self.nodes, self.planes, strict=True):
-            plane.set_word(WORD)
+            plane.set_config(WORD)
             plane.set_members(self.keepers)
             self.wires.handlers[one.internal] = plane.handle
 
@@ -43,8 +61,13 @@
         while True:
             keeper = next(iter(self.keepers.values()))
             for plane, one in zip(self.planes, self.nodes, strict=True):
-                plane.set_gateways(one.name, [Gateway(
-                    told.name, told.internal, 1, "edge", "z", "r", f"{told.ip}:80", True) for told in self.nodes])
+                plane.set_gateways(
+                    one.name,
+                    [
+                        Gateway(told.name, told.internal, 1, "edge", "z", "r", f"{told.ip}:80", True)
+                        for told in self.nodes
+                    ],
+                )
                 plane.set_holders(keeper.holders(self.loop.now()))
             await asyncio.sleep(0.1)
 
@@ -70,13 +93,13 @@
         assert sorted(bucket for buckets in held for bucket in buckets) == list(range(BUCKETS)) and all(held)
         assert await fleet.takes(60, 0.01) == 60
         before = len(fleet.wires.calls)
-        holder = next(one.internal for one, buckets in zip(fleet.nodes, held, strict=True)
-                      if bucket_of("t") in buckets)
+        holder = next(one.internal for one, buckets in zip(fleet.nodes, held, strict=True) if bucket_of("t") in buckets)
         await fleet.takes(3, 0.0)
         assert {address for address, asked in fleet.wires.calls[before:] if asked.HasField("count")} <= {holder}
         stranger = Envelope(count=Count(tenant="unheard of"))
         answers = [plane.handle(stranger).counted for plane in fleet.planes]
         assert sum(answer.held and answer.unknown for answer in answers) == 1
+
     run(main)
 
 
@@ -91,6 +114,7 @@
         await fleet.planes[-1].leave()
         assert fleet.planes[-1].held() == []
         assert await fleet.takes(90, 0.03) >= 85
+
     run(main)
 
 
@@ -106,4 +130,5 @@
         await asyncio.sleep(4)
         assert sum(len(plane.held()) for plane in fleet.planes) == BUCKETS
         assert await fleet.takes(30, 0.05) == 30
+
     run(main)
--- a/tests/system/quota/test_window.py
+++ b/tests/system/quota/test_window.py
@@ -27,7 +27,7 @@
         cells = window.cells(now, CELLS, 5000.0 / CELLS)
         for number in range(CELLS):
             late = sum(units for moment, units, _ in added if moment > now - number * 5000.0 / CELLS)
-            assert sum(cells[:number]) >= late or sum(cells[:number + 1]) >= late
+            assert sum(cells[:number]) >= late or sum(cells[: number + 1]) >= late
 
 
 def test_room_comes_back_when_it_says() -> None:
