Members change by one joint change; a coordinator that leaves hands its seat on

Cause: a newcomer was added first and the lost or leaving member removed after 15 s of silence, so for that time an even set bore one loss less; a second, allowed loss left no majority. SIGTERM told the register nothing.

Change: members.target is a pure function from what was observed to the set that there should be, reached by one joint change that is settled at once: a silent or leaving member is swapped for a candidate that holds the state. Times follow from catchUp (members.Timing); upkeep, recovery, contacts and leaving are modules of their own. On SIGTERM the seat and the state go to others within half of gracePeriod. lease_previous stays until votes on leases by the former members have ended. A register is founded alone only where the settings name this machine alone or at a first start without seeds; two foundings that meet are refused by both. A folder older than what the others know, or of another cluster, has no vote. Incarnations and contacts are bounded.

Found by the test of an exchange with losses at every step, present before: where only a leaving member had taken the end of a change, proposers went back and forth between its members and those before them for ever. A proposal now counts what it met among what it found.

Ruled out: growing first (an even set meanwhile).

--- a/hallhitch/planes/control/acceptor.py
+++ b/hallhitch/planes/control/acceptor.py
@@ -92,8 +92,8 @@
         if store is None:
             return None
         await self._run(lambda: found.append(store.load()))
-        for note in found[0].notes:
-            self._log.warning(note)
+        if found[0].notes:
+            self._log.warning("; ".join(found[0].notes))
         held = found[0].replica
         if held is not None:
             self.state = held
@@ -104,6 +104,10 @@
         async with self._lock:
             await self._keep(replica)
 
+    def forget(self) -> None:
+        """Use nothing of the folder: it is not what this replica voted last. It recovers by the others."""
+        self.state = AcceptorState(self.state.address, recovering=True)
+
     async def handle(self, envelope: Envelope) -> Envelope:
         """The answer to a prepare, an accept or a recover; raises StepError where nothing may be said."""
         if envelope.HasField("recover"):
--- a/hallhitch/planes/control/files.py
+++ b/hallhitch/planes/control/files.py
@@ -5,7 +5,7 @@
 
 - `state-N.dat/.dir` hold one generation: promised and accepted ballots, lives of replicas, the value without content,
   the digest of the content. `word-DIGEST.dat/.dir` hold a content, written once: a promise rewrites nothing big.
-- Every record carries a digest over its key, its database's name, the machine's address and its bytes.
+- Every record carries a digest over its key, its database's name, the names of cluster and machine, and its bytes.
 - A generation is written under a new number, files synced, folder synced: now it counts. Only then the older ones go,
   and the folder is synced again.
 
@@ -143,8 +143,9 @@
 class Store:
     """One replica's generations on a disk. All calls block; one at a time."""
 
-    def __init__(self, disk: Disk, address: str) -> None:
-        self._disk, self._address, self._number = disk, address, 0
+    def __init__(self, disk: Disk, address: str, cluster: str = "") -> None:
+        self._disk, self._number = disk, 0
+        self._address, self._cluster = address, cluster
         self._synced: set[str] = set()  # contents that are surely on the disk, by digest
         self._kept: tuple[str, str] | None = None  # the generation that counts, and its content
 
@@ -247,12 +248,12 @@
         plain = {}
         for key, value in records.items():
             if value[:DIGEST] != self._digest(base, key, value[DIGEST:]):
-                raise Damaged(f"{base} is torn at {key!r}, or not of this machine")
+                raise Damaged(f"{base} is torn at {key!r}, or not of this machine and cluster")
             plain[key] = value[DIGEST:]
         return plain
 
     def _digest(self, base: str, key: bytes, value: bytes) -> bytes:
-        place = f"{self._address} {base} ".encode()
+        place = f"{self._cluster}{' ' if self._cluster else ''}{self._address} {base} ".encode()
         return hashlib.sha256(b"%s%s %d " % (place, key, len(value)) + value).digest()[:DIGEST]
 
 
--- a/hallhitch/planes/control/members.py
+++ b/hallhitch/planes/control/members.py
@@ -1,78 +1,132 @@
-"""Who should be a replica: plain decisions over what this process has seen of the others. No clock, no I/O.
+"""Who should be a replica: plain decisions over what a process has observed. No clock, no I/O.
 
-Machines that come (a spare, seeds that were exchanged) are added one at a time. One that has been silent for long goes
-only while more are members than the losses to be borne need, and only if those who answer are a majority without it.
+Every change is one joint change to the target that `target` returns. Invariants:
+
+- no even detour: a leaving or silent member is exchanged for a candidate in one step, and sets grow by as many at once
+  as make an odd number;
+- never below the needed number: where no candidate is there, nothing is removed that the losses to be borne need;
+- never out of reach: most of the present members and most of the target answered a moment ago.
 """
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass
+from enum import Enum
+
+SILENCE_SHARE = (
+    0.5  # of catch-up: a successor must be settled before its catch-up is over, its start and turns included
+)
+GAP_SHARE = 0.125  # of catch-up, between rounds: four rounds in a silence, so one lost answer replaces nobody
+LONGEST_GAP = 2000.0  # ms between rounds at most: enough for any catch-up above 16 s
+WAIT_SHARE = 0.2  # of catch-up, for the answers of one round: a round and its gap end well inside a silence
+LONGEST_WAIT = 800.0  # ms for the answers of one round at most: one below the callers' second
+TURN = 400.0  # ms that each member leaves to the one before it: one proposer is enough
 
-from hallhitch.messages.system_pb2 import ClusterState
 
-SILENT = 15_000.0  # ms without an answer after which a member may be replaced
-FRESH = 5000.0  # ms within which an answer shows that a member can be reached
-MOST = 9  # members: more would make each order slower and bear nothing that the rules ask for
-TURN = 400.0  # ms that each member leaves to the one before it: one proposer is enough
+def needed(losses: int) -> int:
+    """How many replicas bear so many losses."""
+    return 2 * losses + 1
 
 
 @dataclass(frozen=True, slots=True)
-class Settle:
-    """End a change of members that is under way."""
+class Timing:
+    """Times (ms) that follow from `catchUp`, the time after which a loss no longer counts."""
+
+    silence: float  # without an answer: out of reach, to be replaced where a candidate is there
+    gap: float  # between rounds
+    wait: float  # for the answers of a round
+
+    @staticmethod
+    def of(catch_up: float) -> Timing:
+        """The times for this bound of the settings."""
+        return Timing(
+            SILENCE_SHARE * catch_up, min(LONGEST_GAP, GAP_SHARE * catch_up), min(LONGEST_WAIT, WAIT_SHARE * catch_up)
+        )
+
+
+class Reason(Enum):
+    """Why members change."""
+
+    EXCHANGE = "a leaving or silent member is exchanged"
+    GROW = "more are needed for the losses to be borne"
+    SHRINK = "one is lost, and fewer bear the losses as well"
 
 
 @dataclass(frozen=True, slots=True)
-class Add:
-    """Take this machine in."""
+class Observations:
+    """What one process knows of the others: `reachable` answered it lately (itself included)."""
 
-    address: str
+    reachable: frozenset[str]
+    leaving: frozenset[str] = frozenset()
+    silent: frozenset[str] = frozenset()
+    candidates: frozenset[str] = frozenset()  # ask for a seat, can be reached, and held the newest state on their disk
 
 
 @dataclass(frozen=True, slots=True)
-class Remove:
-    """Do without this one."""
+class Target:
+    """The members to change to."""
 
-    address: str
+    members: tuple[str, ...]
+    reason: Reason
 
 
-Step = Settle | Add | Remove
+def target(members: Iterable[str], observed: Observations, losses: int) -> Target | None:
+    """The members that there should be, or None where these are right or nothing better can be reached."""
+    present = frozenset(members)
+    wanted = _wanted(present, observed, losses)
+    if wanted is None or not _most(present, observed.reachable):
+        return None
+    return wanted if _most(frozenset(wanted.members), observed.reachable) else None
+
+
+def _wanted(present: frozenset[str], observed: Observations, losses: int) -> Target | None:
+    departing = _departing(present, observed)
+    spare = sorted(observed.candidates - present - observed.leaving - observed.silent)
+    if departing and spare:
+        swapped = min(len(departing), len(spare))
+        after = present - frozenset(departing[:swapped]) | frozenset(spare[:swapped])
+        return _target(after | _growth(len(after), spare[swapped:], losses), Reason.EXCHANGE)
+    growth = _growth(len(present), spare, losses)
+    if growth:
+        return _target(present | growth, Reason.GROW)
+    if departing and len(present) > needed(losses):
+        return _shrunk(present, departing, losses)
+    return None
 
 
-def needed(losses: int) -> int:
-    """How many replicas bear so many losses."""
-    return 2 * losses + 1
+def _departing(present: frozenset[str], observed: Observations) -> list[str]:
+    """Who should give its seat up, the silent first: those that leave still vote meanwhile."""
+    silent = present & observed.silent
+    return sorted(silent) + sorted((present & observed.leaving) - silent)
 
 
-def reachable(now: float, heard: Mapping[str, float]) -> frozenset[str]:
-    """Who answered a moment ago."""
-    return frozenset(one for one, at in heard.items() if now - at <= FRESH)
+def _growth(size: int, spare: list[str], losses: int) -> frozenset[str]:
+    """Who joins a set of this size, so that it is odd after it."""
+    room = min(needed(losses) - size, len(spare))
+    if room > 0 and (size + room) % 2 == 0:
+        room -= 1
+    return frozenset(spare[: max(room, 0)])
 
 
-def step(
-    value: ClusterState, now: float, since: float, heard: Mapping[str, float], asking: Mapping[str, float], losses: int
-) -> Step | None:
-    """What to change next. `heard`: when each last answered (ms), own included; `asking`: who wants in, and when;
-    `since`: from when on this process has been listening without a break.
-    """
-    if value.previous:
-        return Settle()
-    members = frozenset(value.members)
-    fresh = reachable(now, heard)
-    if 2 * len(members & fresh) <= len(members):
-        return None
-    coming = sorted(one for one, at in asking.items() if now - at <= FRESH and one in fresh and one not in members)
-    silent = sorted(one for one in members if now - max(heard.get(one, since), since) > SILENT)
-    for one in silent:
-        rest = members - {one}
-        if len(members) > needed(losses) and 2 * len(rest & fresh) > len(rest):
-            return Remove(one)
-    if coming and len(members) < (MOST + 1 if silent else MOST):
-        return Add(coming[0])
-    return None
+def _shrunk(present: frozenset[str], departing: list[str], losses: int) -> Target:
+    """Without at least one that departs; of those that stay as many as make an odd number."""
+    staying = sorted(present - frozenset(departing))
+    size = max(needed(losses), len(staying) - (len(staying) + 1) % 2)
+    kept = (staying + departing[::-1])[:size]
+    return _target(frozenset(kept), Reason.SHRINK)
+
+
+def _target(members: frozenset[str], reason: Reason) -> Target:
+    return Target(tuple(sorted(members)), reason)
+
+
+def _most(members: frozenset[str], reachable: frozenset[str]) -> bool:
+    return 2 * len(members & reachable) > len(members)
 
 
-def turn(value: ClusterState, address: str, now: float, heard: Mapping[str, float]) -> float:
-    """How long (ms) to leave what is to be done to others; endless for who is no member."""
-    live = sorted(one for one in value.members if now - heard.get(one, float("-inf")) <= FRESH or one == address)
-    return live.index(address) * TURN if address in live else float("inf")
+def turn(members: Iterable[str], address: str, observed: Observations) -> float:
+    """How long (ms) to leave what is to be done to others; endless for who is no member. Those that leave act first."""
+    able = (frozenset(members) & observed.reachable) | (frozenset(members) & {address})
+    order = sorted(able, key=lambda one: (one not in observed.leaving, one))
+    return order.index(address) * TURN if address in able else float("inf")
--- a/hallhitch/planes/control/plane.py
+++ b/hallhitch/planes/control/plane.py
@@ -17,22 +17,24 @@
 from hallhitch.node.errors import StepError
 from hallhitch.node.logs import ComponentLogger, RateLimitedLog
 from hallhitch.node.settings import Node
-from hallhitch.planes.control import changes, members
+from hallhitch.planes.control import members
 from hallhitch.planes.control.acceptor import DurableAcceptor, Run, Worker
+from hallhitch.planes.control.contacts import Contacts
 from hallhitch.planes.control.files import Disk, Folder, Store
+from hallhitch.planes.control.leaving import Departure
 from hallhitch.planes.control.proposer import Proposer
+from hallhitch.planes.control.recovering import StateRecovery
 from hallhitch.planes.control.register import (
     NEVER,
-    AcceptorState,
     Ballot,
     Change,
     Membership,
-    Recovery,
     Tally,
-    founded,
+    founding_conflict,
 )
+from hallhitch.planes.control.upkeep import Upkeep
 
-HURRY, CALM = 300.0, 2000.0  # ms between rounds: until the committed value is known, and after
+HURRY = 300.0  # ms between rounds at most while something is missing or under way
 ANSWER = 800.0  # ms for the answers of a round
 YOUNG = 3000.0  # ms from its start in which a coordinator still waits for enough replicas
 STANDSTILL = 1000.0  # ms without a tick after which this process surely stood still
@@ -48,7 +50,10 @@
 
 
 class ControlPlane:
-    """The cluster configuration on one coordinator. `told` hears each newer committed value, on the loop."""
+    """The cluster configuration on one coordinator. `told` hears each newer committed value, on the loop.
+
+    `lease_ms`: for how long votes on leases by former members may still be counted; 0 where nobody votes on any.
+    """
 
     def __init__(
         self,
@@ -60,6 +65,7 @@
         run: Run | None = None,
         clock: Callable[[], float] = now,
         rng: random.Random | None = None,
+        lease_ms: float = 0.0,
     ) -> None:
         self._node, self._links, self._told, self._clock = node, links, told, clock
         self._rng = rng or random.Random()
@@ -67,7 +73,7 @@
         self._worker = Worker()
         if disk is None and node.data is not None:
             disk = Folder(node.data)
-        store = Store(disk, self.address) if disk is not None else None
+        store = Store(disk, self.address, node.cluster) if disk is not None else None
         self._acceptor = DurableAcceptor(self.address, store, run or self._worker.run, clock)
         self._proposer = Proposer(
             self._acceptor,
@@ -82,13 +88,19 @@
         self._at: Ballot = NEVER  # the ballot of the newest value that a majority is known to hold
         self.agreed = float("-inf")  # when a majority was last found to hold one and the same value
         self._known = False  # whether such a value was met in this incarnation
-        self._loaded = self._stepping = self._lonely = False
+        self._loaded = self._empty = self._conflict = self._lonely = False
         self._loading: asyncio.Task[None] | None = None
-        self._heard: dict[str, float] = {}
-        self._asking: dict[str, float] = {}
         self._told_of: frozenset[str] = frozenset()
-        self._due: tuple[object, float] = (None, 0.0)  # what is to be done, and since when it was left to others
-        self._began = self._since = self._ticked = clock()
+        self._began = self._ticked = clock()
+        self._timing = members.Timing.of(node.bounds.catch_up)
+        self._contacts = Contacts(self.address, self._began, self._timing.silence)
+        self._heard = self._contacts.heard
+        self._upkeep = Upkeep(self._proposer, self._contacts, self.address, clock, lease_ms)
+        self._upkeep.losses = node.losses
+        self._recovery = StateRecovery(self._acceptor, self._others, self._ask, clock)
+        self._departure = Departure(
+            self._acceptor, self._proposer, self._contacts, self._upkeep, self._tell, links.call, clock
+        )
         self._stood = float("-inf")
         self._tasks: list[asyncio.Task[None]] = []
         self._log = ComponentLogger("control")
@@ -108,10 +120,16 @@
 
     async def start(self) -> None:
         """Read the disk and begin; a disk in trouble is asked again in the background. Never raises for it."""
-        self._began = self._since = self._ticked = self._clock()
+        self._began = self._contacts.since = self._ticked = self._clock()
         self._loading = asyncio.ensure_future(self._load())
         await asyncio.wait([self._loading], timeout=LOAD / 1000)
-        self._tasks = [asyncio.ensure_future(self._rounds()), asyncio.ensure_future(self._tick())]
+        upkeep = self._upkeep.run(lambda: not self._acceptor.state.recovering and not self._refused)
+        self._tasks = [asyncio.ensure_future(task) for task in (self._rounds(), self._tick(), upkeep)]
+
+    async def leave(self, budget_ms: float) -> None:
+        """Hand the seat and the state on, within that time; orders and other members are answered meanwhile."""
+        self._contacts.leaving = True
+        await self._departure.run(budget_ms)
 
     async def stop(self) -> None:
         """No more rounds, ballots or writes."""
@@ -123,6 +141,8 @@
     def settings(self, node: Node) -> None:
         """The settings have changed: seeds, losses."""
         self._node = node
+        self._timing = members.Timing.of(node.bounds.catch_up)
+        self._contacts.silence, self._upkeep.losses = self._timing.silence, node.losses
 
     def coordinators(self, addresses: Sequence[str]) -> None:
         """The internal addresses of the coordinators that live, as discovery tells."""
@@ -140,9 +160,7 @@
     def handle(self, envelope: Envelope) -> Envelope | Awaitable[Envelope] | None:
         """The answer to another replica's message; None where it is not for the register."""
         if envelope.HasField("recover"):
-            asked = envelope.recover
-            if asked.address and asked.sound:
-                self._asking[asked.address] = self._clock()
+            self._contacts.asked(envelope.recover, self._clock(), self._proposer.met[0])
             return self._acceptor.handle(envelope)
         if envelope.HasField("prepare") or envelope.HasField("accept"):
             return self._acceptor.handle(envelope)
@@ -150,6 +168,8 @@
 
     async def change(self, change: Change, patience: float) -> ClusterState:
         """Put a change to the register; the committed value after it. Raises Silent after `patience` ms."""
+        if self._refused:
+            raise StepError("agree", self.address, self._refused)
         return await self._proposer.change(change, patience)
 
     @property
@@ -176,24 +196,16 @@
         if found is None:
             self._log.warning("there is no data folder: this machine keeps nothing")
         elif found.replica is None:
+            self._empty = found.empty
             if found.empty and self._node.first_start and self.address in self._node.peers:
                 # Not loaded before it is done: a round would ask the others for a memory that there never was.
-                self._loaded = await self._found()
+                self._loaded = await self._recovery.found(self._node.peers)
                 return
             self._log.warning("nothing usable in the data folder: the others are asked before any vote")
         self._loaded = True
 
-    async def _found(self) -> bool:
-        """The first start of the whole system: nobody has voted yet, and the seeds are the members."""
-        try:
-            await self._acceptor.become(AcceptorState(self.address, value=founded(self._node.peers)))
-        except OSError as error:
-            self._failing.warning(self._clock(), f"founding failed: {error}")
-            return False
-        return True
-
     def _likely(self, address: str) -> bool:
-        return self._clock() - self._heard.get(address, float("-inf")) <= members.FRESH or address == self.address
+        return self._contacts.answers(address, self._clock())
 
     def _learnt(self, value: ClusterState, at: Ballot) -> None:
         """A majority holds this value under this ballot."""
@@ -209,7 +221,7 @@
             await asyncio.sleep(TICK / 1000)
             at = self._clock()
             if at - self._ticked > STANDSTILL:
-                self._stood = self._since = at  # it was this process that was silent
+                self._stood = self._contacts.since = at  # it was this process that was silent
             self._ticked = at
 
     async def _rounds(self) -> None:
@@ -224,9 +236,10 @@
 
     def _gap(self) -> float:
         """How long to rest between rounds (ms)."""
-        if not self._known or self._acceptor.state.recovering or self._due[0] is not None or self._stepping:
-            return HURRY
-        return CALM if self.address in self._proposer.settled.members else 2 * HURRY
+        under_way = self._upkeep.waiting or self._contacts.leaving or self._contacts.unheard(self._clock())
+        if not self._known or self._acceptor.state.recovering or under_way:
+            return min(HURRY, self._timing.gap)
+        return self._timing.gap
 
     async def _round(self) -> None:
         if not self._loaded and (self._loading is None or self._loading.done()):
@@ -234,9 +247,8 @@
             await asyncio.wait([self._loading], timeout=LOAD / 1000)
         if self._acceptor.state.recovering:
             await self._recover()
-        await self._hear()
-        if not self._acceptor.state.recovering:
-            await self._upkeep()
+        await self._hear(self._timing.wait)
+        self._contacts.prune(self._proposer.settled, self._clock())
 
     def _others(self) -> frozenset[str]:
         """Whom to ask: all who count under any value met; where none is, the seeds and whom discovery tells."""
@@ -244,22 +256,60 @@
         known = frozenset[str]().union(*(Membership.of(state).everybody for state in states))
         if not self._known or self._lonely or self.address not in known:
             known |= frozenset(self._node.peers) | self._told_of
-        fresh = (one for one, at in self._asking.items() if self._clock() - at <= members.FRESH)
-        return (known | frozenset(fresh)) - {self.address}
+        return (known | self._contacts.asking(self._clock())) - {self.address}
+
+    async def _ask(self, address: str, asked: Recover, wait: float = ANSWER) -> Recovered | None:
+        """What one of the others holds; None where it does not answer."""
+        asked.leaving = self._contacts.leaving
+        try:
+            answer = (await self._links.call(address, Envelope(recover=asked), wait)).recovered
+        except StepError:
+            return None
+        self._contacts.heard[address] = self._clock()
+        self._check_incarnation(answer)
+        self._check_founding(address, answer)
+        return answer
+
+    def _check_incarnation(self, answer: Recovered) -> None:
+        """A folder older than what the others know of this machine's votes: its votes are void, so it is not used."""
+        state = self._acceptor.state
+        known, own = answer.incarnations.get(self.address, 0), state.incarnations.get(self.address, 0)
+        if state.recovering or known <= own:
+            return
+        self._log.warning(f"the data folder is old: incarnation {own}, the others know {known}; nothing of it is used")
+        self._acceptor.forget()
+        self._known = False
+
+    def _check_founding(self, address: str, answer: Recovered) -> None:
+        """Another that was founded with other members: no order is taken while neither has a ballot."""
+        state = self._acceptor.state
+        at = Ballot.of(answer.accepted)
+        if not answer.ok or not founding_conflict(state.value, state.accepted, answer.value, at):
+            return
+        if not self._conflict:
+            own, other = list(state.value.members), list(answer.value.members)
+            self._log.error(f"founded with {own}, but {address} with {other}: no order is taken")
+        self._conflict = True
+
+    @property
+    def _refused(self) -> str:
+        """Why no change is put to the register by this process; empty where there is no reason."""
+        if self._conflict and self._acceptor.state.accepted == NEVER:
+            return "the settings of the first start differ by machine"
+        return "this machine has left the register" if self._contacts.leaving and self._departure.is_out else ""
+
+    async def _tell(self, addresses: frozenset[str], wait: float) -> dict[str, Recovered]:
+        """Say who we are, and what the others hold."""
+        state = self._acceptor.state
+        asked = Recover(address=self.address, known=state.accepted.message(), sound=not state.recovering)
+        return await self._read(addresses, asked, wait)
 
     async def _read(self, addresses: frozenset[str], asked: Recover, wait: float = ANSWER) -> dict[str, Recovered]:
         """What the others hold; those who do not answer are left out."""
 
-        async def one(address: str) -> tuple[str, Recovered | None]:
-            try:
-                answer = await self._links.call(address, Envelope(recover=asked), wait)
-            except StepError:
-                return address, None
-            self._heard[address] = self._clock()
-            return address, answer.recovered
-
-        answers = await asyncio.gather(*(one(address) for address in sorted(addresses)))
-        return {address: answer for address, answer in answers if answer is not None}
+        order = sorted(addresses)
+        answers = await asyncio.gather(*(self._ask(address, asked, wait) for address in order))
+        return {address: answer for address, answer in zip(order, answers, strict=True) if answer is not None}
 
     async def look(self, wait: float) -> None:
         """Ask the others what they hold, within `wait` ms; needs no disk. `value` is newer after it, or as before."""
@@ -303,75 +353,19 @@
             await asyncio.wait_for(self._acceptor.take(newest.accepted, value), ANSWER / 1000)
 
     def _wanted(self, what: object) -> None:
-        if self._due[0] != what:
-            self._due = what, self._clock()
-
-    async def _upkeep(self) -> None:
-        """Bring about what is missing, each member in its turn: agreement, then the right members."""
-        at, what = self._clock(), self._due[0]
-        value = self._proposer.met[1]
-        wait = members.turn(value, self.address, at, self._heard) + HURRY
-        self._stepping = False
-        if what is not None:
-            if at - self._due[1] >= wait and Membership.of(value).quorum_reached(members.reachable(at, self._heard)):
-                await self.change(changes.renew, ANSWER)
-                self._wanted(None)
-            return
-        if Membership.of(value) != self._proposer.settled:
-            return
-        step = members.step(value, at, self._since, self._heard, self._asking, self._node.losses)
-        if step is None or wait == float("inf"):
-            return
-        self._stepping = True
-        if wait > HURRY:
-            await asyncio.sleep((wait - HURRY) / 1000)
-            await self.look(ANSWER)
-        if Membership.of(self._proposer.met[1]) != Membership.of(value):
-            return
-        among = Membership.of(value)
-        match step:
-            case members.Settle():
-                change: Change = changes.settle
-            case members.Add(address):
-                self._log.info(f"{address} becomes a replica")
-                change = changes.add(address, among)
-            case members.Remove(address):
-                self._log.info(f"{address} is no replica any more: silent for long")
-                change = changes.remove(address, among)
-        after = await self.change(change, ANSWER)
-        if after.previous:
-            after = await self.change(changes.settle, ANSWER)
-        if after.lease_previous and not after.previous:
-            await self.change(changes.end_lease_transition, ANSWER)
+        self._upkeep.missing = what
 
     async def _recover(self) -> None:
-        """This replica does not know what it voted: read so many others that nothing it voted can be missed."""
+        """This replica does not know what it voted, or there never was anything."""
         if not self._loaded or self._acceptor.diskless:
             return
-        if not self._others() and self._clock() - self._began > YOUNG:
-            self._log.warning("no other machine is known: beginning anew, alone")
-            await self._found()
-            return
-        first = Recovery(self.address)
-        await self._consult(first)
-        if not first.enough():
+        if not self._others() and self._clock() - self._began > YOUNG and self._may_found_alone():
+            await self._recovery.found_alone()
             return
-        second = Recovery(self.address, first.next_incarnation())
-        await self._consult(second)
-        if not second.enough() or not self._acceptor.state.recovering:
-            return
-        try:
-            await self._acceptor.become(second.replica())
-        except OSError as error:
-            self._failing.warning(self._clock(), f"what was read back cannot be kept: {error}")
-            return
-        self._log.info(f"memory read back from the others, incarnation {second.incarnation}")
-
-    async def _consult(self, recovery: Recovery) -> None:
-        """Ask by the newest members met, until they stay the same."""
-        asked = frozenset[str]()
-        while more := (self._others() | Membership.of(recovery.newest()).everybody) - asked - {self.address}:
-            asked |= more
-            message = Recover(address=self.address, incarnation=recovery.incarnation)
-            for member, answer in (await self._read(more, message)).items():
-                recovery.answer(member, answer)
+        await self._recovery.recover()
+
+    def _may_found_alone(self) -> bool:
+        """A first start on an empty folder, or the settings name this very machine and no other."""
+        if self._node.peers == (self.address,):
+            return True
+        return self._node.first_start and self._empty and not self._node.peers
--- a/hallhitch/planes/control/proposer.py
+++ b/hallhitch/planes/control/proposer.py
@@ -14,7 +14,7 @@
 from hallhitch.messages.system_pb2 import ClusterState, Envelope
 from hallhitch.node.clock import now
 from hallhitch.node.errors import Silent, StepError
-from hallhitch.node.logs import ComponentLogger
+from hallhitch.node.logs import ComponentLogger, RateLimitedLog
 from hallhitch.planes.control.acceptor import DurableAcceptor
 from hallhitch.planes.control.changes import identity
 from hallhitch.planes.control.register import (
@@ -22,6 +22,7 @@
     AlreadyChosen,
     Ballot,
     Change,
+    FoundingConflict,
     Membership,
     MembershipChanged,
     Proposal,
@@ -66,6 +67,7 @@
         self._ballot: asyncio.Task[ClusterState | MembershipChanged | None] | None = None
         self._calls: set[asyncio.Task[None]] = set()
         self._log = ComponentLogger("register")
+        self._founding = RateLimitedLog(self._log)
         self.settled: Membership = Membership.of(
             ClusterState()
         )  # the newest members that a majority is known to have taken
@@ -148,7 +150,7 @@
                     value = order.change(value)
             return value
 
-        proposal = Proposal(Ballot(self._round, self._name), asked[1], known, change, self.settled)
+        proposal = Proposal(Ballot(self._round, self._name), asked[1], known, change, self.settled, asked[0])
         proposal.firm = False
         if not proposal.to:
             return None
@@ -163,6 +165,10 @@
                 chosen = proposal.promise(member, answer.promise)
                 if isinstance(chosen, MembershipChanged):
                     return chosen
+                if isinstance(chosen, FoundingConflict):
+                    lists = f"{chosen.own.members} and {chosen.other.members}"
+                    self._founding.warning(self._clock(), f"founded with different members, {lists}: not going on")
+                    return None
                 if isinstance(chosen, AlreadyChosen):
                     self._learnt(chosen.value, proposal.base[0])
                     return chosen.value
--- /dev/null
+++ b/hallhitch/planes/control/recovering.py
@@ -0,0 +1,91 @@
+"""Reading back what a replica may have promised, from the others; and founding, where there never was anything.
+
+Owns how a replica without a usable folder comes to a state. Must never found a register that others may have, and never
+let a replica vote before the state read back is on its disk.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from hallhitch.messages.system_pb2 import Recover, Recovered
+from hallhitch.node.logs import ComponentLogger, RateLimitedLog
+from hallhitch.planes.control.acceptor import DurableAcceptor
+from hallhitch.planes.control.recovery import Recovery
+from hallhitch.planes.control.register import AcceptorState, Membership, founded
+
+GRACE = 50.0  # ms given to more answers once they are enough: they may hold something newer
+
+Ask = Callable[[str, Recover], Awaitable[Recovered | None]]
+
+
+class StateRecovery:
+    """`others` tells whom to ask, `ask` asks one of them and gives None where there is no answer."""
+
+    def __init__(
+        self,
+        acceptor: DurableAcceptor,
+        others: Callable[[], frozenset[str]],
+        ask: Ask,
+        clock: Callable[[], float],
+    ) -> None:
+        self._acceptor, self._others, self._ask, self._clock = acceptor, others, ask, clock
+        self._address = acceptor.state.address
+        self._log = ComponentLogger("recovery")
+        self._failing = RateLimitedLog(self._log)
+
+    async def found(self, members: tuple[str, ...]) -> bool:
+        """Begin a new register with these members; whether it is on the disk."""
+        return await self._become(AcceptorState(self._address, value=founded(members)))
+
+    async def found_alone(self) -> None:
+        """Begin a new register with this machine as its only member."""
+        self._log.warning("no other machine is known: beginning anew, alone")
+        await self.found((self._address,))
+
+    async def recover(self) -> None:
+        """Read from so many others that nothing this replica voted can be missed."""
+        first = Recovery(self._address)
+        await self._consult(first)
+        if not first.enough():
+            return
+        second = Recovery(self._address, first.next_incarnation())
+        await self._consult(second)
+        if not second.enough() or not self._acceptor.state.recovering:
+            return
+        if await self._become(second.replica()):
+            self._log.info(f"state read back from the others, incarnation {second.incarnation}")
+
+    async def _become(self, state: AcceptorState) -> bool:
+        try:
+            await self._acceptor.become(state)
+        except OSError as error:
+            self._failing.warning(self._clock(), f"the state cannot be kept: {error}")
+            return False
+        return True
+
+    async def _consult(self, recovery: Recovery) -> None:
+        """Ask all at once, by the newest members met, until the answers are enough and those met stay the same."""
+        asked = frozenset[str]()
+        calls: dict[asyncio.Task[Recovered | None], str] = {}
+        message = Recover(address=self._address, incarnation=recovery.incarnation)
+        try:
+            while True:
+                known = self._others() | Membership.of(recovery.newest()).everybody
+                for one in sorted(known - asked - {self._address}):
+                    calls[asyncio.ensure_future(self._ask(one, message))] = one
+                asked |= known
+                if not calls:
+                    return
+                wait = GRACE / 1000 if recovery.enough() else None
+                done, _ = await asyncio.wait(calls, timeout=wait, return_when=asyncio.FIRST_COMPLETED)
+                if not done:
+                    return
+                for call in done:
+                    answer, member = call.result(), calls.pop(call)
+                    if answer is not None:
+                        recovery.answer(member, answer)
+        finally:
+            for call in calls:
+                call.cancel()
--- a/hallhitch/planes/control/register.py
+++ b/hallhitch/planes/control/register.py
@@ -58,6 +58,7 @@
 
 
 NEVER = Ballot()  # lower than any ballot of a proposer
+OTHER_INCARNATIONS = 16  # kept of machines that do not count, such as candidates: more come only one after the other
 Sets = tuple[frozenset[str], ...]
 
 
@@ -157,7 +158,7 @@
             return self, Recovered(incarnations=self.incarnations)
         after = self
         if asked.incarnation > self.incarnations.get(asked.address, 0):
-            after = replace(self, incarnations={**self.incarnations, asked.address: asked.incarnation})
+            after = replace(self, incarnations=self._with_incarnation(asked.address, asked.incarnation))
         answer = Recovered(
             ok=True, promised=self.promised.message(), accepted=self.accepted.message(), incarnations=after.incarnations
         )
@@ -165,6 +166,21 @@
             answer.value.CopyFrom(self.value)
         return after, answer
 
+    def _with_incarnation(self, address: str, incarnation: int) -> dict[str, int]:
+        """One more that is known; of those that do not count only the latest `OTHER_INCARNATIONS` stay."""
+        known = {one: count for one, count in self.incarnations.items() if one != address}
+        counting = Membership.of(self.value).everybody | {self.address}
+        others = [one for one in known if one not in counting]
+        for one in others[: max(0, len(others) + 1 - OTHER_INCARNATIONS)]:
+            del known[one]
+        return {**known, address: incarnation}
+
+
+def founding_conflict(held: ClusterState, at: Ballot, other: ClusterState, other_at: Ballot) -> bool:
+    """Whether two states that no ballot ever changed were founded with different members."""
+    founded_twice = at == other_at == NEVER and held.members and other.members
+    return bool(founded_twice) and Membership.of(held) != Membership.of(other)
+
 
 def copied(value: ClusterState) -> ClusterState:
     """A value that may be changed without changing the other."""
@@ -226,21 +242,36 @@
     to: frozenset[str]
 
 
-Chosen = MembershipChanged | AlreadyChosen | SendAccepts
+@dataclass(frozen=True, slots=True)
+class FoundingConflict:
+    """Two registers were founded, each unaware of the other: none may go on, or both could be acknowledged."""
+
+    own: Membership
+    other: Membership
+
+
+Chosen = MembershipChanged | AlreadyChosen | SendAccepts | FoundingConflict
 
 
 class Proposal:
     """One ballot of a proposer, from its prepares to a majority of accepts.
 
-    `known` is what its own replica holds (left out of answers), `asked` the value by whose members it asks, `settled`
-    the newest members of which this process knows that a majority took them.
+    `known` is what its own replica holds (left out of answers), `asked` the value by whose members it asks, which was
+    met under the ballot `asked_at`, `settled` the newest members of which this process knows that a majority took them.
     """
 
     def __init__(
-        self, at: Ballot, asked: ClusterState, known: tuple[Ballot, ClusterState], change: Change, settled: Membership
+        self,
+        at: Ballot,
+        asked: ClusterState,
+        known: tuple[Ballot, ClusterState],
+        change: Change,
+        settled: Membership,
+        asked_at: Ballot = NEVER,
     ) -> None:
         self.at, self.known, self.change, self.settled = at, known, change, settled
         self.asked = Membership.of(asked)
+        self._met: tuple[Ballot, ClusterState] = (asked_at, asked)
         self.to = Membership.of(asked).everybody
         self.seen = at.round  # the highest round met
         self.value: ClusterState | None = None  # as proposed, or as found
@@ -273,7 +304,13 @@
         if not self._promises.reached():
             return None
         voters = self._promises.votes()
-        newest = max((self._found[one] for one in voters), key=lambda found: found[0])
+        # What was met may be newer than all that its own members hold: the end of a change that only a leaving one
+        # took. A value chosen later would have been found, so this one is as good as found: without it, its members
+        # and those before them would be asked in turn for ever.
+        newest = max([self._met, *(self._found[one] for one in voters)], key=lambda found: found[0])
+        for at, state in self._found.values():
+            if newest[0] == NEVER and founding_conflict(newest[1], newest[0], state, at):
+                return FoundingConflict(self.asked, Membership.of(state))
         if Membership.of(newest[1]) != self.asked:
             self.value = newest[1]
             return MembershipChanged(newest)
@@ -328,49 +365,3 @@
     def hopeless(self) -> bool:
         """Whether this ballot can no longer come to anything."""
         return (self._accepts or self._promises).hopeless()
-
-
-class Recovery:
-    """One replica that lost its memory (or never had one) reads what it may have promised.
-
-    Two passes: the first (`incarnation` 0) tells with which incarnation to go on, the second makes all older votes
-    void.
-    """
-
-    def __init__(self, address: str, incarnation: int = 0) -> None:
-        self.address, self.incarnation = address, incarnation
-        self._answers: dict[str, Recovered] = {}
-
-    def answer(self, member: str, answer: Recovered) -> None:
-        """One answer; those of other recovering replicas do not count."""
-        if answer.ok:
-            self._answers[member] = answer
-
-    def newest(self) -> ClusterState:
-        """The newest value met, whoever holds it."""
-        held = max(self._answers.values(), key=lambda one: Ballot.of(one.accepted), default=None)
-        return held.value if held is not None else ClusterState()
-
-    def enough(self) -> bool:
-        """Whether any majority that this replica once was part of has one that answered."""
-        needed = Membership.of(self.newest()).sets
-        for one in needed:
-            others = one - {self.address}
-            majority = len(one) // 2 + 1 - (self.address in one)
-            if len(others & self._answers.keys()) < len(others) - majority + 1:
-                return False
-        return bool(needed)
-
-    def next_incarnation(self) -> int:
-        """The incarnation to go on with, after the first pass."""
-        return max((one.incarnations.get(self.address, 0) for one in self._answers.values()), default=0) + 1
-
-    def replica(self) -> AcceptorState:
-        """What to go on from, to be written before the first vote."""
-        incarnations: dict[str, int] = {self.address: self.incarnation}
-        for one in self._answers.values():
-            for member, incarnation in one.incarnations.items():
-                incarnations[member] = max(incarnations.get(member, 0), incarnation)
-        held = max(self._answers.values(), key=lambda one: Ballot.of(one.accepted))
-        promised = max(max(Ballot.of(one.promised), Ballot.of(one.accepted)) for one in self._answers.values())
-        return AcceptorState(self.address, promised, Ballot.of(held.accepted), held.value, incarnations)
--- /dev/null
+++ b/hallhitch/planes/control/upkeep.py
@@ -0,0 +1,148 @@
+"""Upkeep of the register: agreement where it is missing, then the right members, each by one member in its turn.
+
+Owns when a change of members is put to the register. One change is: the joint state, settled at once, and after the
+votes on leases by the former members have ended the state without `lease_previous`; the next one waits for that.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from hallhitch.messages.system_pb2 import ClusterState
+from hallhitch.node.errors import StepError
+from hallhitch.node.logs import ComponentLogger, RateLimitedLog
+from hallhitch.planes.control import changes, members
+from hallhitch.planes.control.contacts import Contacts
+from hallhitch.planes.control.proposer import Proposer
+from hallhitch.planes.control.register import Change, Membership
+
+TICK = 100.0  # ms between looks: small against any turn
+PATIENCE = 800.0  # ms for one change: others wait behind it, and the next look tries again
+
+
+@dataclass(frozen=True, slots=True)
+class Renew:
+    """Bring the newest state to those who lack it. `missing` tells one occasion from another."""
+
+    missing: object
+
+
+@dataclass(frozen=True, slots=True)
+class Settle:
+    """End a joint change for the register."""
+
+    membership: Membership
+
+
+@dataclass(frozen=True, slots=True)
+class EndLeaseTransition:
+    """End a joint change for leases."""
+
+    membership: Membership
+
+
+Duty = Renew | Settle | EndLeaseTransition | members.Target
+
+
+class Upkeep:
+    """One member's part in it. `missing` tells what no majority, or not every member, was last found to hold."""
+
+    def __init__(
+        self,
+        proposer: Proposer,
+        contacts: Contacts,
+        address: str,
+        clock: Callable[[], float],
+        lease_ms: float,
+    ) -> None:
+        self._proposer, self._contacts, self._address, self._clock = proposer, contacts, address, clock
+        self._lease_ms = lease_ms
+        self.missing: object = None
+        self.losses = 0
+        self.waiting = False  # whether something is to be done, here or by a member whose turn comes first
+        self._duty: tuple[Duty | None, float] = (None, 0.0)  # and since when it was left to others
+        self._transition: tuple[int, float] = (0, 0.0)  # version of a joint state, and when it was known committed
+        self._log = ComponentLogger("members")
+        self._failing = RateLimitedLog(self._log)
+
+    async def run(self, able: Callable[[], bool]) -> None:
+        """Look and act for ever; `able` says whether this process may propose."""
+        while True:
+            await asyncio.sleep(TICK / 1000)
+            if not able():
+                continue
+            try:
+                await self.look()
+            except (StepError, TimeoutError) as error:
+                self._failing.warning(self._clock(), f"upkeep ended early: {error}")
+            except Exception as error:
+                self._log.error(f"upkeep failed: {type(error).__name__}: {error}")
+
+    async def look(self) -> None:
+        """Do what is to be done, if it is this member's turn."""
+        at = self._clock()
+        membership = Membership.of(self._proposer.met[1])
+        self._note_transition(at)
+        duty = self._next(membership, at)
+        self.waiting = duty is not None or bool(membership.previous or membership.lease_previous)
+        if duty != self._duty[0]:
+            self._duty = duty, at
+        if duty is None or at - self._duty[1] < self._turn(duty, membership, at):
+            return
+        self._duty = None, at
+        await self._do(duty, membership)
+
+    def can_hand_on(self) -> bool:
+        """Whether a change of members is under way, or could be made now."""
+        membership = Membership.of(self._proposer.met[1])
+        if membership.previous or membership.lease_previous:
+            return True
+        observed = self._contacts.observe(membership, self._clock())
+        return members.target(membership.members, observed, self.losses) is not None
+
+    def _note_transition(self, at: float) -> None:
+        known = self._proposer.settled
+        if not known.lease_previous:
+            return
+        joint = known.version if known.previous else known.version - 1
+        if joint != self._transition[0]:
+            self._transition = joint, at
+
+    def _next(self, membership: Membership, at: float) -> Duty | None:
+        """What is to be done first."""
+        observed = self._contacts.observe(membership, at)
+        if self.missing is not None:
+            return Renew(self.missing) if membership.quorum_reached(observed.reachable) else None
+        if membership != self._proposer.settled:
+            return None
+        if membership.previous:
+            return Settle(membership)
+        if membership.lease_previous:
+            return EndLeaseTransition(membership) if at - self._transition[1] >= self._lease_ms else None
+        return members.target(membership.members, observed, self.losses)
+
+    def _turn(self, duty: Duty, membership: Membership, at: float) -> float:
+        """How long this one is left to others, and for a state that may be on its way to the others at this moment."""
+        turn = members.turn(membership.members, self._address, self._contacts.observe(membership, at))
+        return turn + members.TURN if isinstance(duty, Renew) else turn
+
+    async def _do(self, duty: Duty, membership: Membership) -> None:
+        match duty:
+            case Renew():
+                await self._change(changes.renew)
+                self.missing = None
+            case Settle():
+                await self._change(changes.settle)
+            case EndLeaseTransition():
+                await self._change(changes.end_lease_transition)
+            case members.Target():
+                self._log.info(f"members become {', '.join(duty.members)}: {duty.reason.value}")
+                after = await self._change(changes.reconfigure(duty.members, membership))
+                if after.previous:
+                    self._note_transition(self._clock())
+                    await self._change(changes.settle)
+
+    async def _change(self, change: Change) -> ClusterState:
+        return await self._proposer.change(change, PATIENCE)
--- a/hallhitch/programs/coordinator.py
+++ b/hallhitch/programs/coordinator.py
@@ -25,6 +25,7 @@
 from hallhitch.planes.discovery.registry import Registry, united
 from hallhitch.planes.distribution.following import PeerSync
 from hallhitch.planes.distribution.hub import StateHub, gateway_of
+from hallhitch.planes.quota.lease import LEASE, MARGIN
 from hallhitch.planes.quota.plane import LeaseKeeper
 from hallhitch.planes.values import Gateway
 from hallhitch.programs.running import main
@@ -38,6 +39,7 @@
 FLEET = "gateways"  # the note of how many there may be: reserves of quotas are cut by it after a loss of everything
 FLEET_ROOM = 1.1  # how many more there may be than are seen, before it is noted anew
 NOTE_EVERY = 1000.0  # ms between two tries to note it
+LEAVING_SHARE = 0.5  # of the grace period, to hand the seat on; the rest is for calls under way
 BODY_MOST = 32 * 1024 * 1024
 
 
@@ -62,6 +64,7 @@
             run=runtime.run,
             clock=self._clock,
             rng=random.Random(runtime.random.getrandbits(64)),
+            lease_ms=LEASE + MARGIN,
         )
         self._leases = LeaseKeeper(self._clock, runtime.random.getrandbits(48))
         self._orders = Operator(node, self._control, self._clock)
@@ -173,7 +176,8 @@
         self._peer_sync.meet(node.peers)
 
     async def leave(self) -> None:
-        """Calls under way end; the register needs nothing more."""
+        """The seat in the register goes to another while calls are answered; then those under way end."""
+        await self._control.leave(LEAVING_SHARE * self._node.bounds.grace)
         for web in (self._operator, self._resolve):
             await web.close()
         for task in self._tasks:
--- a/tests/system/control/fleet.py
+++ b/tests/system/control/fleet.py
@@ -16,6 +16,8 @@
 from hallhitch.planes.control.plane import ControlPlane
 
 T = TypeVar("T")
+GRACE = Bounds().grace
+LEASE = 1050.0  # ms for which votes on leases by former members count
 ZONES = {"viti-a": "viti", "viti-b": "viti"}
 
 
@@ -125,6 +127,7 @@
             run=self._run,
             clock=self.fleet.clock,
             rng=random.Random(self.fleet.rng.random()),
+            lease_ms=LEASE,
         )
         self.plane, self.operator = plane, Operator(node, plane, self.fleet.clock)
         await plane.start()
@@ -143,6 +146,14 @@
         if plane is not None:
             await plane.stop()
 
+    async def leave(self) -> None:
+        """SIGTERM: the seat is handed on, then the process ends."""
+        plane = self.plane
+        assert plane is not None
+        await plane.leave(GRACE / 2)
+        if self.plane is plane:
+            await self.kill()
+
     async def wipe(self) -> None:
         """The machine and its disk are gone."""
         await self.kill()
@@ -196,6 +207,8 @@
         self.seeds = tuple(f"10.0.0.{n}:7000" for n in range(1, founders + 1))
         self.machines: dict[str, Machine] = {}
         self.cut: set[frozenset[str]] = set()
+        self.messages = 0
+        self.strikes: dict[int, Callable[[], Coroutine[Any, Any, None]]] = {}  # what happens at which message
         for address in self.seeds:
             self.add(address)
 
@@ -210,6 +223,9 @@
 
     async def way(self, one: str, other: str) -> None:
         """The time a message takes; for ever over a cut."""
+        self.messages += 1
+        if strike := self.strikes.pop(self.messages, None):
+            await strike()
         await asyncio.sleep(self.rng.uniform(0.5, 1.5) * self.delay / 1000)
         if frozenset((one, other)) in self.cut:
             await asyncio.shield(self.never)
--- /dev/null
+++ b/tests/system/control/test_members.py
@@ -0,0 +1,103 @@
+"""Which members there should be, over all small cases."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Iterator
+
+from hallhitch.messages.system_pb2 import Recover
+from hallhitch.planes.control.contacts import REMEMBERED, Contacts
+from hallhitch.planes.control.members import Observations, Reason, Target, Timing, needed, target, turn
+from hallhitch.planes.control.register import NEVER, Membership
+
+FATES = ("here", "leaving", "silent")
+
+
+def cases() -> Iterator[tuple[frozenset[str], Observations, int]]:
+    """Up to five members, each here, leaving or silent; up to two candidates; losses up to two."""
+    for size, spares, losses in itertools.product(range(1, 6), range(3), range(3)):
+        members, candidates = "abcde"[:size], frozenset("xy"[:spares])
+        for fates in itertools.product(FATES, repeat=size):
+            by_fate = {fate: {one for one, its in zip(members, fates, strict=True) if its == fate} for fate in FATES}
+            yield (
+                frozenset(members),
+                Observations(
+                    reachable=frozenset(by_fate["here"] | by_fate["leaving"] | candidates),
+                    leaving=frozenset(by_fate["leaving"]),
+                    silent=frozenset(by_fate["silent"]),
+                    candidates=candidates,
+                ),
+                losses,
+            )
+
+
+def test_every_target_can_be_reached_and_bears_as_much() -> None:
+    reasons = set()
+    for members, observed, losses in cases():
+        found = target(members, observed, losses)
+        if found is None:
+            continue
+        after = frozenset(found.members)
+        reasons.add(found.reason)
+        assert after != members and after <= members | observed.candidates
+        assert 2 * len(after & observed.reachable) > len(after)
+        assert 2 * len(members & observed.reachable) > len(members)
+        assert len(after) % 2 == 1 or len(after) == len(members)  # no detour by an even number
+        assert len(after) >= min(len(members), needed(losses))
+        assert len(after) <= max(len(members), needed(losses))
+        assert not (after - members) & (observed.leaving | observed.silent)
+        departing = observed.leaving | observed.silent
+        assert len(after & departing) < len(members & departing) or found.reason is Reason.GROW
+    assert reasons == set(Reason)
+
+
+def test_a_candidate_takes_the_seat_of_whoever_departs() -> None:
+    for members, observed, losses in cases():
+        departing = members & (observed.leaving | observed.silent)
+        if not departing or not observed.candidates or 2 * len(members & observed.reachable) <= len(members):
+            continue
+        found = target(members, observed, losses)
+        assert found is not None and found.reason is Reason.EXCHANGE
+        staying = frozenset(found.members) & departing
+        assert len(staying) == max(0, len(departing) - len(observed.candidates))
+        assert not (staying & observed.silent) or departing - staying <= observed.silent  # the silent go first
+
+
+def test_some_targets() -> None:
+    def after(members: str, losses: int, *, leaving: str = "", silent: str = "", spare: str = "") -> str:
+        here = frozenset(members) - frozenset(silent) | frozenset(spare)
+        found = target(members, Observations(here, frozenset(leaving), frozenset(silent), frozenset(spare)), losses)
+        return "".join(found.members) if isinstance(found, Target) else ""
+
+    assert after("abc", 1, spare="x") == ""  # more than are needed stay candidates
+    assert after("abc", 1, silent="a") == after("abc", 1, leaving="a") == ""
+    assert after("abc", 1, silent="a", spare="x") == "bcx"
+    assert after("abc", 2, spare="x") == "" and after("abc", 2, spare="xy") == "abcxy"
+    assert after("abc", 2, silent="a", spare="xyz") == "bcxyz"
+    assert after("abcde", 1, silent="a") == "bcd" and after("abcde", 2, silent="a") == ""
+    assert after("a", 1, spare="x") == "" and after("ab", 1, spare="x") == "abx"
+    assert after("abc", 1, silent="ab", spare="xy") == ""  # no majority: nothing can be agreed
+
+
+def test_those_that_leave_act_first_and_the_unreachable_have_no_turn() -> None:
+    observed = Observations(reachable=frozenset("abc"), leaving=frozenset("c"))
+    turns = {one: turn("abcd", one, observed) for one in "abcx"}
+    assert turns["c"] == 0 < turns["a"] < turns["b"] < turns["x"] == float("inf")
+
+
+def test_times_follow_from_the_settings() -> None:
+    for catch_up in (1000.0, 2000.0, 4000.0, 6000.0, 30_000.0):
+        timing = Timing.of(catch_up)
+        # Between two answers of one that lives lie at most a round that waits for another and a gap.
+        assert 1.2 * timing.gap + timing.wait < timing.silence < catch_up - 1.2 * timing.gap - timing.wait
+
+
+def test_contacts_are_bounded() -> None:
+    contacts, members = Contacts("a", 0, 1000), Membership(1, ("a", "b", "c"))
+    for at in range(1000):
+        one = f"m{at}"
+        contacts.asked(Recover(address=one, sound=True, known=NEVER.message()), at * 100, NEVER)
+        contacts.heard[one] = at * 100
+        contacts.prune(members, at * 100)
+        assert len(contacts.heard) <= REMEMBERED * 10 + 1 and len(contacts.asking(at * 100)) <= 11
+    assert contacts.observe(members, 1_000_000).candidates == frozenset()
