Orders: a proposer lets a rival's ballot through; a refused ballot is given up at once

Cause: proposers on several coordinators undid each other's ballots, waited random pauses in between, and a ballot that one member had refused waited 900 ms for the prepare of a silent one. A ballot beside a change of members that may not be made yet lost all its orders, and their callers were told that they were in force.

Change: each acceptor notes the ballots of others as they arrive (contention.RivalBallots). A proposer waits for the accept of a higher ballot that it saw prepared, for twice its own measured phase at most, and begins right behind it. A ballot refused in favour of one that is under way is given up at once, any other refused one after that time. A ballot that waited for the disk while the accept of a higher one came is refused without a write. Orders past their end are left out by the clock. A change of members that may not be made leaves the other orders of its ballot alone. Prepares of reads say so, refusals tell what is accepted.

--- a/hallhitch/planes/control/acceptor.py
+++ b/hallhitch/planes/control/acceptor.py
@@ -11,11 +11,12 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from hallhitch.messages.system_pb2 import Accept, BallotMessage, ClusterState, Envelope
+from hallhitch.messages.system_pb2 import Accept, Accepted, BallotMessage, ClusterState, Envelope, Promise
 from hallhitch.node.errors import StepError
 from hallhitch.node.logs import ComponentLogger
+from hallhitch.planes.control.contention import RivalBallots
 from hallhitch.planes.control.files import Found, Store
-from hallhitch.planes.control.register import AcceptorState
+from hallhitch.planes.control.register import AcceptorState, Ballot
 
 LATE = 1500.0  # ms after which nobody waits for an answer any more
 Run = Callable[[Callable[[], None]], Awaitable[None]]
@@ -74,6 +75,8 @@
         self.state = AcceptorState(address, recovering=True)
         self._store, self._run, self._clock = store, run, clock
         self._lock = asyncio.Lock()
+        self.rivals = RivalBallots(address)
+        self.rival_ended = asyncio.Event()  # set when what other proposers wait for has come; cleared by who waits
         self._log = ComponentLogger("replica")
 
     @property
@@ -110,16 +113,39 @@
             same, read = self.state.recover(envelope.recover)
             if same is self.state:  # nothing to write: readers do not wait for a disk that hangs
                 return Envelope(recovered=read)
+        self._note(envelope)
         # Shielded: a caller that leaves must not make us go on before what is being written is known.
         turn = asyncio.ensure_future(self._in_turn(envelope))
         turn.add_done_callback(consume_exception)
         return await asyncio.shield(turn)
 
+    def _note(self, envelope: Envelope) -> None:
+        """What arrives counts for whose turn it is, before the disk has it."""
+        if envelope.HasField("prepare") and not envelope.prepare.reading:
+            self.rivals.saw_prepare(Ballot.of(envelope.prepare.ballot), self._clock())
+        elif envelope.HasField("accept") and self.rivals.saw_accept(Ballot.of(envelope.accept.ballot)):
+            self.rival_ended.set()
+
+    def _overtaken(self, envelope: Envelope) -> Envelope | None:
+        """A refusal for a ballot that waited here while the accept of a higher one came: nothing is written for it."""
+        newest = self.rivals.accepted
+        answer = Envelope()
+        if envelope.HasField("prepare") and Ballot.of(envelope.prepare.ballot) < newest:
+            answer.promise.CopyFrom(Promise(promised=newest.message(), accepted=newest.message()))
+        elif envelope.HasField("accept") and Ballot.of(envelope.accept.ballot) < newest:
+            answer.accepted.CopyFrom(Accepted(promised=newest.message()))
+        else:
+            return None
+        return answer
+
     async def _in_turn(self, envelope: Envelope) -> Envelope:
         came = self._clock()
         async with self._lock:
             if self._clock() - came > LATE:
                 raise StepError("keep", self.state.address, "the disk was too slow")
+            overtaken = None if self.state.recovering else self._overtaken(envelope)
+            if overtaken is not None:
+                return overtaken
             answer = Envelope()
             if envelope.HasField("prepare"):
                 after, promise = self.state.prepare(envelope.prepare)
--- a/hallhitch/planes/control/proposer.py
+++ b/hallhitch/planes/control/proposer.py
@@ -7,16 +7,18 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from hallhitch.messages.system_pb2 import ClusterState, Envelope
+from hallhitch.messages.system_pb2 import ClusterState, Envelope, Promise
 from hallhitch.node.clock import now
 from hallhitch.node.errors import Silent, StepError
 from hallhitch.node.logs import ComponentLogger
 from hallhitch.planes.control.acceptor import DurableAcceptor
 from hallhitch.planes.control.changes import identity
+from hallhitch.planes.control.contention import PhaseTime
 from hallhitch.planes.control.register import (
     NEVER,
     AlreadyChosen,
@@ -31,7 +33,7 @@
 PREPARE, ACCEPT = 900.0, 2500.0  # ms for one answer; a big word on a thin link takes its time
 ANSWERED = 20.0  # ms before its caller's patience ends in which nothing more is waited for
 LINGER = 150.0  # ms given to the others after a majority has it: more disks than needed
-FIRST_PAUSE, LONGEST_PAUSE = 20.0, 200.0  # ms between ballots that met others, drawn at random up to this
+FIRST_PAUSE, LONGEST_PAUSE = 20.0, 200.0  # ms between ballots that came to nothing, drawn at random up to this
 MOVES = 3  # times that a ballot may start over by other members without a pause
 Call = Callable[[str, Envelope, float], Awaitable[Envelope]]
 
@@ -65,6 +67,10 @@
         self._work: asyncio.Task[None] | None = None
         self._ballot: asyncio.Task[ClusterState | MembershipChanged | None] | None = None
         self._calls: set[asyncio.Task[None]] = set()
+        self._phase = PhaseTime()
+        self._prepared: float | None = (
+            None  # when the prepares of the ballot under way were sent, until a majority came
+        )
         self._log = ComponentLogger("register")
         self.settled: Membership = Membership.of(
             ClusterState()
@@ -104,6 +110,7 @@
         pause, moves = FIRST_PAUSE, 0
         ask: tuple[Ballot, ClusterState] | None = None
         while self._orders:
+            await self._give_way()
             self._taken, began, result = [], self._clock(), None
             self._ballot = asyncio.ensure_future(self._one(ask))
             try:
@@ -126,50 +133,83 @@
                         self._orders.remove(order)
                 continue
             moves += 1
-            if self._orders and (ask is None or moves > MOVES):
+            if self._orders and (ask is None or moves > MOVES) and self._rival_wait() <= 0:
                 # At least as long as a ballot takes here: over long ways two would else chase each other for ever.
                 longest = max(pause, min(self._clock() - began, LONGEST_PAUSE))
                 await asyncio.sleep(self._rng.uniform(0.2, 1.0) * longest / 1000)
                 pause = min(2 * pause, LONGEST_PAUSE)
 
-    async def _one(self, ask: tuple[Ballot, ClusterState] | None) -> ClusterState | MembershipChanged | None:
-        """One ballot: the value that a majority holds, by whose members to start over, or None."""
+    def _rival_wait(self) -> float:
+        """ms for which the ballot of another proposer is let through; 0 where none is under way."""
+        return self._acceptor.rivals.wait_ms(self._clock(), self._phase.patience_ms)
+
+    async def _give_way(self) -> None:
+        """Wait while a ballot of another proposer stands between its prepares and its accepts."""
+        ended = self._acceptor.rival_ended
+        while self._orders and (left := self._rival_wait()) > 0:
+            ended.clear()
+            try:
+                async with asyncio.timeout(left / 1000):
+                    await ended.wait()
+            except TimeoutError:
+                return
+
+    def _propose(self, ask: tuple[Ballot, ClusterState] | None) -> Proposal:
+        """The next ballot, above all that were met."""
         held = self._acceptor.state
         known: tuple[Ballot, ClusterState] = (NEVER, ClusterState()) if held.recovering else (held.accepted, held.value)
         asked = ask or (known if known[0] > self.met[0] or not self.met[1].members else self.met)
-        self._round = max(self._round, held.promised.round, asked[0].round) + 1
+        rival = self._acceptor.rivals.prepared
+        self._round = max(self._round, held.promised.round, asked[0].round, rival.round) + 1
 
         def change(value: ClusterState) -> ClusterState:
-            # Only now, and only for those who still wait: see `changes` on orders that come late.
-            for order in self._orders:
-                if not order.done.done():
-                    self._taken.append(order)
-                    proposal.firm |= order.change is not identity
-                    value = order.change(value)
-            return value
+            return self._apply(proposal, value)
 
         proposal = Proposal(Ballot(self._round, self._name), asked[1], known, change, self.settled)
         proposal.firm = False
+        return proposal
+
+    def _apply(self, proposal: Proposal, value: ClusterState) -> ClusterState:
+        """All orders that wait, one after the other, on the newest value among the promises.
+
+        Only now, and only for those whose callers still wait (see `changes` on orders that come late): a process that
+        stood still finds the end of an order by the clock before its time-out has run. A change of members that may
+        not be made on top of these leaves the other orders alone.
+        """
+        members_may_change = proposal.asked == self.settled
+        for order in self._orders:
+            if order.done.done() or self._clock() >= order.ends:
+                continue
+            after = order.change(value)
+            if Membership.of(after) == Membership.of(value) or members_may_change:
+                value = after
+            self._taken.append(order)
+            proposal.firm |= order.change is not identity
+        return value
+
+    async def _one(self, ask: tuple[Ballot, ClusterState] | None) -> ClusterState | MembershipChanged | None:
+        """One ballot: the value that a majority holds, by whose members to start over, or None."""
+        proposal = self._propose(ask)
         if not proposal.to:
             return None
+        self._prepared = self._clock()
         answers: asyncio.Queue[tuple[str, Envelope]] = asyncio.Queue()
         prepare = proposal.prepare()
+        prepare.reading = all(order.change is identity for order in self._orders)
         for member in sorted(proposal.to):
             self._ask(member, Envelope(prepare=prepare), PREPARE, answers)
         missing, committed = set(proposal.to), False
+        ends = math.inf  # when a ballot that somebody refused is given up
         while not committed:
-            member, answer = await answers.get()
+            try:
+                async with asyncio.timeout(None if ends == math.inf else max(0.0, ends - self._clock()) / 1000):
+                    member, answer = await answers.get()
+            except TimeoutError:
+                return None  # refused, and the others are silent: whoever is behind it is not held up
             if answer.HasField("promise"):
-                chosen = proposal.promise(member, answer.promise)
-                if isinstance(chosen, MembershipChanged):
+                chosen = self._promised(proposal, member, answer.promise, missing, answers)
+                if isinstance(chosen, MembershipChanged | ClusterState):
                     return chosen
-                if isinstance(chosen, AlreadyChosen):
-                    self._learnt(chosen.value, proposal.base[0])
-                    return chosen.value
-                if isinstance(chosen, SendAccepts):
-                    missing |= chosen.to
-                    for one in sorted(chosen.to):
-                        self._ask(one, Envelope(accept=proposal.accept(one)), ACCEPT, answers)
             elif answer.HasField("accepted"):
                 missing.discard(member)
                 committed = proposal.accepted(member, answer.accepted)
@@ -179,6 +219,10 @@
             self._round = max(self._round, proposal.seen)
             if not committed and proposal.hopeless():
                 return None
+            if not committed and _refused(answer):
+                if proposal.value is None and self._rival_wait() > 0:
+                    return None  # a higher ballot is on its way to the others as well
+                ends = min(ends, self._clock() + self._phase.patience_ms)
         value = proposal.value
         assert value is not None
         self._learnt(value, proposal.at)
@@ -186,6 +230,32 @@
             await self._linger(proposal, missing, answers)
         return value
 
+    def _promised(
+        self,
+        proposal: Proposal,
+        member: str,
+        answer: Promise,
+        missing: set[str],
+        answers: asyncio.Queue[tuple[str, Envelope]],
+    ) -> ClusterState | MembershipChanged | None:
+        """One promise or refusal; the value where nothing has to be handed on for it."""
+        if not answer.ok and not answer.recovering:
+            self._acceptor.rivals.saw_prepare(Ballot.of(answer.promised), self._clock())
+            self._acceptor.rivals.saw_accept(Ballot.of(answer.accepted))
+        chosen = proposal.promise(member, answer)
+        if isinstance(chosen, AlreadyChosen):
+            self._learnt(chosen.value, proposal.base[0])
+            return chosen.value
+        if isinstance(chosen, SendAccepts):
+            if self._prepared is not None:
+                self._phase.measured(self._clock() - self._prepared)
+                self._prepared = None
+            missing |= chosen.to
+            for one in sorted(chosen.to):
+                self._ask(one, Envelope(accept=proposal.accept(one)), ACCEPT, answers)
+            return None
+        return chosen
+
     async def _linger(
         self, proposal: Proposal, missing: set[str], answers: asyncio.Queue[tuple[str, Envelope]]
     ) -> None:
@@ -217,3 +287,10 @@
         task = asyncio.ensure_future(ask())
         self._calls.add(task)
         task.add_done_callback(self._calls.discard)
+
+
+def _refused(answer: Envelope) -> bool:
+    """Whether a replica has met a higher ballot."""
+    if answer.HasField("promise"):
+        return not answer.promise.ok and not answer.promise.recovering
+    return answer.HasField("accepted") and not answer.accepted.ok and not answer.accepted.recovering
--- a/hallhitch/planes/control/register.py
+++ b/hallhitch/planes/control/register.py
@@ -124,7 +124,8 @@
             return self, Promise(recovering=True, incarnations=self.incarnations)
         at = Ballot.of(asked.ballot)
         if at <= self.promised:
-            return self, Promise(promised=self.promised.message(), incarnations=self.incarnations)
+            held = self.accepted.message()
+            return self, Promise(promised=self.promised.message(), accepted=held, incarnations=self.incarnations)
         answer = Promise(
             ok=True, promised=asked.ballot, accepted=self.accepted.message(), incarnations=self.incarnations
         )
--- a/tests/system/control/fleet.py
+++ b/tests/system/control/fleet.py
@@ -165,10 +165,11 @@
     async def call(self, address: str, envelope: Envelope, wait: float) -> Envelope:
         """One call over ways that may be cut."""
         fleet, own = self._fleet, self._machine.address
-        sent = Envelope.FromString(envelope.SerializeToString())
+        written = envelope.SerializeToString()
+        sent = Envelope.FromString(written)
         try:
             async with asyncio.timeout(wait / 1000):
-                await fleet.way(own, address)
+                await fleet.way(own, address, len(written))
                 other = fleet.machines.get(address)
                 if other is None or other.plane is None:
                     raise Silent("connect", address, "nobody there")
@@ -176,10 +177,11 @@
                 if isinstance(answer, Awaitable):
                     answer = await answer
                 assert answer is not None
-                await fleet.way(address, own)
+                written = answer.SerializeToString()
+                await fleet.way(address, own, len(written))
                 if machine_incarnation.get(self._machine) is not self._incarnation:
                     await asyncio.shield(fleet.never)
-                return Envelope.FromString(answer.SerializeToString())
+                return Envelope.FromString(written)
         except TimeoutError:
             raise Silent("call", address, "silence") from None
 
@@ -192,6 +194,7 @@
 
     def __init__(self, loop: Loop, seed: int, losses: int = 1, founders: int = 3, delay: float = 1.0) -> None:
         self.loop, self.rng, self.losses, self.delay = loop, random.Random(seed), losses, delay
+        self.bytes_per_ms = float("inf")  # of each message by itself: messages do not queue behind each other
         self.never: asyncio.Future[None] = loop.create_future()
         self.seeds = tuple(f"10.0.0.{n}:7000" for n in range(1, founders + 1))
         self.machines: dict[str, Machine] = {}
@@ -208,9 +211,9 @@
         """Steady ms."""
         return self.loop.time() * 1000
 
-    async def way(self, one: str, other: str) -> None:
+    async def way(self, one: str, other: str, size: int = 0) -> None:
         """The time a message takes; for ever over a cut."""
-        await asyncio.sleep(self.rng.uniform(0.5, 1.5) * self.delay / 1000)
+        await asyncio.sleep((self.rng.uniform(0.5, 1.5) * self.delay + size / self.bytes_per_ms) / 1000)
         if frozenset((one, other)) in self.cut:
             await asyncio.shield(self.never)
 
