Orders: one number, one content, judged by digests in the committed state

Cause: of two contents under one number the second got 200 as well, and the state kept nothing of numbers that were overtaken: an old order sent again could not be told from a loser.

Change: ClusterState.accepted holds number and digest (16 bytes, over the meaning of the JSON) of the newest 256 configurations. The outcome of an order is read from the state that a majority holds after its ballot: recorded, superseded (lower and unknown: acknowledged, alters nothing), conflict (409 with the number in force), absent (503). Accepts carry only the digests that the other side lacks, and content only where it changed.

Tests changed: test_a_calm_day and test_two_operators_race_with_one_version expected 200 for a second content under a taken number; they now expect 409, and the race also that exactly one is confirmed and is the one read back. test_check compares the digest as well.

--- a/hallhitch/planes/control/changes.py
+++ b/hallhitch/planes/control/changes.py
@@ -13,7 +13,8 @@
 
 from collections.abc import Iterable
 
-from hallhitch.messages.system_pb2 import ClusterState
+from hallhitch.messages.system_pb2 import ClusterState, ConfigDigest
+from hallhitch.planes.control.digests import content_digest, extended
 from hallhitch.planes.control.register import Change, Membership, copied
 
 
@@ -27,14 +28,22 @@
     return value
 
 
-def put(version: int, content: bytes) -> Change:
-    """A whole configuration: the highest version prevails, the first of equal ones stays."""
+def put(version: int, content: bytes, digest: bytes | None = None) -> Change:
+    """A whole configuration: the highest version prevails, the first of equal ones stays.
+
+    Its digest is recorded with it (without one: that of the content's bytes), by which `digests.outcome` tells later
+    whether this content is the one that was taken under its number.
+    """
+    entry = ConfigDigest(version=version, digest=content_digest(content) if digest is None else digest)
 
     def change(value: ClusterState) -> ClusterState:
         if version <= value.version:
             return value
         after = _next(value)
         after.version, after.content = version, content
+        recorded = extended(value.accepted, [entry])
+        del after.accepted[:]
+        after.accepted.extend(recorded)
         return after
 
     return change
--- a/hallhitch/planes/control/check.py
+++ b/hallhitch/planes/control/check.py
@@ -15,6 +15,7 @@
 from cerberus import Validator
 
 from hallhitch.node.settings import span
+from hallhitch.planes.control.digests import canonical_digest
 from hallhitch.planes.values import DOWNLOAD, IDEMPOTENT, NON_IDEMPOTENT
 
 LARGEST = 32 * 1024 * 1024  # bytes of a configuration
@@ -33,10 +34,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Checked:
-    """A valid configuration: its version, and how many routes it has."""
+    """A valid configuration: its version, how many routes it has, and the digest of what it means."""
 
     version: int
     routes: int
+    digest: bytes
 
 
 def _is_time(field: str, value: object, error: Any) -> None:
@@ -121,7 +123,7 @@
         for key in tenant["apiKeys"]:
             if keys.setdefault(key, name) != name:
                 raise Invalid(f"tenants.{name}.apiKeys: one of them belongs to {keys[key]}")
-    return Checked(top["configVersion"], len(top["routes"]))
+    return Checked(top["configVersion"], len(top["routes"]), canonical_digest(body))
 
 
 def _once(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
--- a/hallhitch/planes/control/operator.py
+++ b/hallhitch/planes/control/operator.py
@@ -17,6 +17,7 @@
 from hallhitch.node.errors import StepError
 from hallhitch.node.settings import Node
 from hallhitch.planes.control import changes, check
+from hallhitch.planes.control.digests import OrderOutcome, outcome
 from hallhitch.planes.control.plane import ControlPlane
 from hallhitch.planes.control.register import Change
 
@@ -66,7 +67,7 @@
         await asyncio.sleep(0)
         if self._plane.stood:
             return _error(503, "this machine stood still: ask again", {"Retry-After": "0.5"})
-        return await self._order(change, began, PATIENCE)
+        return await self._order(change, began, PATIENCE, _in_force)
 
     async def _replace(self, body: bytes, began: float) -> Answer:
         try:
@@ -75,10 +76,14 @@
             return _error(413, str(error))
         except check.Invalid as error:
             return _error(400, str(error))
-        change = changes.put(checked.version, zlib.compress(body, 6))
-        return await self._order(change, began, PATIENCE + A_ROUTE * checked.routes)
-
-    async def _order(self, change: Change, began: float, patience: float) -> Answer:
+        change = changes.put(checked.version, zlib.compress(body, 6), checked.digest)
+        patience = PATIENCE + A_ROUTE * checked.routes
+        return await self._order(change, began, patience, lambda state: _judged(state, checked))
+
+    async def _order(
+        self, change: Change, began: float, patience: float, answer: Callable[[ClusterState], Answer]
+    ) -> Answer:
+        """Put an order to the register; the answer is made of the state that a majority holds after it."""
         ends = began + patience
         while self._plane.short:
             if ends - self._clock() < PATIENCE / 2:
@@ -88,7 +93,7 @@
             value = await self._plane.change(change, ends - self._clock())
         except StepError as error:
             return _error(503, str(error), {"Retry-After": "0.3"})
-        return _json(200, {"configVersion": value.version, "evacuations": sorted(value.zones)})
+        return answer(value)
 
     async def _describe(self) -> Answer:
         began = self._clock()
@@ -106,6 +111,24 @@
         return 200, {"Content-Type": "application/json"}, zlib.decompress(value.content)
 
 
+def _judged(state: ClusterState, checked: check.Checked) -> Answer:
+    """The answer to a configuration, by the committed state after its ballot."""
+    match outcome(state, checked.version, checked.digest):
+        case OrderOutcome.CONFLICT:
+            text = f"configVersion {checked.version} was taken with another content; {state.version} is in force"
+            return _json(409, {"errorMessage": text, "configVersion": state.version})
+        case OrderOutcome.ABSENT:
+            return _error(503, "the order was not applied: ask again", {"Retry-After": "0.3"})
+        case found:
+            return _in_force(state, found)
+
+
+def _in_force(state: ClusterState, found: OrderOutcome = OrderOutcome.RECORDED) -> Answer:
+    """An acknowledgement: what became of the order, and what is in force now."""
+    body = {"configVersion": state.version, "outcome": found.value, "evacuations": sorted(state.zones)}
+    return _json(200, body)
+
+
 def _json(status: int, body: object, headers: dict[str, str] | None = None) -> Answer:
     return status, {"Content-Type": "application/json", **(headers or {})}, json.dumps(body).encode()
 
--- a/hallhitch/planes/control/register.py
+++ b/hallhitch/planes/control/register.py
@@ -36,6 +36,7 @@
     Recover,
     Recovered,
 )
+from hallhitch.planes.control import digests
 
 Change = Callable[[ClusterState], ClusterState]  # the same object = nothing to change
 
@@ -148,8 +149,7 @@
         if asked.HasField("base"):
             if Ballot.of(asked.base) != self.accepted:
                 return self, refused
-            value = copied(value)
-            value.content = self.value.content
+            value = completed(value, self.value)
         return replace(self, promised=at, accepted=at, value=value), agreed
 
     def recover(self, asked: Recover) -> tuple[AcceptorState, Recovered]:
@@ -174,6 +174,29 @@
     return other
 
 
+def completed(light: ClusterState, base: ClusterState) -> ClusterState:
+    """The value that a light one stands for, beside the one it is based on."""
+    value = copied(light)
+    value.content = light.content or base.content
+    recorded = digests.extended(base.accepted, light.accepted)
+    del value.accepted[:]
+    value.accepted.extend(recorded)
+    return value
+
+
+def lightened(value: ClusterState, base: ClusterState) -> ClusterState | None:
+    """The value without what who holds the base has already; None where `completed` would not bring it back."""
+    newer = digests.missing(base.accepted, value.accepted)
+    if newer is None or (base.content and not value.content):
+        return None
+    light = copied(value)
+    if value.content == base.content:
+        light.content = b""
+    del light.accepted[:]
+    light.accepted.extend(newer)
+    return light
+
+
 class Tally:
     """The votes of one phase; votes of a forgotten incarnation do not count."""
 
@@ -299,19 +322,17 @@
         return SendAccepts(frozenset(self._found) | (Membership.of(self.value).everybody - self.to))
 
     def accept(self, member: str) -> Accept:
-        """What is asked of one of them; the content stays away from those who have it."""
+        """What is asked of one of them; what the base holds already stays away from those who hold the base."""
         assert self.value is not None
         held = self._found.get(member)
         message = Accept(ballot=self.at.message(), members_version=self.value.members_version)
-        same = self.value.content == self.base[1].content
-        if held is not None and same and held[0] == self.base[0] != NEVER:
-            light = ClusterState()
-            light.CopyFrom(self.value)
-            light.content = b""
-            message.value.CopyFrom(light)
-            message.base.CopyFrom(self.base[0].message())
-        else:
-            message.value.CopyFrom(self.value)
+        if held is not None and held[0] == self.base[0] != NEVER:
+            light = lightened(self.value, self.base[1])
+            if light is not None:
+                message.value.CopyFrom(light)
+                message.base.CopyFrom(self.base[0].message())
+                return message
+        message.value.CopyFrom(self.value)
         return message
 
     def accepted(self, member: str, answer: Accepted) -> bool:
--- a/tests/system/control/test_check.py
+++ b/tests/system/control/test_check.py
@@ -11,6 +11,7 @@
 from cerberus import Validator
 
 from hallhitch.planes.control import check
+from hallhitch.planes.control.digests import canonical_digest
 
 PLAIN: dict[str, Any] = {
     "configVersion": 7,
@@ -150,7 +151,8 @@
 
 
 def test_unknown_fields_and_left_out_ones_are_no_reason_to_refuse() -> None:
-    assert check.read(json.dumps(PLAIN).encode()) == check.Checked(7, 2)
+    body = json.dumps(PLAIN).encode()
+    assert check.read(body) == check.Checked(7, 2, canonical_digest(body))
     for path, value in (
         ("extra", {"a": [1, None]}),
         ("routes.r-1.extra", [1]),
--- /dev/null
+++ b/tests/system/control/test_one_number_one_content.py
@@ -0,0 +1,241 @@
+"""One number stands for one content: lost answers, orders sent again, two operators, what is remembered."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+
+import pytest
+
+from hallhitch.messages.system_pb2 import ClusterState
+from hallhitch.planes.control import changes
+from hallhitch.planes.control.digests import REMEMBERED, OrderOutcome, canonical_digest, content_digest, outcome
+from hallhitch.planes.control.proposer import _Order
+from hallhitch.planes.control.register import NEVER, AcceptorState, Ballot, Membership, Proposal, founded
+from tests.system.control.fleet import Fleet, play
+from tests.system.control.test_plane import call, described, put, zones
+
+NUMBER, STEPS = 7, 6  # three prepares and three accepts of one ballot
+CONTENTS = {"A": b"a", "B": b"b"}
+
+
+class Small:
+    """Three replicas and the ballots of two operators' orders, message by message; one message may be lost."""
+
+    def __init__(self) -> None:
+        self.replicas = {name: AcceptorState(name, value=founded("abc")) for name in "abc"}
+        self.told: dict[str, set[OrderOutcome]] = {who: set() for who in CONTENTS}
+
+    def ballot(self, who: str, at: int) -> Proposal:
+        """An order's next try."""
+        change = changes.put(NUMBER, CONTENTS[who])
+        first = founded("abc")
+        return Proposal(Ballot(at, who), first, (NEVER, ClusterState()), change, Membership.of(first))
+
+    def step(self, who: str, proposal: Proposal, step: int, lost: str = "") -> None:
+        """One message and its answer: a prepare for the first three steps, an accept for the others."""
+        name, accepting = "abc"[step % 3], step >= 3
+        if lost == "request" or (accepting and proposal.value is None):
+            return
+        if not accepting:
+            self.replicas[name], promise = self.replicas[name].prepare(proposal.prepare())
+            if not lost:
+                proposal.promise(name, promise)
+            return
+        self.replicas[name], accepted = self.replicas[name].accept(proposal.accept(name))
+        if not lost and proposal.accepted(name, accepted) and proposal.value is not None:
+            self.told[who].add(outcome(proposal.value, NUMBER, content_digest(CONTENTS[who])))
+
+    def again(self, who: str, at: int, quorum: tuple[str, ...]) -> None:
+        """The order is sent again, by another machine that reaches these."""
+        proposal = self.ballot(who, at)
+        for step in range(STEPS):
+            if "abc"[step % 3] in quorum:
+                self.step(who, proposal, step)
+
+
+@pytest.mark.parametrize("quorum", list(itertools.combinations("abc", 2)), ids="".join)
+def test_two_orders_on_one_number_with_one_lost_message(quorum: tuple[str, ...]) -> None:
+    """Every place of B's two phases in A's ballot, each message lost on its way there or back, then both sent again."""
+    losses = [("", -1, ""), *itertools.product("AB", range(STEPS), ("request", "answer"))]
+    winners = set()
+    for first, second in itertools.combinations_with_replacement(range(STEPS + 1), 2):
+        places = sorted([(first, "B", step) for step in range(3)] + [(second, "B", step) for step in range(3, STEPS)])
+        for loser, lost_step, way in losses:
+            small = Small()
+            ballots = {who: small.ballot(who, 1) for who in CONTENTS}
+            schedule = [(who, step) for _, who, step in places]
+            for step in reversed(range(STEPS)):
+                schedule.insert(sum(place <= step for place, _, _ in places), ("A", step))
+            for who, step in schedule:
+                small.step(who, ballots[who], step, way if (who, step) == (loser, lost_step) else "")
+            for at, who in enumerate("ABAB", start=2):
+                small.again(who, at, quorum)
+            assert sorted(next(iter(told)).value for told in small.told.values()) == ["conflict", "recorded"]
+            assert all(len(told) == 1 for told in small.told.values())  # the same answer at any time, and never refused
+            winners |= {who for who, told in small.told.items() if told == {OrderOutcome.RECORDED}}
+    assert winners == {"A", "B"}
+
+
+def test_an_order_sent_again_is_acknowledged_beside_newer_ones_through_every_machine() -> None:
+    async def scene(fleet: Fleet) -> None:
+        machines = await fleet.found()
+        for version in (3, 5, 9, 12):
+            assert await put(machines[version % 3], version, f"first {version}") == 200
+        for restarted in (False, True):
+            for machine in machines:
+                if restarted:
+                    await machine.lose_power()
+                    await machine.start()
+                    await asyncio.sleep(3)
+                for version in (3, 5, 9, 12):
+                    status, answer = await call(machine, "config.replace", _sent(version, f"first {version}"))
+                    assert (status, answer["outcome"], answer["configVersion"]) == (200, "recorded", 12)
+                    status, answer = await call(machine, "config.replace", _sent(version, "another"))
+                    assert status == 409 and answer["configVersion"] == 12
+                status, answer = await call(machine, "config.replace", _sent(7, "never seen"))
+                assert (status, answer["outcome"], answer["configVersion"]) == (200, "superseded", 12)
+                assert await described(machine) == (12, "first 12")
+
+    play(scene)
+
+
+def test_an_order_whose_caller_gave_up_is_acknowledged_when_it_is_sent_again() -> None:
+    """Its ballot goes on or not: whatever became of it, the same content is taken, another one never."""
+
+    async def scene(fleet: Fleet) -> None:
+        machines = await fleet.found()
+        for version in range(1, 30):
+            first = asyncio.ensure_future(put(machines[version % 3], version, "mine"))
+            await asyncio.sleep(fleet.rng.random() / 80)
+            first.cancel()
+            other = put(machines[(version + 1) % 3], version, "other")
+            statuses = await asyncio.gather(put(machines[(version + 2) % 3], version, "mine"), other)
+            assert sorted(statuses) == [200, 409]
+            repeated = [await put(machine, version, mark) for mark in ("mine", "other") for machine in machines]
+            assert repeated == [statuses[0]] * 3 + [statuses[1]] * 3
+
+    for seed in range(4):
+        play(scene, seed)
+
+
+def _sent(version: int, mark: str) -> bytes:
+    body = {"mark": mark, "configVersion": version, "routes": {}, "services": {}}
+    return json.dumps({**body, "limits": {}, **_routes()}, indent=version % 3).encode()
+
+
+def _routes() -> dict[str, object]:
+    route = {"targetService": "s", "maxAttempts": 1.0, "timeout": "3s", "routeKind": "idempotent"}
+    route |= {"host": "a.example", "pathPrefix": "/0/", "maxAttempts": 1}
+    return {"routes": {"r-0": route}, "services": {"s": {}}}
+
+
+@pytest.mark.parametrize(
+    ("one", "other", "same"),
+    [
+        ('{"a": 1, "b": [1, {"c": null}]}', ' {"b":[1.0,{"c":null}],\n"a":1e0}', True),
+        ('{"a": "\\u00e9"}', '{"a": "é"}', True),
+        ('{"a": 1}', '{"a": "1"}', False),
+        ('{"a": 1}', '{"a": true}', False),
+        ('{"a": [1, 2]}', '{"a": [2, 1]}', False),
+        ('{"a": null}', "{}", False),
+        ('{"a": 9007199254740993}', '{"a": 9007199254740992}', False),
+        ('{"a": 0.1}', '{"a": 0.10000000000000001}', True),
+    ],
+)
+def test_the_same_meaning_is_the_same_content(one: str, other: str, same: bool) -> None:
+    assert (canonical_digest(one.encode()) == canonical_digest(other.encode())) is same
+
+
+def test_what_is_remembered_stays_small_and_travels_once() -> None:
+    state, at = founded("abc"), Ballot(1, "a#1")
+    for version in range(1, 1001):
+        state = changes.put(10**12 + version, b"x" * 100, content_digest(b"%d" % version))(state)
+    assert len(state.accepted) == REMEMBERED and state.ByteSize() < 9000
+    for version, found in ((1000, "recorded"), (745, "recorded"), (744, "superseded"), (1001, "absent")):
+        assert outcome(state, 10**12 + version, content_digest(b"%d" % version)).value == found
+    assert outcome(state, 10**12 + 745, b"other") is OrderOutcome.CONFLICT
+    for change, most in ((changes.put(10**13, b"y" * 50), 250), (changes.evacuate("z"), 200)):
+        replicas = {name: AcceptorState(name, at, at, state) for name in "ab"}
+        proposal = Proposal(Ballot(2, "b#1"), state, (at, state), change, Membership.of(state))
+        for name in replicas:
+            replicas[name], promise = replicas[name].prepare(proposal.prepare())
+            proposal.promise(name, promise)
+        for name in replicas:
+            assert proposal.accept(name).ByteSize() < most
+            replicas[name], accepted = replicas[name].accept(proposal.accept(name))
+            assert accepted.ok and replicas[name].value == proposal.value == change(state)
+        assert proposal.accept("c").value == proposal.value  # nothing was heard of it: it gets the whole
+
+
+def test_a_change_of_members_that_may_not_be_made_drops_no_order_beside_it() -> None:
+    """Both are in one ballot, on top of members of which this process does not know that a majority took them."""
+
+    async def scene(fleet: Fleet) -> None:
+        a, b, _ = await fleet.found()
+        assert await put(a, 1) == 200 and a.plane is not None
+        fifth = changes.add("10.0.0.5:7000", a.plane._proposer.settled)
+        a.plane._proposer.settled = Membership()
+        after, _ = await asyncio.gather(a.plane.change(changes.put(2, b"x"), 800), a.plane.change(fifth, 800))
+        assert after.version == 2 and len(after.members) == 3
+        assert b.plane is not None and (await b.plane.change(changes.identity, 800)).version == 2
+
+    play(scene)
+
+
+@pytest.mark.parametrize("step", range(12))
+def test_an_evacuation_whose_machine_stood_still_in_its_ballot_does_not_come_after_its_stop(step: int) -> None:
+    """The answers of the others wait in its sockets for 30 s; by whatever is read first then, the order has ended."""
+
+    async def scene(fleet: Fleet) -> None:
+        a, b, _ = await fleet.found()
+        await asyncio.sleep(1)
+        started = asyncio.ensure_future(call(a, "evacuations.start&of=viti-a"))
+        await asyncio.sleep(step * 0.0004)
+        fleet.loop.skip.at += 30
+        while (await call(b, "evacuations.stop&of=viti-a"))[0] != 200:
+            await asyncio.sleep(0.1)
+        assert (await started)[0] in (200, 503)
+        await asyncio.sleep(3)
+        assert await zones(a) == await zones(b) == set()
+
+    play(scene)
+
+
+def test_an_order_past_its_end_is_not_applied_though_its_time_out_has_not_run() -> None:
+    async def scene(fleet: Fleet) -> None:
+        a, *_ = await fleet.found()
+        assert a.plane is not None
+        proposer, value = a.plane._proposer, a.plane._acceptor.state.value
+        for ends, zones_then in ((fleet.clock() + 1, ["viti-a"]), (fleet.clock(), [])):
+            proposer._orders = [_Order(changes.evacuate("viti-a"), ends, fleet.loop.create_future())]
+            assert list(proposer._apply(proposer._propose(None), value).zones) == zones_then
+        proposer._orders = []
+
+    play(scene)
+
+
+def test_evacuations_sent_again_by_several_callers() -> None:
+    """Each start is given up, sent again through others and acknowledged; once its stop is, it does not come back."""
+
+    async def scene(fleet: Fleet) -> None:
+        machines = await fleet.found()
+        for turn in range(10):
+            for name, expected in (("start", {"viti-a"}), ("stop", set[str]())):
+                given_up = [
+                    asyncio.ensure_future(call(machine, f"evacuations.{name}&of=viti-a")) for machine in machines[:2]
+                ]
+                await asyncio.sleep(fleet.rng.random() / 100)
+                for one in given_up:
+                    one.cancel()
+                again = (
+                    call(machine, f"evacuations.{name}&of=viti-a") for machine in (machines[2], machines[turn % 2])
+                )
+                assert [status for status, _ in await asyncio.gather(*again)] == [200, 200]
+                assert await zones(machines[turn % 3]) == expected
+            await asyncio.sleep(3)
+            assert await zones(machines[turn % 3]) == set()
+
+    for seed in range(4):
+        play(scene, seed)
--- a/tests/system/control/test_plane.py
+++ b/tests/system/control/test_plane.py
@@ -72,8 +72,14 @@
     async def scene(fleet: Fleet) -> None:
         a, b, c = await fleet.found()
         assert (await call(a, "config.describe"))[0] == 503
-        for machine, version, mark in ((a, 7, "first"), (b, 7, "second"), (c, 6, "old"), (b, 9, "new")):
-            assert await put(machine, version, mark) == 200
+        for machine, version, mark, status in (
+            (a, 7, "first", 200),
+            (b, 7, "second", 409),
+            (c, 7, "first", 200),
+            (c, 6, "old", 200),
+            (b, 9, "new", 200),
+        ):
+            assert await put(machine, version, mark) == status
         began = fleet.clock()
         assert await put(c, 12, "newest", routes=50) == 200
         assert fleet.clock() - began < 40
@@ -126,8 +132,9 @@
         assert await put(a, 1) == 200
         for version in range(2, 7):
             answers = await asyncio.gather(put(a, version, "a"), put(b, version, "b"), put(c, version - 1, "old"))
-            assert set(answers) == {200}
-            assert len({await described(machine) for machine in (a, b, c)}) == 1
+            assert sorted(answers[:2]) == [200, 409] and answers[2] == 409  # that number was taken by another as well
+            winner = "ab"[answers.index(200)]
+            assert {await described(machine) for machine in (a, b, c)} == {(version, winner)}
         await asyncio.sleep(5)
         marks: dict[int, set[bytes]] = {}
         for machine in (a, b, c):
