--- a/benchmarks/order_latency.py
+++ b/benchmarks/order_latency.py
@@ -140,7 +140,10 @@
 }
 
 
-def measure(orders: Orders, trouble: Trouble, routes: int, bytes_per_ms: float, seed: int, **fleet: float) -> Sample:
+def measure(
+    orders: Orders, trouble: Trouble, routes: int, bytes_per_ms: float, seed: int,
+    *, founders: int, losses: int, delay: float,
+) -> Sample:
     """One case with one seed."""
     sample = Sample()
 
@@ -150,7 +153,7 @@
         world.bytes_per_ms = bytes_per_ms
         await orders(Operator(world, await trouble(world, machines), routes, sample))
 
-    play(scene, seed, **fleet)
+    play(scene, seed, founders=founders, losses=losses, delay=delay)
     return sample
 
 
--- a/hallhitch/planes/control/changes.py
+++ b/hallhitch/planes/control/changes.py
@@ -7,6 +7,10 @@
 caller, who has left: an order is put to the register only while its caller waits on an open connection, within the
 second after which callers move on, and not while the process finds that it has been standing still (see `operator`).
 A `stop` comes only after its `start` was answered or given up, thus after all its earlier callers have left.
+The proposer looks at this when a majority has promised its ballot: at the caller, and at the clock for the order's end,
+as a machine that stood still may read promises before its time-outs run. What it hands on then lies under a ballot that
+a majority promised before any such `stop`, and the `stop` is written under a higher one even where it changes nothing:
+accepts of the `start` that come after it are refused.
 """
 
 from __future__ import annotations
--- a/tests/system/control/fleet.py
+++ b/tests/system/control/fleet.py
@@ -45,12 +45,18 @@
         return self.skip.at
 
 
-def play(scene: Callable[[Fleet], Coroutine[Any, Any, T]], seed: int = 1, **how: Any) -> T:
+def play(
+    scene: Callable[[Fleet], Coroutine[Any, Any, T]],
+    seed: int = 1,
+    *,
+    fleet_type: type[Fleet] | None = None,
+    **how: Any,
+) -> T:
     """Run a scene in virtual time."""
     loop = Loop()
     asyncio.set_event_loop(loop)
     try:
-        return loop.run_until_complete(scene(Fleet(loop, seed, **how)))
+        return loop.run_until_complete(scene((fleet_type or Fleet)(loop, seed, **how)))
     finally:
         for task in asyncio.all_tasks(loop):
             task.cancel()
