--- a/hallhitch/planes/control/proposer.py
+++ b/hallhitch/planes/control/proposer.py
@@ -192,12 +192,7 @@
         proposal = self._propose(ask)
         if not proposal.to:
             return None
-        self._prepared = self._clock()
-        answers: asyncio.Queue[tuple[str, Envelope]] = asyncio.Queue()
-        prepare = proposal.prepare()
-        prepare.reading = all(order.change is identity for order in self._orders)
-        for member in sorted(proposal.to):
-            self._ask(member, Envelope(prepare=prepare), PREPARE, answers)
+        answers = self._send_prepares(proposal)
         missing, committed = set(proposal.to), False
         ends = math.inf  # when a ballot that somebody refused is given up
         while not committed:
@@ -210,18 +205,16 @@
                 chosen = self._promised(proposal, member, answer.promise, missing, answers)
                 if isinstance(chosen, MembershipChanged | ClusterState):
                     return chosen
-            elif answer.HasField("accepted"):
-                missing.discard(member)
-                committed = proposal.accepted(member, answer.accepted)
             else:
-                proposal.refused(member)
                 missing.discard(member)
+                if answer.HasField("accepted"):
+                    committed = proposal.accepted(member, answer.accepted)
+                else:
+                    proposal.refused(member)
             self._round = max(self._round, proposal.seen)
-            if not committed and proposal.hopeless():
+            if not committed and (proposal.hopeless() or (_refused(answer) and self._is_overtaken(proposal))):
                 return None
-            if not committed and _refused(answer):
-                if proposal.value is None and self._rival_wait() > 0:
-                    return None  # a higher ballot is on its way to the others as well
+            if _refused(answer):
                 ends = min(ends, self._clock() + self._phase.patience_ms)
         value = proposal.value
         assert value is not None
@@ -230,6 +223,20 @@
             await self._linger(proposal, missing, answers)
         return value
 
+    def _send_prepares(self, proposal: Proposal) -> asyncio.Queue[tuple[str, Envelope]]:
+        """Ask all for their promises; where their answers come."""
+        answers: asyncio.Queue[tuple[str, Envelope]] = asyncio.Queue()
+        prepare = proposal.prepare()
+        prepare.reading = all(order.change is identity for order in self._orders)
+        self._prepared = self._clock()
+        for member in sorted(proposal.to):
+            self._ask(member, Envelope(prepare=prepare), PREPARE, answers)
+        return answers
+
+    def _is_overtaken(self, proposal: Proposal) -> bool:
+        """Whether a ballot without a majority of promises has met a higher one that is on its way to the others too."""
+        return proposal.value is None and self._rival_wait() > 0
+
     def _promised(
         self,
         proposal: Proposal,
