--- a/hallhitch/planes/control/acceptor.py
+++ b/hallhitch/planes/control/acceptor.py
@@ -139,29 +139,40 @@
         return answer
 
     async def _in_turn(self, envelope: Envelope) -> Envelope:
+        """One decision after the other. What waited too long is let go: behind a disk that hangs no queue grows."""
         came = self._clock()
-        async with self._lock:
+        try:
+            async with asyncio.timeout(LATE / 1000):
+                await self._lock.acquire()
+        except TimeoutError:
+            raise StepError("keep", self.state.address, "the disk was too slow") from None
+        try:
             if self._clock() - came > LATE:
                 raise StepError("keep", self.state.address, "the disk was too slow")
-            overtaken = None if self.state.recovering else self._overtaken(envelope)
-            if overtaken is not None:
-                return overtaken
-            answer = Envelope()
-            if envelope.HasField("prepare"):
-                after, promise = self.state.prepare(envelope.prepare)
-                answer.promise.CopyFrom(promise)
-            elif envelope.HasField("accept"):
-                after, accepted = self.state.accept(envelope.accept)
-                answer.accepted.CopyFrom(accepted)
-            else:
-                after, recovered = self.state.recover(envelope.recover)
-                answer.recovered.CopyFrom(recovered)
-            if after is not self.state:
-                try:
-                    await self._keep(after)
-                except OSError as error:
-                    raise StepError("keep", self.state.address, f"the disk refused: {error}") from None
-            return answer
+            return await self._decide(envelope)
+        finally:
+            self._lock.release()
+
+    async def _decide(self, envelope: Envelope) -> Envelope:
+        overtaken = None if self.state.recovering else self._overtaken(envelope)
+        if overtaken is not None:
+            return overtaken
+        answer = Envelope()
+        if envelope.HasField("prepare"):
+            after, promise = self.state.prepare(envelope.prepare)
+            answer.promise.CopyFrom(promise)
+        elif envelope.HasField("accept"):
+            after, accepted = self.state.accept(envelope.accept)
+            answer.accepted.CopyFrom(accepted)
+        else:
+            after, recovered = self.state.recover(envelope.recover)
+            answer.recovered.CopyFrom(recovered)
+        if after is not self.state:
+            try:
+                await self._keep(after)
+            except OSError as error:
+                raise StepError("keep", self.state.address, f"the disk refused: {error}") from None
+        return answer
 
     async def take(self, ballot: BallotMessage, value: ClusterState) -> None:
         """Accept what others hold, as if the accept had come late."""
--- a/tests/system/control/test_contention.py
+++ b/tests/system/control/test_contention.py
@@ -10,7 +10,7 @@
 from benchmarks.order_latency import CASES, measure
 from hallhitch.messages.system_pb2 import Accept, Envelope, Prepare
 from hallhitch.planes.control import changes
-from hallhitch.planes.control.acceptor import DurableAcceptor
+from hallhitch.planes.control.acceptor import DurableAcceptor, consume_exception
 from hallhitch.planes.control.contention import LONGEST_MS, SHORTEST_MS, PhaseTime, RivalBallots
 from hallhitch.planes.control.files import Store
 from hallhitch.planes.control.register import AcceptorState, Ballot, founded
@@ -88,3 +88,27 @@
 
     loop.run_until_complete(scene())
     loop.close()
+
+
+def test_no_queue_grows_behind_a_disk_that_hangs() -> None:
+    loop = Loop()
+
+    async def hanging(call: Callable[[], None]) -> None:
+        await asyncio.sleep(60)
+        call()
+
+    async def scene() -> None:
+        acceptor = DurableAcceptor("a", Store(Memory(), "a"), hanging, lambda: loop.time() * 1000)
+        acceptor.state = AcceptorState("a", value=founded("abc"))
+        most = 0
+        for number in range(1, 300):
+            prepare = Envelope(prepare=Prepare(ballot=Ballot(number, "b#1").message()))
+            asyncio.ensure_future(acceptor.handle(prepare)).add_done_callback(consume_exception)
+            await asyncio.sleep(0.1)
+            most = max(most, len(asyncio.all_tasks()))
+        assert most < 40  # of a second and a half, two tasks each
+        await asyncio.sleep(60)
+        assert acceptor.state.promised.round == 1 and not acceptor.busy
+
+    loop.run_until_complete(scene())
+    loop.close()
