--- a/hallhitch/planes/control/changes.py
+++ b/hallhitch/planes/control/changes.py
@@ -7,13 +7,18 @@
 caller, who has left: an order is put to the register only while its caller waits on an open connection, within the
 second after which callers move on, and not while the process finds that it has been standing still (see `operator`).
 A `stop` comes only after its `start` was answered or given up, thus after all its earlier callers have left.
+The proposer looks at this when a majority has promised its ballot: at the caller, and at the clock for the order's end,
+as a machine that stood still may read promises before its time-outs run. What it hands on then lies under a ballot that
+a majority promised before any such `stop`, and the `stop` is written under a higher one even where it changes nothing:
+accepts of the `start` that come after it are refused.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterable
 
-from hallhitch.messages.system_pb2 import ClusterState
+from hallhitch.messages.system_pb2 import ClusterState, ConfigDigest
+from hallhitch.planes.control.digests import content_digest, extended
 from hallhitch.planes.control.register import Change, Membership, copied
 
 
@@ -27,14 +32,22 @@
     return value
 
 
-def put(version: int, content: bytes) -> Change:
-    """A whole configuration: the highest version prevails, the first of equal ones stays."""
+def put(version: int, content: bytes, digest: bytes | None = None) -> Change:
+    """A whole configuration: the highest version prevails, the first of equal ones stays.
+
+    Its digest is recorded with it (without one: that of the content's bytes), by which `digests.outcome` tells later
+    whether this content is the one that was taken under its number.
+    """
+    entry = ConfigDigest(version=version, digest=content_digest(content) if digest is None else digest)
 
     def change(value: ClusterState) -> ClusterState:
         if version <= value.version:
             return value
         after = _next(value)
         after.version, after.content = version, content
+        recorded = extended(value.accepted, [entry])
+        del after.accepted[:]
+        after.accepted.extend(recorded)
         return after
 
     return change
--- a/tests/system/control/fleet.py
+++ b/tests/system/control/fleet.py
@@ -47,12 +47,18 @@
         return self.skip.at
 
 
-def play(scene: Callable[[Fleet], Coroutine[Any, Any, T]], seed: int = 1, **how: Any) -> T:
+def play(
+    scene: Callable[[Fleet], Coroutine[Any, Any, T]],
+    seed: int = 1,
+    *,
+    fleet_type: type[Fleet] | None = None,
+    **how: Any,
+) -> T:
     """Run a scene in virtual time."""
     loop = Loop()
     asyncio.set_event_loop(loop)
     try:
-        return loop.run_until_complete(scene(Fleet(loop, seed, **how)))
+        return loop.run_until_complete(scene((fleet_type or Fleet)(loop, seed, **how)))
     finally:
         for task in asyncio.all_tasks(loop):
             task.cancel()
@@ -176,10 +182,11 @@
     async def call(self, address: str, envelope: Envelope, wait: float) -> Envelope:
         """One call over ways that may be cut."""
         fleet, own = self._fleet, self._machine.address
-        sent = Envelope.FromString(envelope.SerializeToString())
+        written = envelope.SerializeToString()
+        sent = Envelope.FromString(written)
         try:
             async with asyncio.timeout(wait / 1000):
-                await fleet.way(own, address)
+                await fleet.way(own, address, len(written))
                 other = fleet.machines.get(address)
                 if other is None or other.plane is None:
                     raise Silent("connect", address, "nobody there")
@@ -187,10 +194,11 @@
                 if isinstance(answer, Awaitable):
                     answer = await answer
                 assert answer is not None
-                await fleet.way(address, own)
+                written = answer.SerializeToString()
+                await fleet.way(address, own, len(written))
                 if machine_incarnation.get(self._machine) is not self._incarnation:
                     await asyncio.shield(fleet.never)
-                return Envelope.FromString(answer.SerializeToString())
+                return Envelope.FromString(written)
         except TimeoutError:
             raise Silent("call", address, "silence") from None
 
@@ -203,12 +211,15 @@
 
     def __init__(self, loop: Loop, seed: int, losses: int = 1, founders: int = 3, delay: float = 1.0) -> None:
         self.loop, self.rng, self.losses, self.delay = loop, random.Random(seed), losses, delay
+        self.bytes_per_ms = float("inf")  # of each message by itself: messages do not queue behind each other
         self.never: asyncio.Future[None] = loop.create_future()
         self.seeds = tuple(f"10.0.0.{n}:7000" for n in range(1, founders + 1))
         self.machines: dict[str, Machine] = {}
+        self.kept: list[asyncio.Future[None]] = []  # tasks of a scene that run until its end
         self.cut: set[frozenset[str]] = set()
         self.messages = 0
         self.strikes: dict[int, Callable[[], Coroutine[Any, Any, None]]] = {}  # what happens at which message
+        self.deaf: set[str] = set()  # cut off one way: nothing arrives there, and what they send does
         for address in self.seeds:
             self.add(address)
 
@@ -221,13 +232,13 @@
         """Steady ms."""
         return self.loop.time() * 1000
 
-    async def way(self, one: str, other: str) -> None:
+    async def way(self, one: str, other: str, size: int = 0) -> None:
         """The time a message takes; for ever over a cut."""
         self.messages += 1
         if strike := self.strikes.pop(self.messages, None):
             await strike()
-        await asyncio.sleep(self.rng.uniform(0.5, 1.5) * self.delay / 1000)
-        if frozenset((one, other)) in self.cut:
+        await asyncio.sleep((self.rng.uniform(0.5, 1.5) * self.delay + size / self.bytes_per_ms) / 1000)
+        if frozenset((one, other)) in self.cut or other in self.deaf:
             await asyncio.shield(self.never)
 
     def isolate(self, *addresses: str) -> None:
