Names: LeaseClaim, LeaseVotes and acquire in the quota plane

Cause: the claims of leases still had names of the earlier style (Asked, Votes, take). No behaviour changed. Measured: tests/system/quota passes. Ruled out: nothing.

--- a/benchmarks/capacity_slopes.py
+++ b/benchmarks/capacity_slopes.py
@@ -37,7 +37,7 @@
 from hallhitch.planes.distribution.hub import StateHub, entry_of, sent_of
 from hallhitch.planes.quota import wire
 from hallhitch.planes.quota.holder import LeaseHolder
-from hallhitch.planes.quota.lease import Account, Asked
+from hallhitch.planes.quota.lease import Account, LeaseClaim
 from hallhitch.planes.quota.lease_client import ranks
 from hallhitch.planes.quota.limits import Quota
 from hallhitch.planes.values import Backend, ClusterConfig, Gateway, Route, Service
@@ -246,7 +246,7 @@
     began = time.thread_time()
     accounts = {bucket: told for bucket in range(128) if (told := holder.account(bucket, moment[0])) is not None}
     gathered = time.thread_time() - began
-    asked = Asked("10.0.0.1:7560", 1, 1, 1, renew=range(128), accounts=accounts)
+    asked = LeaseClaim("10.0.0.1:7560", 1, 1, 1, renew=range(128), accounts=accounts)
     size = len(wire.claim(asked, 1).SerializeToString())
     return tenants, each, held, size / tenants, gathered / tenants * 1e6
 
@@ -254,7 +254,7 @@
 def accounted(tenants: int) -> Row:
     """The same at a coordinator: reading a claim with accounts of so many tenants."""
     sums = {f"tenant{n}": (1, 0, 0, 0, 0, 0, 0, 0) for n in range(tenants)}
-    data = wire.claim(Asked("10.0.0.1:7560", 1, 1, 1, renew=(1,), accounts={1: Account(sums)}), 1)
+    data = wire.claim(LeaseClaim("10.0.0.1:7560", 1, 1, 1, renew=(1,), accounts={1: Account(sums)}), 1)
     return tenants, spent(lambda: wire.asked(data)) / tenants
 
 
--- a/hallhitch/planes/quota/lease.py
+++ b/hallhitch/planes/quota/lease.py
@@ -69,8 +69,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Asked:
-    """One claim. `renew`: the claimant's lease runs; `take`: it wants one; `release`: it counts there no more;
+class LeaseClaim:
+    """One claim. `renew`: the claimant's lease runs; `acquire`: it wants one; `release`: it counts there no more;
     `drop`: the same, and it counted nothing there within a window. `accounts` are of what is renewed or released;
     a bucket without one has counted nothing. `to`: the incarnation of the coordinator it was written for."""
 
@@ -79,7 +79,7 @@
     number: int
     members: int
     renew: Sequence[int] = ()
-    take: Sequence[int] = ()
+    acquire: Sequence[int] = ()
     release: Sequence[int] = ()
     drop: Sequence[int] = ()
     accounts: Mapping[int, Account] = field(default_factory=dict)
@@ -87,10 +87,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Votes:
+class LeaseVotes:
     """What came of a claim. Without `ok` nothing was voted. All asked for and not refused have the vote.
 
-    `idle` goes with `take`, in its order: ms for which no other had this coordinator's vote (0 where refused).
+    `idle` goes with `acquire`, in its order: ms for which no other had this coordinator's vote (0 where refused).
     `seen`: claimants of the last minute; 0 while it is in_grace_period and may have heard of few.
     """
 
@@ -134,7 +134,7 @@
         """Whether votes that are forgotten may still count somewhere."""
         return now < self._grace_until
 
-    def claim(self, now: float, asked: Asked) -> Votes:
+    def claim(self, now: float, asked: LeaseClaim) -> LeaseVotes:
         """Vote on one claim."""
         who = (asked.holder, asked.incarnation)
         # One that was overtaken must not undo the newer; one for an earlier incarnation of ours knows nothing of this.
@@ -144,7 +144,7 @@
             or asked.members != self._members
             or asked.number <= self._numbers.get(who, (-1, 0.0))[0]
         ):
-            return Votes(False, self.incarnation)
+            return LeaseVotes(False, self.incarnation)
         self._numbers[who] = (asked.number, now)
         self._seen[asked.holder] = now
         for bucket in (*asked.release, *asked.drop):
@@ -160,7 +160,7 @@
             if bucket not in refused:
                 self._votes[bucket].settled, self._votes[bucket].left = True, self._left(now, bucket, asked, False)
         idle, left = [], {}
-        for bucket in asked.take:
+        for bucket in asked.acquire:
             given = not in_grace_period and self._vote(now, bucket, who)
             idle.append(max(0, int(now - self._votes[bucket].since)) if given else 0)
             if not given:
@@ -171,7 +171,7 @@
             if vote.before is not None:
                 left[bucket] = replace(vote.before, age=now - vote.before.age)
         self._show(now)
-        return Votes(
+        return LeaseVotes(
             True,
             self.incarnation,
             in_grace_period,
@@ -191,7 +191,7 @@
         self._show(now)
         return self.version
 
-    def _left(self, now: float, bucket: int, asked: Asked, final: bool) -> Left | None:
+    def _left(self, now: float, bucket: int, asked: LeaseClaim, final: bool) -> Left | None:
         """What a claimant's account is worth here: while in_grace_period we may have forgotten a later holder."""
         if self.in_grace_period(now):
             return None
@@ -203,7 +203,7 @@
             return False
         vote = self._votes.get(bucket)
         if vote is None:
-            # Votes of an earlier incarnation, if there were any, end with its grace period.
+            # LeaseVotes of an earlier incarnation, if there were any, end with its grace period.
             vote = self._votes[bucket] = _Vote(*who, now, self._grace_until)
         elif (vote.holder, vote.incarnation) != who:
             if now < vote.ends:
--- a/hallhitch/planes/quota/lease_client.py
+++ b/hallhitch/planes/quota/lease_client.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass, field, replace
 
-from hallhitch.planes.quota.lease import LEASE, MARGIN, Account, Asked, Left, Votes, members_mark
+from hallhitch.planes.quota.lease import LEASE, MARGIN, Account, LeaseClaim, Left, LeaseVotes, members_mark
 from hallhitch.planes.quota.limits import BUCKETS
 
 PATIENCE = 700.0  # ms that winning a bucket may take before it is let go
@@ -63,7 +63,7 @@
 
 @dataclass(slots=True)
 class _Attempt:
-    """Votes for a bucket that is to be won, by coordinator."""
+    """LeaseVotes for a bucket that is to be won, by coordinator."""
 
     began: float
     first: int  # number of its first claim
@@ -92,7 +92,7 @@
         self.seen = 0  # gateways that may exist, as far as a majority has told
         self._members: tuple[str, ...] = ()
         self._number = 0
-        self._sent: dict[int, tuple[float, Asked]] = {}
+        self._sent: dict[int, tuple[float, LeaseClaim]] = {}
         self._won: dict[int, _Won] = {}
         self._attempts: dict[int, _Attempt] = {}
         # bucket -> counted there, told until, whether our windows tell all there was
@@ -168,10 +168,10 @@
             self._abandon(now, bucket, 0.0)
 
     def incarnation_of(self, coordinator: str) -> int:
-        """The incarnation of a coordinator that a claim to it is for (Asked.to)."""
+        """The incarnation of a coordinator that a claim to it is for (LeaseClaim.to)."""
         return self._incarnations.get(coordinator, 0)
 
-    def round(self, now: float, busy: Callable[[int], bool], account: Callable[[int], Account | None]) -> Asked:
+    def round(self, now: float, busy: Callable[[int], bool], account: Callable[[int], Account | None]) -> LeaseClaim:
         """The claim to send to every member now; `busy` tells whether units of a bucket lie in the window.
 
         `account` tells what the windows of a bucket hold, None where nothing.
@@ -185,13 +185,13 @@
             self._try(now)
         self._number += 1
         self._letting = {bucket: let for bucket, let in self._letting.items() if now < let[1]}
-        asked = Asked(
+        asked = LeaseClaim(
             self.own,
             self.incarnation,
             self._number,
             members_mark(self._members),
             renew=sorted(self._won),
-            take=sorted(self._attempts),
+            acquire=sorted(self._attempts),
             release=sorted(bucket for bucket, (counted, *_) in self._letting.items() if counted),
             drop=sorted(bucket for bucket, (counted, *_) in self._letting.items() if not counted),
             accounts=self._accounts(account),
@@ -201,7 +201,7 @@
             del self._sent[number]
         return asked
 
-    def answered(self, now: float, coordinator: str, number: int, votes: Votes) -> bool:
+    def answered(self, now: float, coordinator: str, number: int, votes: LeaseVotes) -> bool:
         """A coordinator's answer to one claim; True where the next claim should go out at once."""
         if coordinator not in self._members or number not in self._sent:
             return False
@@ -224,7 +224,7 @@
             won.votes[coordinator] = max(won.votes.get(coordinator, 0.0), ends)
             self._reckon(bucket, won)
         hurry = False
-        for bucket, idle in zip(asked.take, votes.idle, strict=False):
+        for bucket, idle in zip(asked.acquire, votes.idle, strict=False):
             attempt = self._attempts.get(bucket)
             if attempt is None or number < attempt.first:
                 continue
@@ -361,9 +361,9 @@
     return best
 
 
-def wanted(asked: Asked) -> bool:
+def wanted(asked: LeaseClaim) -> bool:
     """Whether a claim says more than that its gateway is there."""
-    return bool(asked.renew or asked.take or asked.release or asked.drop)
+    return bool(asked.renew or asked.acquire or asked.release or asked.drop)
 
 
 __all__: Sequence[str] = ("LeaseClient", "newest", "ranks", "wanted")
--- a/hallhitch/planes/quota/plane.py
+++ b/hallhitch/planes/quota/plane.py
@@ -15,7 +15,7 @@
 from hallhitch.planes.quota import wire
 from hallhitch.planes.quota.caller import Calls, CounterClient
 from hallhitch.planes.quota.holder import LeaseHolder, Sum
-from hallhitch.planes.quota.lease import Asked, LeaseTable
+from hallhitch.planes.quota.lease import LeaseClaim, LeaseTable
 from hallhitch.planes.quota.lease_client import LeaseClient, wanted
 from hallhitch.planes.quota.limits import Quota, bucket_of
 from hallhitch.planes.quota.local_allowance import LocalAllowance
@@ -158,7 +158,7 @@
         """The buckets held now."""
         return self._lease_client.held(self._clock())
 
-    def _round(self) -> Asked:
+    def _round(self) -> LeaseClaim:
         now = self._clock()
         return self._lease_client.round(
             now, lambda bucket: self._holder.busy(bucket, now), lambda bucket: self._holder.account(bucket, now)
@@ -185,7 +185,7 @@
                 async with asyncio.timeout((EVERY if wanted(asked) else QUIET) / 1000):
                     await self._hurry.wait()
 
-    async def _ask(self, member: str, asked: Asked) -> None:
+    async def _ask(self, member: str, asked: LeaseClaim) -> None:
         """One claim to one coordinator; silence is the next claim's matter."""
         self._asking[member] = self._asking.get(member, 0) + 1
         try:
--- a/hallhitch/planes/quota/wire.py
+++ b/hallhitch/planes/quota/wire.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from hallhitch.messages import system_pb2 as messages
-from hallhitch.planes.quota.lease import Account, Asked, Left, Votes
+from hallhitch.planes.quota.lease import Account, LeaseClaim, Left, LeaseVotes
 
 
-def claim(asked: Asked, to: int) -> messages.LeaseRequest:
+def claim(asked: LeaseClaim, to: int) -> messages.LeaseRequest:
     """A claim for one incarnation of a coordinator."""
     return messages.LeaseRequest(
         holder=asked.holder,
@@ -14,7 +14,7 @@
         number=asked.number,
         members=asked.members,
         renew=asked.renew,
-        take=asked.take,
+        acquire=asked.acquire,
         release=asked.release,
         drop=asked.drop,
         to=to,
@@ -25,15 +25,15 @@
     )
 
 
-def asked(claim: messages.LeaseRequest) -> Asked:
+def asked(claim: messages.LeaseRequest) -> LeaseClaim:
     """What a claim asks."""
-    return Asked(
+    return LeaseClaim(
         claim.holder,
         claim.incarnation,
         claim.number,
         claim.members,
         tuple(claim.renew),
-        tuple(claim.take),
+        tuple(claim.acquire),
         tuple(claim.release),
         tuple(claim.drop),
         {told.bucket: _account(told) for told in claim.accounts},
@@ -41,7 +41,7 @@
     )
 
 
-def granted(votes: Votes) -> messages.LeaseResponse:
+def granted(votes: LeaseVotes) -> messages.LeaseResponse:
     """A coordinator's answer."""
     return messages.LeaseResponse(
         ok=votes.ok,
@@ -66,9 +66,9 @@
     )
 
 
-def votes(granted: messages.LeaseResponse) -> Votes:
+def votes(granted: messages.LeaseResponse) -> LeaseVotes:
     """What a coordinator answered."""
-    return Votes(
+    return LeaseVotes(
         granted.ok,
         granted.incarnation,
         granted.in_grace_period,
--- a/tests/system/quota/fleet.py
+++ b/tests/system/quota/fleet.py
@@ -15,7 +15,7 @@
 import simpy
 
 from hallhitch.planes.quota.holder import LeaseHolder
-from hallhitch.planes.quota.lease import Asked, LeaseTable
+from hallhitch.planes.quota.lease import LeaseClaim, LeaseTable
 from hallhitch.planes.quota.lease_client import LeaseClient
 from hallhitch.planes.quota.limits import Quota, bucket_of
 from hallhitch.planes.quota.local_allowance import LocalAllowance
@@ -203,7 +203,7 @@
             addressed = replace(asked, to=lease_client.incarnation_of(member.name))
             self.send(process, member, partial(self._vote, process, process.incarnation, member, addressed))
 
-    def _vote(self, process: Process, incarnation: int, member: Process, asked: Asked) -> None:
+    def _vote(self, process: Process, incarnation: int, member: Process, asked: LeaseClaim) -> None:
         assert member.table is not None
         votes = member.table.claim(member.clock(), asked)
 
--- a/tests/system/quota/test_lease.py
+++ b/tests/system/quota/test_lease.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from hallhitch.planes.quota.lease import LEASE, Account, Asked, LeaseTable, Left, members_mark
+from hallhitch.planes.quota.lease import LEASE, Account, LeaseClaim, LeaseTable, Left, members_mark
 from hallhitch.planes.quota.lease_client import SETTLING, LeaseClient, newest
 
 MEMBERS = ["a", "b", "c"]
@@ -18,8 +18,8 @@
     return made
 
 
-def ask(incarnation: int, number: int, to: int, holder: str = "x", **lists: tuple[int, ...]) -> Asked:
-    return Asked(holder, incarnation, number, members_mark(MEMBERS), to=to, **lists)  # type: ignore[arg-type]
+def ask(incarnation: int, number: int, to: int, holder: str = "x", **lists: tuple[int, ...]) -> LeaseClaim:
+    return LeaseClaim(holder, incarnation, number, members_mark(MEMBERS), to=to, **lists)  # type: ignore[arg-type]
 
 
 class Gateway:
@@ -73,27 +73,27 @@
 
 def test_a_young_coordinator_votes_only_where_a_lease_runs() -> None:
     in_grace_period = table(START, 7)
-    assert in_grace_period.claim(START + 10, ask(1, 1, 7, take=(BUCKET,))).refused == {BUCKET}
+    assert in_grace_period.claim(START + 10, ask(1, 1, 7, acquire=(BUCKET,))).refused == {BUCKET}
     assert not in_grace_period.claim(START + 20, ask(1, 2, 7, renew=(BUCKET,))).refused
-    assert in_grace_period.claim(START + LEASE + 5, ask(2, 1, 7, "y", take=(BUCKET,))).refused == {BUCKET}
-    votes = in_grace_period.claim(START + LEASE + 25, ask(2, 2, 7, "y", take=(BUCKET,)))
+    assert in_grace_period.claim(START + LEASE + 5, ask(2, 1, 7, "y", acquire=(BUCKET,))).refused == {BUCKET}
+    votes = in_grace_period.claim(START + LEASE + 25, ask(2, 2, 7, "y", acquire=(BUCKET,)))
     assert not votes.refused and votes.idle == (5,)
     assert BUCKET not in votes.left  # what x told while it was in_grace_period may be older than another's
 
 
 def test_what_was_overtaken_or_meant_for_another_life_is_passed_over() -> None:
     old = table(0.0, 7)
-    assert old.claim(START, ask(1, 5, 7, take=(BUCKET,))).ok
+    assert old.claim(START, ask(1, 5, 7, acquire=(BUCKET,))).ok
     assert not old.claim(START, ask(1, 4, 7, release=(BUCKET,))).ok
     assert not old.claim(START, ask(1, 6, 8, release=(BUCKET,))).ok
-    assert old.claim(START, ask(2, 1, 7, "y", take=(BUCKET,))).refused == {BUCKET}
+    assert old.claim(START, ask(2, 1, 7, "y", acquire=(BUCKET,))).refused == {BUCKET}
 
 
 def test_after_a_change_of_members_votes_of_the_old_list_are_waited_out() -> None:
     old = table(0.0, 7)
     old.set_members(START, ["a", "b", "d"])
-    assert not old.claim(START + 1, ask(1, 1, 7, take=(BUCKET,))).ok
-    now_asked = replace(ask(1, 2, 7, take=(BUCKET,)), members=members_mark(["d", "b", "a"]))
+    assert not old.claim(START + 1, ask(1, 1, 7, acquire=(BUCKET,))).ok
+    now_asked = replace(ask(1, 2, 7, acquire=(BUCKET,)), members=members_mark(["d", "b", "a"]))
     assert old.claim(START + 2, now_asked).refused == {BUCKET}
     assert not old.claim(START + LEASE, replace(now_asked, number=3)).refused
 
