Tests: whose votes on leases count, from the register and through news

Cause: the leases rely on what a coordinator has accepted, before it is known to be committed and after a restart. Change: tests for ControlPlane.lease_membership and for StateHub.membership; no code changed. Measured: both files pass. Ruled out: nothing.

--- /dev/null
+++ b/tests/system/control/test_lease_membership.py
@@ -0,0 +1,48 @@
+"""Whose votes on leases count, as a coordinator's register tells: what it has accepted, at once and after a restart."""
+
+from __future__ import annotations
+
+import asyncio
+
+from hallhitch.messages.system_pb2 import Accept, BallotMessage, Envelope
+from hallhitch.planes.control import changes
+from hallhitch.planes.control.register import Membership
+from hallhitch.planes.values import LeaseMembership
+from tests.system.control.fleet import Fleet, play
+
+
+def test_an_accepted_change_counts_before_it_is_known_to_be_committed() -> None:
+    async def scene(fleet: Fleet) -> None:
+        a, b, c = await fleet.found()
+        await asyncio.sleep(2)
+        plane = a.plane
+        assert plane is not None and plane.lease_membership == LeaseMembership(1, fleet.seeds)
+        await plane.change(changes.note("first", "order"), 800)
+        fleet.isolate(a.address)
+        joint = changes.reconfigure([*fleet.seeds[:2], "10.0.0.9:7000"], Membership.of(plane.value))(plane.value)
+        accept = Accept(ballot=BallotMessage(round=1 << 20, proposer="p"), value=joint)
+        answer = plane.handle(Envelope(accept=accept))
+        assert answer is not None and not isinstance(answer, Envelope) and (await answer).accepted.ok
+        assert not plane.value.previous
+        assert plane.lease_membership == LeaseMembership(2, tuple(joint.members), fleet.seeds)
+        await a.lose_power()
+        await a.start()
+        assert a.plane is not None and a.plane.lease_membership.lease_previous == fleet.seeds
+
+    play(scene)
+
+
+def test_who_forgot_what_it_accepted_names_nobody_until_a_majority_was_met() -> None:
+    async def scene(fleet: Fleet) -> None:
+        a, b, c = await fleet.found()
+        await asyncio.sleep(2)
+        await a.wipe()
+        fleet.isolate(a.address)
+        await a.start()
+        await asyncio.sleep(5)
+        assert a.plane is not None and a.plane.lease_membership == LeaseMembership()
+        fleet.cut.clear()
+        await asyncio.sleep(5)
+        assert a.plane.lease_membership == LeaseMembership(1, fleet.seeds)
+
+    play(scene)
--- a/tests/system/distribution/test_knowledge.py
+++ b/tests/system/distribution/test_knowledge.py
@@ -14,7 +14,7 @@
 from hallhitch.planes.distribution.config_compiler import compile_config
 from hallhitch.planes.distribution.following import GatewaySync, Source, rendezvous
 from hallhitch.planes.distribution.hub import StateHub
-from hallhitch.planes.values import Gateway
+from hallhitch.planes.values import Gateway, LeaseMembership
 
 
 def gateway(name: str, region: str = "r", **more: object) -> Gateway:
@@ -187,3 +187,13 @@
     )
     assert asyncio.run(follower._round(["gone:1", "core:1"]))
     assert me.config.serial == 7 and list(me.config.evacuated) == ["z"] and len(me.backends) == 1
+
+
+def test_the_membership_of_leases_travels_with_every_answer_and_never_back() -> None:
+    coordinator, hub = StateHub(1), StateHub(2)
+    newest = LeaseMembership(3, ("a", "d"), ("a", "b"))
+    coordinator.set_membership(newest)
+    hub.set_membership(LeaseMembership.of(coordinator._signed(News()).membership))
+    hub.set_membership(LeaseMembership(2, ("a", "b")))
+    hub.set_membership(LeaseMembership.of(News().membership))  # who knows none
+    assert hub.membership == newest
