--- a/hallhitch/planes/control/plane.py
+++ b/hallhitch/planes/control/plane.py
@@ -33,6 +33,7 @@
     founding_conflict,
 )
 from hallhitch.planes.control.upkeep import Upkeep
+from hallhitch.planes.values import LeaseMembership
 
 HURRY = 300.0  # ms between rounds at most while something is missing or under way
 ANSWER = 800.0  # ms for the answers of a round
@@ -118,6 +119,16 @@
         """The internal addresses of the replicas, as far as known."""
         return tuple(self._value.members or self._proposer.met[1].members or self._acceptor.state.value.members)
 
+    @property
+    def lease_membership(self) -> LeaseMembership:
+        """Whose votes on leases count, by the newest state that this replica has accepted or knows to be committed.
+
+        Accepted ones count at once: who has accepted a change must not vote for claims that know nothing of it. A
+        replica that does not know what it accepted holds nothing, and so names nobody until it has met a majority.
+        """
+        newest = max(self._value, self._acceptor.state.value, key=lambda state: state.members_version)
+        return LeaseMembership(newest.members_version, tuple(newest.members), tuple(newest.lease_previous))
+
     async def start(self) -> None:
         """Read the disk and begin; a disk in trouble is asked again in the background. Never raises for it."""
         self._began = self._contacts.since = self._ticked = self._clock()
--- a/hallhitch/planes/quota/wire.py
+++ b/hallhitch/planes/quota/wire.py
@@ -3,18 +3,19 @@
 from __future__ import annotations
 
 from hallhitch.messages import system_pb2 as messages
-from hallhitch.planes.quota.lease import Account, Asked, Left, Votes
+from hallhitch.planes.quota.lease import Account, LeaseClaim, LeaseVotes, Left
+from hallhitch.planes.values import LeaseMembership
 
 
-def claim(asked: Asked, to: int) -> messages.LeaseRequest:
+def claim(asked: LeaseClaim, to: int) -> messages.LeaseRequest:
     """A claim for one incarnation of a coordinator."""
     return messages.LeaseRequest(
         holder=asked.holder,
         incarnation=asked.incarnation,
         number=asked.number,
-        members=asked.members,
+        membership_version=asked.membership_version,
         renew=asked.renew,
-        take=asked.take,
+        acquire=asked.acquire,
         release=asked.release,
         drop=asked.drop,
         to=to,
@@ -25,15 +26,15 @@
     )
 
 
-def asked(claim: messages.LeaseRequest) -> Asked:
+def asked(claim: messages.LeaseRequest) -> LeaseClaim:
     """What a claim asks."""
-    return Asked(
+    return LeaseClaim(
         claim.holder,
         claim.incarnation,
         claim.number,
-        claim.members,
+        claim.membership_version,
         tuple(claim.renew),
-        tuple(claim.take),
+        tuple(claim.acquire),
         tuple(claim.release),
         tuple(claim.drop),
         {told.bucket: _account(told) for told in claim.accounts},
@@ -41,7 +42,7 @@
     )
 
 
-def granted(votes: Votes) -> messages.LeaseResponse:
+def granted(votes: LeaseVotes) -> messages.LeaseResponse:
     """A coordinator's answer."""
     return messages.LeaseResponse(
         ok=votes.ok,
@@ -50,6 +51,7 @@
         refused=sorted(votes.refused),
         idle=votes.idle,
         seen=votes.seen,
+        membership=votes.membership.message() if votes.membership is not None else None,
         accounts=[
             messages.Account(
                 bucket=bucket,
@@ -66,9 +68,9 @@
     )
 
 
-def votes(granted: messages.LeaseResponse) -> Votes:
+def votes(granted: messages.LeaseResponse) -> LeaseVotes:
     """What a coordinator answered."""
-    return Votes(
+    return LeaseVotes(
         granted.ok,
         granted.incarnation,
         granted.in_grace_period,
@@ -79,6 +81,7 @@
             told.bucket: Left(told.holder, told.incarnation, told.number, _account(told), told.final, told.age)
             for told in granted.accounts
         },
+        LeaseMembership.of(granted.membership) if granted.HasField("membership") else None,
     )
 
 
