Links: calls addressed by incarnation, served once, typed outcomes, pieces

Cause: an envelope named nobody, so a frame to an address that another process had taken was served, a doubled one was served twice, and any frame with a waiting call's number was its answer. Every failure was Silent, also where nothing had been written. A call that timed out ended the kept connection of all others if nothing came during its own time. A long frame held up all short ones behind it. A call on a connection that was just closing waited its time out.

Change: calls name the recipient (its address until its incarnation is known), answers name both incarnations; what does not match ends the connection, is counted by reason and logged once a second at most. A sender's numbers grow and each is served once, also over several connections. NotSent against Silent by what was handed to the transport; calls behind a full transport wait in a queue of ours. calls.CALLS says of each kind whether it may be sent again. A connection ends at a call's time-out only after 1,000 ms of unanswered calls without a byte. link.py split into frames, addressing, connection, link.

Ruled out: answering a misaddressed call with an error (its reader may be the wrong process as well); a connection of its own for long answers (numbers of one sender must come in order, and pieces do the same on one connection).

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 
 # Files that the formatter keeps; others join as they are touched.
 FORMATTED = hallhitch/planes/control hallhitch/planes/distribution hallhitch/planes/quota hallhitch/planes/discovery \
-	hallhitch/planes/values.py hallhitch/messages/link.py hallhitch/programs hallhitch/node tests/system/control \
+	hallhitch/planes/values.py $(wildcard hallhitch/messages/[acfl]*.py) hallhitch/programs hallhitch/node tests/system/control \
 	tests/system/quota tests/system/distribution tests/system/node
 
 .PHONY: build test soak lint run demo demo-gateway demo-control demo-fleet messages clean
--- a/benchmarks/system_capacity.py
+++ b/benchmarks/system_capacity.py
@@ -193,15 +193,15 @@
         await asyncio.sleep(START / count)
     drains = backend(0).instance
     while line := (await reader.readline()).decode().split():
-        links = [hollow.links for hollow in hollows]
+        traffic = [hollow.links.traffic for hollow in hollows]
         told: object = {
             "known": min(len(h.hub.gateways) for h in hollows), "held": sum(len(h.quota.held()) for h in hollows),
             "version": min(h.config.version for h in hollows),
             "evacuated": all("zone-1" in h.config.evacuated for h in hollows),
             "drained": all((e := h.hub.backends.get(drains)) is not None and e.draining for h in hollows),
-            "own": time.process_time(), "sent": sum(one.sent for one in links),
-            "received": sum(one.received for one in links), "grown": resident() - bare,
-            "frames": sum(one.frames_sent + one.frames_received for one in links)}
+            "own": time.process_time(), "sent": sum(one.sent for one in traffic),
+            "received": sum(one.received for one in traffic), "grown": resident() - bare,
+            "frames": sum(one.frames_sent + one.frames_received for one in traffic)}
         if line[0] == "count":
             told = await counts(hollows, float(line[1]))
         print(json.dumps(told), flush=True)
--- a/hallhitch/messages/link.py
+++ b/hallhitch/messages/link.py
@@ -1,26 +1,32 @@
 """Envelopes over TCP: one kept connection a peer, calls answered in any order, each within its own time.
 
-A frame is four bytes of length (big-endian) and one Envelope. What is no frame of ours, too long or of another
-cluster ends its connection; it is counted, and logged once a second at most.
+A call is written to one connection at most once, and nothing is sent again from here: a caller is told what is known
+(NotSent, Silent, Refused) and `calls.CALLS` says what may follow.
 """
 
 from __future__ import annotations
 
 import asyncio
 import hashlib
-import socket
 from collections.abc import Awaitable, Callable
-from typing import cast
-
-from google.protobuf.message import DecodeError
 
+from hallhitch.messages.addressing import (
+    CallOrder,
+    Identity,
+    Senders,
+    address_answer,
+    address_call,
+    reject_answer,
+    reject_call,
+)
+from hallhitch.messages.connection import UNHEARD, Connection, Shared
+from hallhitch.messages.frames import Outgoing, Rejection
 from hallhitch.messages.system_pb2 import Envelope
 from hallhitch.node.clock import now
-from hallhitch.node.errors import Refused, Silent
+from hallhitch.node.errors import NotSent, Refused, Silent
 from hallhitch.node.logs import ComponentLogger, RateLimitedLog
 
-FRAME_MOST = 64 * 1024 * 1024  # bytes: the largest word of an operator, and room
-UNHEARD = 2500  # ms without an acknowledgement by the peer's machine after which a connection is given up
+DEAF = 1000.0  # ms of unanswered calls without a byte, twice the longest time an answer is held back: a new connection
 Handler = Callable[[Envelope], "Envelope | Awaitable[Envelope]"]
 
 
@@ -35,211 +41,245 @@
     return host, int(port)
 
 
-class _Framed(asyncio.Protocol):
-    """Cuts what comes into envelopes; whoever inherits says what they are for."""
+class _Call:
+    """One call under way on one connection."""
 
-    def __init__(self, links: Links) -> None:
-        self.links, self._buffer = links, bytearray()
-        self.transport: asyncio.Transport | None = None
-        self.heard = now()
+    __slots__ = ("answer", "outgoing")
 
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)  # uvloop's own are none by name
-        sock = transport.get_extra_info("socket")
-        if sock is not None:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNHEARD)
-
-    def data_received(self, data: bytes) -> None:
-        self.heard = now()
-        self.links.received += len(data)
-        buffer = self._buffer
-        buffer += data
-        at = 0
-        while len(buffer) - at >= 4:
-            size = int.from_bytes(buffer[at : at + 4], "big")
-            if size > FRAME_MOST:
-                return self.spoilt("a frame too long")
-            if len(buffer) - at - 4 < size:
-                break
-            try:
-                envelope = Envelope.FromString(bytes(buffer[at + 4 : at + 4 + size]))
-            except DecodeError:
-                return self.spoilt("bytes that are no message")
-            at += 4 + size
-            self.links.frames_received += 1
-            if envelope.cluster != self.links.cluster:
-                return self.spoilt("a message of another cluster")
-            self.took(envelope)
-        del buffer[:at]
-
-    def took(self, envelope: Envelope) -> None:
-        raise NotImplementedError
-
-    def spoilt(self, what: str) -> None:
-        """What came is not ours: the connection ends."""
-        assert self.transport is not None
-        self._buffer.clear()
-        self.links.spoilt.warning(now(), f"dropped {what} from {self.transport.get_extra_info('peername')}")
-        self.transport.abort()
-
-    def send(self, envelope: Envelope) -> None:
-        """Write one envelope."""
-        envelope.cluster = self.links.cluster
-        data = envelope.SerializeToString()
-        if self.transport is not None and not self.transport.is_closing():
-            self.transport.write(len(data).to_bytes(4, "big") + data)
-            self.links.sent += 4 + len(data)
-            self.links.frames_sent += 1
-
-
-class _Outgoing(_Framed):
-    """A connection of ours to a peer, with the calls that wait on it."""
+    def __init__(self) -> None:
+        self.answer: asyncio.Future[Envelope] = asyncio.get_running_loop().create_future()
+        self.outgoing: Outgoing | None = None
 
-    def __init__(self, links: Links, address: str) -> None:
-        super().__init__(links)
-        self.address = address
-        self.waiting: dict[int, asyncio.Future[Envelope]] = {}
-        self.closed = False
+    def has_answer(self) -> bool:
+        """Whether the answer is there, perhaps in the moment in which its time ended."""
+        return self.answer.done() and not self.answer.cancelled() and self.answer.exception() is None
 
-    def took(self, envelope: Envelope) -> None:
-        future = self.waiting.pop(envelope.call, None)
-        if future is not None and not future.done():
-            future.set_result(envelope)
+    def unanswered(self, address: str, reason: str) -> NotSent | Silent:
+        """What is known of it if no answer comes."""
+        if self.outgoing is not None and self.outgoing.handed_over:
+            return Silent("call", address, reason)
+        return NotSent("call", address, reason)
+
+
+class _Caller(Connection):
+    """A connection of ours to a peer, with the calls that wait on it."""
+
+    def __init__(self, shared: Shared, address: str, ended: Callable[[_Caller], None]) -> None:
+        super().__init__(shared)
+        self.peer = Identity(address)
+        self._waiting: dict[int, _Call] = {}
+        self._ended = ended
+        self._unanswered_since: float | None = None  # when the first call since the last byte was written
+
+    def take(self, envelope: Envelope, in_pieces: bool) -> None:
+        reason = reject_answer(envelope, self.shared.own, self.peer)
+        if reason is not None:
+            return self.end(reason)
+        self.peer = Identity(self.peer.address, envelope.sender_incarnation or self.peer.incarnation)
+        self._unanswered_since = None
+        call = self._waiting.pop(envelope.call, None)
+        if call is None:
+            return self.reject(Rejection.NOBODY_WAITS)
+        if not call.answer.done():
+            call.answer.set_result(envelope)
+
+    def begin(self, number: int, envelope: Envelope) -> _Call:
+        """Write a call; its future has the answer, or what is known once the connection has ended."""
+        if not self.usable():
+            raise NotSent("call", self.peer.address, "the connection has ended")
+        call = self._waiting[number] = _Call()
+        envelope.call = number
+        address_call(envelope, self.shared.own, self.peer)
+        call.outgoing = self.send(envelope)
+        if self._unanswered_since is None:
+            self._unanswered_since = self.shared.clock()
+        return call
+
+    def give_up(self, number: int, call: _Call) -> None:
+        """Nobody waits for it any more."""
+        if self._waiting.pop(number, None) is not None and call.outgoing is not None:
+            self.take_back(call.outgoing)
+
+    def is_deaf(self) -> bool:
+        """Whether nothing came on it for so long, though something was asked, that the next call tries afresh."""
+        since = self._unanswered_since
+        return since is not None and self.shared.clock() - max(since, self.heard) >= DEAF
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.closed = True
-        self.links.lost(self)
-        for future in self.waiting.values():
-            if not future.done():
-                future.set_exception(Silent("call", self.address, "the connection ended"))
-        self.waiting.clear()
+        self._ended(self)
+        for call in self._waiting.values():
+            if not call.answer.done():
+                call.answer.set_exception(call.unanswered(self.peer.address, "the connection ended"))
+        self._waiting.clear()
 
 
-class _Incoming(_Framed):
+class _Server(Connection):
     """A peer's connection to us."""
 
-    def took(self, envelope: Envelope) -> None:
-        if envelope.answer:
-            return
-        result = self.links.handle(envelope)
+    def __init__(self, links: Links, shared: Shared) -> None:
+        super().__init__(shared)
+        self._links = links
+        self._sender = Identity()
+        self._order: CallOrder | None = None
+
+    def take(self, envelope: Envelope, in_pieces: bool) -> None:
+        reason = reject_call(envelope, self.shared.own)
+        if reason is None and self._sender.differs("", envelope.sender_incarnation) is not None:
+            reason = Rejection.OTHER_SENDER
+        if reason is not None:
+            return self.end(reason)
+        self._sender = Identity("", envelope.sender_incarnation)
+        if self._order is None:
+            self._order = self._links.senders.order(envelope.sender_incarnation)
+        self._order.touched = self.shared.clock()
+        if not self._order.accept(envelope.call, in_pieces):
+            return self.reject(Rejection.REPEATED_CALL)
+        self._serve(envelope)
+
+    def _serve(self, envelope: Envelope) -> None:
+        result = self._links.handle(envelope)
         if isinstance(result, Envelope):
-            self._answer(envelope.call, result)
+            self._answer(envelope, result)
         else:
-            task = asyncio.ensure_future(self._later(envelope.call, result))
-            self.links.tasks.add(task)
-            task.add_done_callback(self.links.tasks.discard)
+            task = asyncio.ensure_future(self._later(envelope, result))
+            self._links.tasks.add(task)
+            task.add_done_callback(self._links.tasks.discard)
 
-    async def _later(self, call: int, result: Awaitable[Envelope]) -> None:
+    async def _later(self, call: Envelope, result: Awaitable[Envelope]) -> None:
         try:
             answer = await result
         except Exception as error:
-            answer = Envelope(error=f"{type(error).__name__}: {error}")
-            self.links.failed.warning(now(), f"a call failed: {answer.error}")
+            answer = self._links.failed(error)
         self._answer(call, answer)
 
-    def _answer(self, call: int, answer: Envelope) -> None:
-        answer.call, answer.answer = call, True
+    def _answer(self, call: Envelope, answer: Envelope) -> None:
+        address_answer(answer, call, self.shared.own)
         self.send(answer)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         super().connection_made(transport)
-        self.links.incoming.add(self)
+        self._links.incoming.add(self)
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.links.incoming.discard(self)
+        self._links.incoming.discard(self)
 
 
 class Links:
-    """All connections between this process and the system's others."""
-
-    def __init__(self, cluster: str, handler: Handler | None = None, address: str = "", incarnation: int = 0) -> None:
-        self.cluster, self.handler = cluster_number(cluster), handler
-        self.address, self.incarnation = address, incarnation
-        log = ComponentLogger("link")
-        self.spoilt, self.failed = RateLimitedLog(log), RateLimitedLog(log)
+    """All connections between this process and the system's others: one to each peer, as the numbers of one
+    incarnation's calls must come to a peer in order (`addressing`, Once). One object an incarnation.
+    """
+
+    def __init__(
+        self,
+        cluster: str,
+        handler: Handler | None = None,
+        address: str = "",
+        incarnation: int = 0,
+        clock: Callable[[], float] = now,
+    ) -> None:
+        self._handler = handler
+        self._shared = Shared(cluster_number(cluster), Identity(address, incarnation), clock)
+        self.traffic = self._shared.traffic
+        self.senders = Senders(clock)
         self.tasks: set[asyncio.Future[None]] = set()
-        self.incoming: set[_Incoming] = set()
-        self._out: dict[str, _Outgoing] = {}
-        self._opening: dict[str, asyncio.Task[_Outgoing]] = {}
+        self.incoming: set[_Server] = set()
+        self._failures = RateLimitedLog(ComponentLogger("link"))
+        self._callers: dict[str, _Caller] = {}
+        self._opening: dict[str, asyncio.Task[_Caller]] = {}
         self._calls = 0
-        self.sent = self.received = 0  # bytes, over all connections there were
-        self.frames_sent = self.frames_received = 0
         self._server: asyncio.Server | None = None
 
     async def serve(self, address: str) -> None:
         """Listen at our internal address."""
         host, port = split(address)
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: _Incoming(self), host, port, reuse_address=True, backlog=512
+            lambda: _Server(self, self._shared), host, port, reuse_address=True, backlog=512
         )
 
     def close(self) -> None:
         """End all connections."""
         if self._server is not None:
             self._server.close()
-        for link in [*self._out.values(), *self.incoming]:
-            if link.transport is not None:
-                link.transport.abort()
+        for connection in [*self._callers.values(), *self.incoming]:
+            connection.abort()
 
     def handle(self, envelope: Envelope) -> Envelope | Awaitable[Envelope]:
         """What a peer asked; an error of ours is its answer."""
+        if self._handler is None:
+            return Envelope(error="nobody answers here")
         try:
-            return self.handler(envelope) if self.handler is not None else Envelope(error="nobody answers here")
+            return self._handler(envelope)
         except Exception as error:
-            self.failed.warning(now(), f"a call failed: {type(error).__name__}: {error}")
-            return Envelope(error=f"{type(error).__name__}: {error}")
+            return self.failed(error)
+
+    def failed(self, error: Exception) -> Envelope:
+        """The answer to a call at which our handler failed."""
+        answer = Envelope(error=f"{type(error).__name__}: {error}")
+        self._failures.warning(self._shared.clock(), f"a call failed: {answer.error}")
+        return answer
 
     async def call(self, address: str, envelope: Envelope, wait: float) -> Envelope:
         """Ask a peer and wait for its answer, `wait` ms at most, connecting included.
 
-        Raises Silent where nothing clear came (it may have been done), Refused where the peer would not.
+        Raises NotSent where nothing of it was handed to a connection, Silent where something was and no answer came
+        (it may have been done), Refused where the peer would not. Sends nothing twice.
         """
-        began = now()
+        call: _Call | None = None
         try:
             async with asyncio.timeout(wait / 1000):
-                link = self._out.get(address) or await self._open(address)
+                caller = await self._caller(address)
                 self._calls += 1
-                number = envelope.call = self._calls
-                future: asyncio.Future[Envelope] = asyncio.get_running_loop().create_future()
-                link.waiting[number] = future
+                number = self._calls
+                call = caller.begin(number, envelope)
                 try:
-                    link.send(envelope)
-                    answer = await future
+                    answer = await call.answer
                 finally:
-                    link.waiting.pop(number, None)
+                    caller.give_up(number, call)
         except TimeoutError:
-            held = self._out.get(address)
-            if held is not None and held.heard < began and held.transport is not None:
-                held.transport.abort()  # nothing came on it for the whole call: the next one tries afresh
-            raise Silent("call", address, f"no answer in {wait:.0f} ms") from None
+            if call is None or not call.has_answer():
+                raise self._too_late(address, call, wait) from None
+            answer = call.answer.result()
         except OSError as error:
-            raise Silent("connect", address, str(error)) from None
+            raise NotSent("connect", address, str(error)) from None
         if answer.error:
             raise Refused("call", address, answer.error)
         return answer
 
-    async def _open(self, address: str) -> _Outgoing:
+    def _too_late(self, address: str, call: _Call | None, wait: float) -> NotSent | Silent:
+        """What is known of a call whose time is over; a connection that is deaf ends, one that answers others stays."""
+        reason = f"no answer in {wait:.0f} ms"
+        error = call.unanswered(address, reason) if call is not None else NotSent("connect", address, reason)
+        caller = self._callers.get(address)
+        if caller is not None and caller.is_deaf():
+            caller.abort()
+        return error
+
+    async def _caller(self, address: str) -> _Caller:
+        caller = self._callers.get(address)
+        if caller is not None and caller.usable():
+            return caller
         task = self._opening.get(address)
         if task is None:
             task = self._opening[address] = asyncio.ensure_future(self._connect(address))
             task.add_done_callback(lambda done: self._opened(address, done))
         return await asyncio.shield(task)
 
-    def _opened(self, address: str, task: asyncio.Task[_Outgoing]) -> None:
+    def _opened(self, address: str, task: asyncio.Task[_Caller]) -> None:
         self._opening.pop(address, None)
         if not task.cancelled():
             task.exception()  # told to whoever waited
 
-    async def _connect(self, address: str) -> _Outgoing:
+    async def _connect(self, address: str) -> _Caller:
         host, port = split(address)
         async with asyncio.timeout(UNHEARD / 1000):
-            _, link = await asyncio.get_running_loop().create_connection(lambda: _Outgoing(self, address), host, port)
-        if not link.closed:
-            self._out[address] = link
-        return link
-
-    def lost(self, link: _Outgoing) -> None:
+            _, caller = await asyncio.get_running_loop().create_connection(
+                lambda: _Caller(self._shared, address, self._lost), host, port
+            )
+        if caller.usable():
+            self._callers[address] = caller
+        return caller
+
+    def _lost(self, caller: _Caller) -> None:
         """A connection of ours has ended."""
-        if self._out.get(link.address) is link:
-            del self._out[link.address]
+        if self._callers.get(caller.peer.address) is caller:
+            del self._callers[caller.peer.address]
--- a/hallhitch/node/errors.py
+++ b/hallhitch/node/errors.py
@@ -11,8 +11,12 @@
         self.step, self.peer, self.reason = step, peer, reason
 
 
+class NotSent(StepError):
+    """Surely nothing of the call was handed to a connection: it was not done, and may be sent again or elsewhere."""
+
+
 class Silent(StepError):
-    """The peer did not answer in time, or could not be reached: what was asked may have been done."""
+    """No answer came after the call was handed over, even in part: what was asked may have been done."""
 
 
 class Refused(StepError):
