--- a/tests/system/data/front_rig.py
+++ b/tests/system/data/front_rig.py
@@ -11,9 +11,10 @@
 
 import uvloop
 
+from hallhitch.node.clock import now
 from hallhitch.node.settings import Bounds, Node
 from hallhitch.planes.data.plane import DataPlane
-from hallhitch.planes.data.ports import Ask, Exchange, Fail, Hold, Outcome, Refuse, Send, Step
+from hallhitch.planes.data.ports import Ask, Decisions, Exchange, Fail, Hold, Outcome, Refuse, Send, Step
 from hallhitch.planes.values import Backend, ClusterConfig, Gateway, Limits, Route, Service, Taken, Tenant
 
 SEAL = b"Hallhitch-Response-Seal: s\r\n"
@@ -173,9 +174,11 @@
 class Rig:
     """The data plane with its stand-ins."""
 
-    def __init__(self, patience: float = 60_000.0, files: int = 1000) -> None:
+    def __init__(self, patience: float = 60_000.0, files: int = 1000, decisions: Decisions | None = None,
+                 clock: Callable[[], float] = now) -> None:
+        """`decisions`: others than the plain ones."""
         self.decisions, self.count = Plain(patience), Count()
-        self.plane = DataPlane(node(files), self.decisions, self.count)
+        self.plane = DataPlane(node(files), decisions or self.decisions, self.count, clock)
         self.entries: list[Backend] = []
         self._servers: list[asyncio.Server] = []
         self._peers: list[Peer] = []
--- a/tests/system/data/test_attempts_connections.py
+++ b/tests/system/data/test_attempts_connections.py
@@ -60,7 +60,11 @@
             await asyncio.sleep(0)
         if late:
             peer.write(behind)
+        if behind:
+            await peer.reader.read()  # it is the gateway that closes such a connection
 
+    assert rig.plane._sweeper is not None
+    rig.plane._sweeper.cancel()  # and not because the connection rested for long
     rig.plane.set_config(word(route("non_idempotent")))
     await rig.backend("b-1", script)
     client = await rig.client()
