--- a/hallhitch/messages/frames.py
+++ b/hallhitch/messages/frames.py
@@ -41,7 +41,7 @@
         self.reason = reason
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Received:
     """The bytes of one envelope; `in_pieces`: it came among others."""
 
@@ -53,26 +53,27 @@
     """Cuts a stream into envelopes. A size is checked before anything of its content is kept."""
 
     def __init__(self) -> None:
-        self._buffer = bytearray()
+        self._rest = b""  # of a frame that is not complete: less than one piece
         self._pieces = bytearray()
 
     def feed(self, data: bytes) -> list[Received]:
         """The envelopes that are complete with this; raises FrameError."""
-        self._buffer += data
-        at, complete = 0, []
-        while len(self._buffer) - at >= HEADER:
-            header = int.from_bytes(self._buffer[at : at + HEADER], "big")
+        if self._rest:
+            data = self._rest + data
+        at, there, complete = 0, len(data), []
+        while there - at >= HEADER:
+            header = int.from_bytes(data[at : at + HEADER], "big")
             size = header & _SIZE
             if size > PIECE_MOST or header & (_PIECE | _LAST) == _LAST:
                 raise FrameError(Rejection.FRAME_TOO_LONG)
             end = at + HEADER + size
-            if len(self._buffer) < end:
+            if there < end:
                 break
-            received = self._took(header, bytes(self._buffer[at + HEADER : end]))
+            received = self._took(header, data[at + HEADER : end])
             if received is not None:
                 complete.append(received)
             at = end
-        del self._buffer[:at]
+        self._rest = data[at:]
         return complete
 
     def _took(self, header: int, content: bytes) -> Received | None:
@@ -98,7 +99,7 @@
         self.handed_over = False
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Frame:
     """What is written at once; `last`: its envelope is complete with it."""
 
--- a/hallhitch/messages/link.py
+++ b/hallhitch/messages/link.py
@@ -75,7 +75,8 @@
         reason = reject_answer(envelope, self.shared.own, self.peer)
         if reason is not None:
             return self.end(reason)
-        self.peer = Identity(self.peer.address, envelope.sender_incarnation or self.peer.incarnation)
+        if not self.peer.incarnation:
+            self.peer = Identity(self.peer.address, envelope.sender_incarnation)
         self._unanswered_since = None
         call = self._waiting.pop(envelope.call, None)
         if call is None:
@@ -128,8 +129,8 @@
             reason = Rejection.OTHER_SENDER
         if reason is not None:
             return self.end(reason)
-        self._sender = Identity("", envelope.sender_incarnation)
         if self._order is None:
+            self._sender = Identity("", envelope.sender_incarnation)
             self._order = self._links.senders.order(envelope.sender_incarnation)
         self._order.touched = self.shared.clock()
         if not self._order.accept(envelope.call, in_pieces):
