Serving lease: a coordinator speaks for the core only while a majority has confirmed it

Cause: a coordinator that was cut off answered from what it knew until a round noticed, and orders were held for 850 ms before 503. Change: ServingLease (pure, judged when answering, counted from when it was asked), renewed by light overlapping reads; orders and reads without it are tried for 250 ms and then refused. The round trip estimate moves to a module of its own. Ruled out: renewing by the full rounds (they wait for the slowest), and ending the lease by a timer (a frozen process would speak before it runs).

--- a/hallhitch/node/settings.py
+++ b/hallhitch/node/settings.py
@@ -9,6 +9,8 @@
 from pathlib import Path
 from typing import Any
 
+LEASE_OF_CONFIG = 0.4  # of configApply: the rest of it is for the news' way to the last gateway
+LEASE_OF_CONTACT = 0.8  # of contactWindow at most: a machine in touch again must not be waited for
 TIME = re.compile(r"(\d+(?:\.\d+)?)(ms|s)")
 
 
@@ -50,6 +52,11 @@
     cold_slack: float = 0.0
     ttl_most: float = 5000.0
 
+    @property
+    def serving_lease(self) -> float:
+        """How long (ms) a majority's confirmation lets a coordinator speak for the core; see planes.control.serving."""
+        return min(LEASE_OF_CONFIG * self.config, LEASE_OF_CONTACT * self.contact)
+
 
 @dataclass(frozen=True, slots=True)
 class Node:
--- a/hallhitch/planes/control/operator.py
+++ b/hallhitch/planes/control/operator.py
@@ -23,7 +23,8 @@
 PATH = "/hallhitch/rpc"
 PATIENCE = 850.0  # ms for an order: callers move on after a second
 A_ROUTE = 1.0  # ms more for each route of a configuration: bigger ones are given more time
-READ, LOOK = 600.0, 200.0  # ms for a confirmed read, then for one without disks; at last what is known here is told
+READ = 600.0  # ms for a read that has to settle what an order under way has left open
+QUICK = 250.0  # ms for one read of the others without disks: twice the way between regions, and a slowed machine
 Answer = tuple[int, dict[str, str], bytes]
 
 
@@ -84,6 +85,9 @@
             if ends - self._clock() < PATIENCE / 2:
                 return _error(503, "not enough replicas yet", {"Retry-After": "0.3"})
             await asyncio.sleep(0.05)
+        # Without contact one short try, as it may just have come back; then the caller is sent on at once.
+        if not self._plane.has_quorum_contact and not await self._plane.confirm(QUICK):
+            return _error(503, "no contact with a majority", {"Retry-After": "0.3"})
         try:
             value = await self._plane.change(change, ends - self._clock())
         except StepError as error:
@@ -91,16 +95,17 @@
         return _json(200, {"configVersion": value.version, "evacuations": sorted(value.zones)})
 
     async def _describe(self) -> Answer:
-        began = self._clock()
-        try:
-            value: ClusterState = await self._plane.change(changes.identity, READ)
-        except StepError as error:
-            # Disks in trouble are no reason not to read; being cut off from most others is: what is known here may
-            # be older than what was acknowledged elsewhere, and the caller can ask there.
-            await self._plane.look(LOOK)
-            if self._plane.agreed < began:
+        # A majority that agrees is enough and needs no disk. What is known here, unconfirmed, may be older than what was
+        # acknowledged elsewhere: it is never told.
+        if await self._plane.confirm(QUICK):
+            value: ClusterState = self._plane.value
+        elif not self._plane.has_quorum_contact:
+            return _error(503, "no contact with a majority", {"Retry-After": "0.3"})
+        else:
+            try:
+                value = await self._plane.change(changes.identity, READ)
+            except StepError as error:
                 return _error(503, str(error), {"Retry-After": "0.3"})
-            value = self._plane.value
         if not value.content:
             return _error(503, "there is no configuration yet", {"Retry-After": "0.3"})
         return 200, {"Content-Type": "application/json"}, zlib.decompress(value.content)
--- a/hallhitch/planes/control/plane.py
+++ b/hallhitch/planes/control/plane.py
@@ -31,6 +31,8 @@
     Tally,
     founded,
 )
+from hallhitch.planes.control.renewal import Known, LeaseRenewal
+from hallhitch.planes.control.serving import ServingLease
 
 HURRY, CALM = 300.0, 2000.0  # ms between rounds: until the committed value is known, and after
 ANSWER = 800.0  # ms for the answers of a round
@@ -73,16 +75,19 @@
             self._acceptor,
             f"{self._rng.getrandbits(64):016x}",
             links.call,
-            self._learnt,
+            self._committed,
             self._likely,
             clock,
             self._rng,
         )
         self._value = ClusterState(version=-1)
         self._at: Ballot = NEVER  # the ballot of the newest value that a majority is known to hold
-        self.agreed = float("-inf")  # when a majority was last found to hold one and the same value
+        self.lease = ServingLease(node.bounds.serving_lease)
+        self._renewal = LeaseRenewal(
+            self.address, self.lease, self._confirmable, links.call, self._hear_from, self._hear_briefly, clock
+        )
         self._known = False  # whether such a value was met in this incarnation
-        self._loaded = self._stepping = self._lonely = False
+        self._loaded = self._stepping = False
         self._loading: asyncio.Task[None] | None = None
         self._heard: dict[str, float] = {}
         self._asking: dict[str, float] = {}
@@ -106,17 +111,23 @@
         """The internal addresses of the replicas, as far as known."""
         return tuple(self._value.members or self._proposer.met[1].members or self._acceptor.state.value.members)
 
+    @property
+    def has_quorum_contact(self) -> bool:
+        """Whether a majority has confirmed this process within the serving lease, at this very moment."""
+        return self.lease.valid(self._clock())
+
     async def start(self) -> None:
         """Read the disk and begin; a disk in trouble is asked again in the background. Never raises for it."""
         self._began = self._since = self._ticked = self._clock()
         self._loading = asyncio.ensure_future(self._load())
         await asyncio.wait([self._loading], timeout=LOAD / 1000)
-        self._tasks = [asyncio.ensure_future(self._rounds()), asyncio.ensure_future(self._tick())]
+        self._tasks = [asyncio.ensure_future(one) for one in (self._rounds(), self._tick(), self._renewal.run())]
 
     async def stop(self) -> None:
         """No more rounds, ballots or writes."""
         for task in [*self._tasks, *([self._loading] if self._loading is not None else [])]:
             task.cancel()
+        self._renewal.stop()
         self._proposer.stop()
         self._worker.stop()
 
@@ -204,6 +215,25 @@
             self._proposer.met = at, value
         self.adopt(value)
 
+    def _committed(self, value: ClusterState, at: Ballot) -> None:
+        """A ballot of our own has ended: whatever was committed before it began is in it, or newer than it."""
+        self._learnt(value, at)
+        self.lease.confirm(self._proposer.began)
+
+    def _confirmable(self) -> Known | None:
+        """What a majority may confirm."""
+        if not self._known:
+            return None
+        state = self._acceptor.state
+        own = None if state.recovering else state.recover(Recover(address=self.address, known=state.accepted.message()))
+        return Known(self._at, self._proposer.settled, own[1] if own is not None else None)
+
+    def _hear_from(self, address: str) -> None:
+        self._heard[address] = self._clock()
+
+    async def _hear_briefly(self) -> None:
+        await self.look(ANSWER)
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK / 1000)
@@ -242,7 +272,7 @@
         """Whom to ask: all who count under any value met; where none is, the seeds and whom discovery tells."""
         states = self._acceptor.state.value, self._proposer.met[1], self._value
         known = frozenset[str]().union(*(Membership.of(state).everybody for state in states))
-        if not self._known or self._lonely or self.address not in known:
+        if not self._known or not self.has_quorum_contact or self.address not in known:
             known |= frozenset(self._node.peers) | self._told_of
         fresh = (one for one, at in self._asking.items() if self._clock() - at <= members.FRESH)
         return (known | frozenset(fresh)) - {self.address}
@@ -267,9 +297,16 @@
             async with asyncio.timeout(wait / 1000):
                 await self._hear(0.8 * wait)
 
+    async def confirm(self, wait: float) -> bool:
+        """Whether a majority confirms within `wait` ms, asked from now on, that `value` is the newest one."""
+        asked, ends = self._clock(), self._clock() + wait
+        if not await self._renewal.confirm(wait):
+            await self.look(ends - self._clock())
+        return self.lease.confirmed >= asked
+
     async def _hear(self, wait: float = ANSWER) -> None:
         """What do the others hold? Take what is newer, and learn what a majority has."""
-        state = self._acceptor.state
+        state, began = self._acceptor.state, self._clock()
         asked = Recover(address=self.address, known=state.accepted.message(), sound=not state.recovering)
         answers = {one: answer for one, answer in (await self._read(self._others(), asked, wait)).items() if answer.ok}
         for answer in answers.values():
@@ -279,7 +316,6 @@
             self._heard[self.address] = self._clock()
             answers[self.address] = state.recover(Recover(address=self.address))[1]
         if not answers:
-            self._lonely = True
             return
         newest = max(answers.values(), key=lambda one: Ballot.of(one.accepted))
         at, value = Ballot.of(newest.accepted), newest.value
@@ -288,10 +324,9 @@
         tally = Tally(Membership.of(value).sets)
         for member, answer in answers.items():
             tally.add(member, Ballot.of(answer.accepted) == at, answer.incarnations)
-        self._lonely = not Membership.of(value).quorum_reached(answers)  # all whom it knows may have been exchanged
         if tally.reached():
-            self.agreed = self._clock()
             self._learnt(value, at)
+            self.lease.confirm(began)
             behind = [
                 one for one in Membership.of(value).everybody & answers.keys() if Ballot.of(answers[one].accepted) < at
             ]
--- a/hallhitch/planes/control/proposer.py
+++ b/hallhitch/planes/control/proposer.py
@@ -64,6 +64,7 @@
         self._taken: list[_Order] = []  # those that the ballot under way has applied
         self._work: asyncio.Task[None] | None = None
         self._ballot: asyncio.Task[ClusterState | MembershipChanged | None] | None = None
+        self.began = clock()  # when the ballot under way, or the last one, began
         self._calls: set[asyncio.Task[None]] = set()
         self._log = ComponentLogger("register")
         self.settled: Membership = Membership.of(
@@ -104,7 +105,8 @@
         pause, moves = FIRST_PAUSE, 0
         ask: tuple[Ballot, ClusterState] | None = None
         while self._orders:
-            self._taken, began, result = [], self._clock(), None
+            self._taken, result = [], None
+            self.began = began = self._clock()
             self._ballot = asyncio.ensure_future(self._one(ask))
             try:
                 result = await self._ballot
--- /dev/null
+++ b/hallhitch/planes/control/renewal.py
@@ -0,0 +1,113 @@
+"""The rounds that renew a serving lease: light reads of the members, each counted from when it was asked.
+
+Owns the tasks of these reads. Rounds overlap: one without an answer holds up none after it. Must never confirm by the
+answers of one round what another one asked.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+from hallhitch.messages.system_pb2 import Envelope, Recover, Recovered
+from hallhitch.node.errors import StepError
+from hallhitch.planes.control.register import Ballot, Membership
+from hallhitch.planes.control.serving import ConfirmingRead, ServingLease
+
+AGAIN = 50.0  # ms after which a read is asked again that met an order under way
+READ_SHARE = 0.5  # of the lease in which one more full read is tried after such a meeting
+
+
+@dataclass(frozen=True, slots=True)
+class Known:
+    """What this process knows to be committed, and how its own replica answers (None: it has no vote now)."""
+
+    ballot: Ballot
+    among: Membership
+    own: Recovered | None
+
+
+class LeaseRenewal:
+    """Renews a lease for as long as the process runs."""
+
+    def __init__(
+        self,
+        address: str,
+        lease: ServingLease,
+        known: Callable[[], Known | None],
+        call: Callable[[str, Envelope, float], Awaitable[Envelope]],
+        heard: Callable[[str], None],
+        read_all: Callable[[], Awaitable[None]],
+        clock: Callable[[], float],
+    ) -> None:
+        """`known` is None before anything is; `heard` is told who answered; `read_all` learns what is newer."""
+        self._address, self._lease, self._known, self._call = address, lease, known, call
+        self._heard, self._read_all, self._clock = heard, read_all, clock
+        self._tasks: set[asyncio.Future[Any]] = set()
+
+    async def run(self) -> None:
+        """A round every while; never ends."""
+        while True:
+            self._spawn(self._renew())
+            await asyncio.sleep(self._lease.renewal_gap / 1000)
+
+    def stop(self) -> None:
+        """No more reads."""
+        for task in list(self._tasks):
+            task.cancel()
+
+    async def confirm(self, wait: float) -> bool:
+        """One read: whether a majority confirmed what is known here, within `wait` ms. Returns as soon as that is clear."""
+        known, asked = self._known(), self._clock()
+        if known is None or not known.among.sets:
+            return False
+        read = ConfirmingRead(known.ballot, known.among)
+        if known.own is not None:
+            read.add(self._address, Ballot.of(known.own.accepted), known.own.incarnations)
+        message = Recover(address=self._address, known=known.ballot.message(), sound=known.own is not None)
+        others = sorted(known.among.everybody - {self._address})
+        answers: asyncio.Queue[tuple[str, Recovered | None]] = asyncio.Queue()
+        for member in others:
+            self._spawn(self._ask(member, message, wait, answers))
+        for _ in others:
+            if read.confirmed or read.newer:
+                break
+            member, answer = await answers.get()
+            if answer is not None:
+                read.add(member, Ballot.of(answer.accepted), answer.incarnations)
+        if read.confirmed:
+            self._lease.confirm(asked)
+        return read.confirmed
+
+    async def _ask(
+        self, member: str, message: Recover, wait: float, answers: asyncio.Queue[tuple[str, Recovered | None]]
+    ) -> None:
+        """One member's answer into the queue; None for silence and from one that lost its memory."""
+        try:
+            answer = (await self._call(member, Envelope(recover=message), wait)).recovered
+        except StepError:
+            answers.put_nowait((member, None))
+            return
+        self._heard(member)
+        answers.put_nowait((member, answer if answer.ok else None))
+
+    async def _renew(self) -> None:
+        """One round; where somebody holds more than is known here, that is learned at once."""
+        asked = self._clock()
+        if self._known() is None or await self.confirm(self._lease.length):
+            return
+        while self._clock() - asked < READ_SHARE * self._lease.length and self._lease.confirmed < asked:
+            await self._read_all()
+            await asyncio.sleep(AGAIN / 1000)
+
+    def _spawn(self, work: Awaitable[None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._done)
+
+    def _done(self, task: asyncio.Future[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled():
+            task.exception()  # a round that failed is the next one's matter
--- a/hallhitch/planes/quota/caller.py
+++ b/hallhitch/planes/quota/caller.py
@@ -9,11 +9,12 @@
 import asyncio
 import contextlib
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from hallhitch.messages.system_pb2 import Count, Envelope
 from hallhitch.node.errors import StepError
+from hallhitch.node.round_trip import RoundTrip
 from hallhitch.planes.quota.holder import Sum
 from hallhitch.planes.quota.limits import bucket_of
 from hallhitch.planes.quota.local_allowance import LocalAllowance
@@ -48,20 +49,11 @@
 class _Peer:
     """A holder as its callers see it."""
 
-    trip: float = 0.0  # ms, smoothed; 0 = not known
-    swing: float = 0.0  # ms by which it varies, smoothed: links that carry long answers hold short ones up
+    trip: RoundTrip = field(default_factory=RoundTrip)  # links that carry long answers hold short ones up
     heard: float = float("-inf")
     away_until: float = 0.0
     trying: bool = False
 
-    def learn(self, took: float) -> None:
-        """One call took so many ms, or was given up after them (Jacobson's estimate, as for retransmissions)."""
-        if not self.trip:
-            self.trip, self.swing = took, took / 2
-        else:
-            self.swing += (abs(took - self.trip) - self.swing) / 4
-            self.trip += (took - self.trip) / 8
-
 
 @dataclass(frozen=True, slots=True)
 class _Token:
@@ -115,11 +107,11 @@
             return self._alone(now, tenant)
         peer.trying = trial
         try:
-            most = min(wait, max(SHORTEST, 2 * peer.trip + 4 * peer.swing + 50) if peer.trip else FIRST)
+            most = min(wait, max(SHORTEST, peer.trip.mean + peer.trip.bound() + 50) if peer.trip.known else FIRST)
             answer = (await self._calls.call(address, Envelope(count=Count(tenant=name)), most)).counted
             came = self._clock()
             peer.away_until, peer.heard = 0.0, came
-            peer.learn(came - now)
+            peer.trip.learn(came - now)
             if answer.unknown and came - now < wait:
                 count = Count(tenant=name, rate=tenant.rate, burst=tenant.burst)
                 left = min(most, wait - (came - now))
@@ -130,7 +122,7 @@
             # Not where little time was left, nor where it answered others meanwhile.
             if wait >= SHORTEST and peer.heard <= now:
                 peer.away_until = came + AWAY
-            peer.learn(came - now)
+            peer.trip.learn(came - now)
             return self._alone(came, tenant)
         finally:
             peer.trying = False
