--- a/hallhitch/planes/control/plane.py
+++ b/hallhitch/planes/control/plane.py
@@ -331,8 +331,10 @@
                 one for one in Membership.of(value).everybody & answers.keys() if Ballot.of(answers[one].accepted) < at
             ]
             self._wanted(("behind", at) if behind else None)
-        else:
+        elif Membership.of(value).quorum_reached(answers):
             self._wanted(("agree", at))
+        else:
+            self._wanted(None)  # a ballot would hang now, and an order that comes as a cut ends would wait behind it
         if at > state.accepted and not state.recovering and not self._acceptor.busy:
             # The accept that did not reach this replica, or not yet: it may come from anybody.
             await asyncio.wait_for(self._acceptor.take(newest.accepted, value), ANSWER / 1000)
--- a/tests/system/control/test_serving.py
+++ b/tests/system/control/test_serving.py
@@ -129,6 +129,21 @@
     play(scene)
 
 
+def test_an_order_that_comes_as_a_cut_ends_waits_behind_nothing() -> None:
+    async def scene(fleet: Fleet) -> None:
+        a, *_ = await fleet.found()
+        await asyncio.sleep(3)
+        assert await put(a, 1) == 200
+        fleet.isolate(a.address)
+        await asyncio.sleep(fleet.rng.uniform(1, 6))
+        fleet.cut.clear()
+        began = fleet.clock()
+        assert (await call(a, "evacuations.start&of=viti-a"))[0] == 200 and fleet.clock() - began < 100
+
+    for seed in range(30):
+        play(scene, seed)
+
+
 def test_a_cut_that_ends_with_two_orders_at_once() -> None:
     async def scene(fleet: Fleet) -> None:
         a, b, _ = await fleet.found()
