Distribution: entries of a coordinator out of contact are newer than what is kept

Cause: merged lists kept the old entry of a gateway that leaves or was started again, and coldness was cut short by the way. Change: what is told wins over what is kept, nobody is taken away; coldness counts from receipt.

--- a/hallhitch/planes/distribution/source.py
+++ b/hallhitch/planes/distribution/source.py
@@ -103,7 +103,8 @@
         self._take_config(news, hub)
         if news.HasField("backends"):
             b = news.backends
-            entries = ((e.instance, listed_of(e, told_at)) for e in b.entries)
+            # Coldness is counted from now: a moment too long does no harm, one too short sends too much.
+            entries = ((e.instance, listed_of(e, clock)) for e in b.entries)
             self.backends.take(b.stamp.epoch, b.stamp.number, b.whole, entries, b.gone, b.more)
         if news.list_age and self.backends.complete and self.backends.epoch == news.incarnation:
             hub.take_list(told_at - news.list_age, self.backends.items.values())
@@ -132,7 +133,7 @@
         other = hub.lists_from != self.address
         if (other or news.HasField("gateways")) and self.gateways.complete:
             kept = {} if fresh else {g.address: g for g in hub.gateways.values()}
-            hub.set_gateways({**self.gateways.items, **kept})
+            hub.set_gateways({**kept, **self.gateways.items})
             hub.lists_from = self.address
         if (other or news.HasField("holders")) and (fresh or not hub.holders):
             hub.set_holders(self.holders)
