--- a/hallhitch/messages/link.py
+++ b/hallhitch/messages/link.py
@@ -26,7 +26,9 @@
 from hallhitch.node.errors import NotSent, Refused, Silent
 from hallhitch.node.logs import ComponentLogger, RateLimitedLog
 
-DEAF = 1000.0  # ms of unanswered calls without a byte, twice the longest time an answer is held back: a new connection
+# Ms of unanswered calls without a byte after which the next call tries a new connection: a way that is merely slow
+# (1.5 s and more each way over a full link) must not lose what is on it, a dead one is found as soon as by the kernel.
+DEAF = float(UNHEARD)
 Handler = Callable[[Envelope], "Envelope | Awaitable[Envelope]"]
 
 
--- a/hallhitch/planes/control/plane.py
+++ b/hallhitch/planes/control/plane.py
@@ -32,6 +32,8 @@
     Tally,
     founding_conflict,
 )
+from hallhitch.planes.control.renewal import Known, LeaseRenewal
+from hallhitch.planes.control.serving import ServingLease
 from hallhitch.planes.control.upkeep import Upkeep
 from hallhitch.planes.values import LeaseMembership
 
@@ -80,16 +82,19 @@
             self._acceptor,
             f"{self._rng.getrandbits(64):016x}",
             links.call,
-            self._learnt,
+            self._committed,
             self._likely,
             clock,
             self._rng,
         )
         self._value = ClusterState(version=-1)
         self._at: Ballot = NEVER  # the ballot of the newest value that a majority is known to hold
-        self.agreed = float("-inf")  # when a majority was last found to hold one and the same value
+        self.lease = ServingLease(node.bounds.serving_lease)
+        self._renewal = LeaseRenewal(
+            self.address, self.lease, self._confirmable, links.call, self._hear_from, self._hear_briefly, clock
+        )
         self._known = False  # whether such a value was met in this incarnation
-        self._loaded = self._empty = self._conflict = self._lonely = False
+        self._loaded = self._empty = self._conflict = False
         self._loading: asyncio.Task[None] | None = None
         self._told_of: frozenset[str] = frozenset()
         self._began = self._ticked = clock()
@@ -129,13 +134,20 @@
         newest = max(self._value, self._acceptor.state.value, key=lambda state: state.members_version)
         return LeaseMembership(newest.members_version, tuple(newest.members), tuple(newest.lease_previous))
 
+    @property
+    def has_quorum_contact(self) -> bool:
+        """Whether a majority has confirmed this process within the serving lease, at this very moment."""
+        return self.lease.valid(self._clock())
+
     async def start(self) -> None:
         """Read the disk and begin; a disk in trouble is asked again in the background. Never raises for it."""
         self._began = self._contacts.since = self._ticked = self._clock()
         self._loading = asyncio.ensure_future(self._load())
         await asyncio.wait([self._loading], timeout=LOAD / 1000)
         upkeep = self._upkeep.run(lambda: not self._acceptor.state.recovering and not self._refused)
-        self._tasks = [asyncio.ensure_future(task) for task in (self._rounds(), self._tick(), upkeep)]
+        self._tasks = [
+            asyncio.ensure_future(task) for task in (self._rounds(), self._tick(), self._renewal.run(), upkeep)
+        ]
 
     async def leave(self, budget_ms: float) -> None:
         """Hand the seat and the state on, within that time; orders and other members are answered meanwhile."""
@@ -146,6 +158,7 @@
         """No more rounds, ballots or writes."""
         for task in [*self._tasks, *([self._loading] if self._loading is not None else [])]:
             task.cancel()
+        self._renewal.stop()
         self._proposer.stop()
         self._worker.stop()
 
@@ -227,6 +240,25 @@
             self._proposer.met = at, value
         self.adopt(value)
 
+    def _committed(self, value: ClusterState, at: Ballot) -> None:
+        """A ballot of our own has ended: whatever was committed before it began is in it, or newer than it."""
+        self._learnt(value, at)
+        self.lease.confirm(self._proposer.began)
+
+    def _confirmable(self) -> Known | None:
+        """What a majority may confirm."""
+        if not self._known:
+            return None
+        state = self._acceptor.state
+        own = None if state.recovering else state.recover(Recover(address=self.address, known=state.accepted.message()))
+        return Known(self._at, self._proposer.settled, own[1] if own is not None else None, self._contacts.leaving)
+
+    def _hear_from(self, address: str) -> None:
+        self._heard[address] = self._clock()
+
+    async def _hear_briefly(self) -> None:
+        await self.look(ANSWER)
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK / 1000)
@@ -265,7 +297,7 @@
         """Whom to ask: all who count under any value met; where none is, the seeds and whom discovery tells."""
         states = self._acceptor.state.value, self._proposer.met[1], self._value
         known = frozenset[str]().union(*(Membership.of(state).everybody for state in states))
-        if not self._known or self._lonely or self.address not in known:
+        if not self._known or not self.has_quorum_contact or self.address not in known:
             known |= frozenset(self._node.peers) | self._told_of
         return (known | self._contacts.asking(self._clock())) - {self.address}
 
@@ -328,9 +360,16 @@
             async with asyncio.timeout(wait / 1000):
                 await self._hear(0.8 * wait)
 
+    async def confirm(self, wait: float) -> bool:
+        """Whether a majority confirms within `wait` ms, asked from now on, that `value` is the newest one."""
+        asked, ends = self._clock(), self._clock() + wait
+        if not await self._renewal.confirm(wait):
+            await self.look(ends - self._clock())
+        return self.lease.confirmed >= asked
+
     async def _hear(self, wait: float = ANSWER) -> None:
         """What do the others hold? Take what is newer, and learn what a majority has."""
-        state = self._acceptor.state
+        state, began = self._acceptor.state, self._clock()
         asked = Recover(address=self.address, known=state.accepted.message(), sound=not state.recovering)
         answers = {one: answer for one, answer in (await self._read(self._others(), asked, wait)).items() if answer.ok}
         for answer in answers.values():
@@ -340,7 +379,6 @@
             self._heard[self.address] = self._clock()
             answers[self.address] = state.recover(Recover(address=self.address))[1]
         if not answers:
-            self._lonely = True
             return
         newest = max(answers.values(), key=lambda one: Ballot.of(one.accepted))
         at, value = Ballot.of(newest.accepted), newest.value
@@ -349,16 +387,17 @@
         tally = Tally(Membership.of(value).sets)
         for member, answer in answers.items():
             tally.add(member, Ballot.of(answer.accepted) == at, answer.incarnations)
-        self._lonely = not Membership.of(value).quorum_reached(answers)  # all whom it knows may have been exchanged
         if tally.reached():
-            self.agreed = self._clock()
             self._learnt(value, at)
+            self.lease.confirm(began)
             behind = [
                 one for one in Membership.of(value).everybody & answers.keys() if Ballot.of(answers[one].accepted) < at
             ]
             self._wanted(("behind", at) if behind else None)
-        else:
+        elif Membership.of(value).quorum_reached(answers):
             self._wanted(("agree", at))
+        else:
+            self._wanted(None)  # a ballot would hang now, and an order that comes as a cut ends would wait behind it
         if at > state.accepted and not state.recovering and not self._acceptor.busy:
             # The accept that did not reach this replica, or not yet: it may come from anybody.
             await asyncio.wait_for(self._acceptor.take(newest.accepted, value), ANSWER / 1000)
--- a/hallhitch/planes/control/proposer.py
+++ b/hallhitch/planes/control/proposer.py
@@ -67,6 +67,7 @@
         self._taken: list[_Order] = []  # those that the ballot under way has applied
         self._work: asyncio.Task[None] | None = None
         self._ballot: asyncio.Task[ClusterState | MembershipChanged | None] | None = None
+        self.began = clock()  # when the ballot under way, or the last one, began
         self._calls: set[asyncio.Task[None]] = set()
         self._phase = PhaseTime()
         self._prepared: float | None = (
@@ -113,7 +114,8 @@
         ask: tuple[Ballot, ClusterState] | None = None
         while self._orders:
             await self._give_way()
-            self._taken, began, result = [], self._clock(), None
+            self._taken, result = [], None
+            self.began = began = self._clock()
             self._ballot = asyncio.ensure_future(self._one(ask))
             try:
                 result = await self._ballot
--- a/hallhitch/planes/control/upkeep.py
+++ b/hallhitch/planes/control/upkeep.py
@@ -63,7 +63,7 @@
         self.losses = 0
         self.waiting = False  # whether something is to be done, here or by a member whose turn comes first
         self._duty: tuple[Duty | None, float] = (None, 0.0)  # and since when it was left to others
-        self._transition: tuple[int, float] = (0, 0.0)  # version of a joint state, and when it was known committed
+        self._transition: tuple[int, float] = (0, 0.0)  # version of a settled state, and when it was known committed
         self._log = ComponentLogger("members")
         self._failing = RateLimitedLog(self._log)
 
@@ -103,12 +103,10 @@
         return members.target(membership.members, observed, self.losses) is not None
 
     def _note_transition(self, at: float) -> None:
+        """Counted from the settled state: a joint state that was given up may bear the number of the one chosen."""
         known = self._proposer.settled
-        if not known.lease_previous:
-            return
-        joint = known.version if known.previous else known.version - 1
-        if joint != self._transition[0]:
-            self._transition = joint, at
+        if known.lease_previous and not known.previous and known.version != self._transition[0]:
+            self._transition = known.version, at
 
     def _next(self, membership: Membership, at: float) -> Duty | None:
         """What is to be done first."""
@@ -141,7 +139,6 @@
                 self._log.info(f"members become {', '.join(duty.members)}: {duty.reason.value}")
                 after = await self._change(changes.reconfigure(duty.members, membership))
                 if after.previous:
-                    self._note_transition(self._clock())
                     await self._change(changes.settle)
 
     async def _change(self, change: Change) -> ClusterState:
--- a/tests/system/control/fleet.py
+++ b/tests/system/control/fleet.py
@@ -184,6 +184,8 @@
         fleet, own = self._fleet, self._machine.address
         written = envelope.SerializeToString()
         sent = Envelope.FromString(written)
+        fleet.calls += 1
+        fleet.bytes += len(written)
         try:
             async with asyncio.timeout(wait / 1000):
                 await fleet.way(own, address, len(written))
@@ -220,6 +222,8 @@
         self.messages = 0
         self.strikes: dict[int, Callable[[], Coroutine[Any, Any, None]]] = {}  # what happens at which message
         self.deaf: set[str] = set()  # cut off one way: nothing arrives there, and what they send does
+        self.one_way: set[tuple[str, str]] = set()  # cut from the first to the second only
+        self.calls = self.bytes = 0
         for address in self.seeds:
             self.add(address)
 
@@ -238,7 +242,7 @@
         if strike := self.strikes.pop(self.messages, None):
             await strike()
         await asyncio.sleep((self.rng.uniform(0.5, 1.5) * self.delay + size / self.bytes_per_ms) / 1000)
-        if frozenset((one, other)) in self.cut or other in self.deaf:
+        if frozenset((one, other)) in self.cut or other in self.deaf or (one, other) in self.one_way:
             await asyncio.shield(self.never)
 
     def isolate(self, *addresses: str) -> None:
--- a/tests/system/node/test_link.py
+++ b/tests/system/node/test_link.py
@@ -302,8 +302,8 @@
             with pytest.raises(Silent, match="the connection ended"):
                 await other
         else:
-            held.set_result(Envelope(news=News(lonely=True)))
-            assert (await other).news.lonely
+            held.set_result(Envelope(news=News(list_age=1.0)))
+            assert (await other).news.list_age == 1.0
         caller.close()
         server.close()
 
