--- a/tests/system/control/test_register.py
+++ b/tests/system/control/test_register.py
@@ -384,3 +384,27 @@
         for name, replica in replicas.items():
             proposal.promise(name, replica.prepare(proposal.prepare())[1])
         assert proposal.value is not None and Membership.of(proposal.value) == members
+
+
+def test_a_joint_change_needs_most_of_the_old_set_and_most_of_the_new() -> None:
+    """Every choice of who accepts: else the old set could agree on something without the new one knowing."""
+    first, target = founded("abc"), "cde"
+    for size in range(6):
+        for takers in itertools.combinations("abcde", size):
+            proposal = Proposal(
+                Ballot(1, "a#1"),
+                first,
+                (NEVER, ClusterState()),
+                changes.reconfigure(target, Membership.of(first)),
+                Membership.of(first),
+            )
+            replicas = {name: AcceptorState(name, value=first) for name in "abcde"}
+            for name in "abc":
+                replicas[name], promise = replicas[name].prepare(proposal.prepare())
+                proposal.promise(name, promise)
+            committed = False
+            for name in takers:
+                replicas[name], accepted = replicas[name].accept(proposal.accept(name))
+                committed = proposal.accepted(name, accepted)
+            assert committed == all(len(set(takers) & set(one)) >= 2 for one in ("abc", target))
+            assert not committed or proposal.value is not None and list(proposal.value.previous) == list("abc")
