--- a/hallhitch/cli/demo_system.py
+++ b/hallhitch/cli/demo_system.py
@@ -9,7 +9,8 @@
 from hallhitch.cli.output import Failure, table
 
 SECONDS, DAY = 20.0, "kills"
-NAMES = ("kills", "herd", "wipes", "links", "frozen", "backends", "changes", "press")
+NAMES = ("kills", "herd", "wipes", "links", "frozen", "backends", "changes", "press", "control_cut",
+         "exchange", "hundreds")
 
 
 @click.command()
@@ -29,7 +30,7 @@
 async def _play(day: str, seconds: float, load: float, seed: int, to: Path | None) -> None:
     from hallhitch.lab.system.clients import Outcome
     from hallhitch.lab.system.days import DAYS
-    from hallhitch.lab.system.report import HEAD, percentile, verdict
+    from hallhitch.lab.system.report import HEAD, acknowledgements, percentile, verdict
     from hallhitch.lab.system.report import table as rows
     from hallhitch.lab.system.rules import check
     from hallhitch.lab.system.shape import Shape
@@ -70,7 +71,8 @@
     table(HEAD, rows(traffic.outcomes))
     fleet = world.fleet
     click.echo(f"\n{fleet.opened} connections to backends, {fleet.probes} probes, {world.platform.calls} calls to the "
-               f"platform; 99 of 100 requests left at most {percentile(traffic.late, 0.99):.1f} ms late\n")
+               f"platform; 99 of 100 requests left at most {percentile(traffic.late, 0.99):.1f} ms late")
+    click.echo(f"{acknowledgements(world.records.orders)}; {len(world.records.reads)} times read back\n")
     broken = check(world.records, shape.figures)
     for line in verdict(broken):
         click.echo(line)
--- a/hallhitch/lab/system/days.py
+++ b/hallhitch/lab/system/days.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Sequence
 
+from hallhitch.lab.system.control_days import control_cut, exchange, hundreds
 from hallhitch.lab.system.rig import Machine
 from hallhitch.lab.system.shape import Path, configuration, moved
 from hallhitch.lab.system.traffic import Fault
@@ -178,4 +179,4 @@
 
 
 DAYS: dict[str, Day] = {each.__name__: each for each in (
-    kills, herd, wipes, links, frozen, backends, changes, press)}
+    kills, herd, wipes, links, frozen, backends, changes, press, control_cut, exchange, hundreds)}
--- a/hallhitch/lab/system/fleet.py
+++ b/hallhitch/lab/system/fleet.py
@@ -20,13 +20,13 @@
 
 
 class Fleet:
-    """The backends. `owner`: who opened a connection, by its two ends; `regions`: the number of each one's region."""
+    """The backends. `owner`: who opened a connection, by its two ends; `regions`: their numbers, by caller."""
 
     def __init__(self, records: Records, paths: Paths, port: int, lag: float = 300.0, seed: int = 1,
                  owner: Callable[[Address, Address], str] = lambda peer, here: "",
                  regions: Mapping[str, int] | None = None, size: Callable[[str], int] = lambda path: 256) -> None:
         self.records, self.paths, self._port = records, paths, port
-        self.owner, self._regions = owner, dict(regions or {})
+        self.owner, self._regions = owner, regions or {}
         self.lag, self.size = lag, size
         self.backends: dict[str, Backend] = {}
         self.opened = self.probes = 0
--- a/hallhitch/lab/system/operator.py
+++ b/hallhitch/lab/system/operator.py
@@ -1,14 +1,14 @@
 """The operator: sends configurations and evacuations until they are taken, reads back, and records each order.
 
-It knows the addresses of all that serve `control_plane`, and nothing else of the system.
+It knows the addresses of those that serve `control_plane` now, and nothing else of the system.
 """
 
 from __future__ import annotations
 
 import asyncio
 import json
-from collections.abc import Sequence
-from typing import Any, Literal
+from collections.abc import Callable, Sequence
+from typing import Literal
 from urllib.parse import urlsplit
 
 from hallhitch.lab.http_wire import read_message
@@ -26,10 +26,10 @@
 
 
 class Operator:
-    """One operator. `addresses`: the control planes."""
+    """One operator. `addresses`: the control planes there are now; asked before each call."""
 
-    def __init__(self, records: Records, addresses: Sequence[Address], stream: Stream) -> None:
-        self._records, self._addresses, self._stream = records, list(addresses), stream
+    def __init__(self, records: Records, addresses: Callable[[], Sequence[Address]], stream: Stream) -> None:
+        self._records, self._addresses, self._stream = records, addresses, stream
 
     async def replace(self, config: Config, limit: float = 10_000.0) -> Order:
         """Send a configuration until it has a clear answer, `limit` ms at most."""
@@ -57,24 +57,33 @@
 
     async def read_back(self, limit: float = 10_000.0) -> ReadBack:
         """Ask for the newest configuration."""
-        status, body = await self._until("POST", "/hallhitch/rpc?call=config.describe", b"", limit)
-        config: Any = None
-        if status == 200:
-            try:
-                config = json.loads(body)
-            except ValueError:
-                config = {"configVersion": -1}
-        read = ReadBack(now(), config)
+        read = await self._read(limit)
         self._records.reads.append(read)
         return read
 
+    async def read_if_answered(self, limit: float) -> ReadBack:
+        """The same of machines that may have no majority: no answer is no breach, an overtaken one is."""
+        read = await self._read(limit)
+        if read.config is not None:
+            self._records.reads.append(read)
+        return read
+
+    async def _read(self, limit: float) -> ReadBack:
+        status, body = await self._until("POST", "/hallhitch/rpc?call=config.describe", b"", limit)
+        if status != 200:
+            return ReadBack(now(), None)
+        try:
+            return ReadBack(now(), json.loads(body))
+        except ValueError:
+            return ReadBack(now(), {"configVersion": -1})
+
     async def _until(self, method: str, target: str, body: bytes, limit: float) -> tuple[int, bytes]:
         """Ask one after the other until there is a clear answer; status 0 where there was none."""
         ends, pause, others, last = now() + limit, PAUSE, 0, 0
-        order = list(self._addresses)
-        number = self._stream.index(len(order))
+        number = self._stream.index(len(self._addresses()))
         while now() < ends:
-            status, answer = await self._call(order[number % len(order)], method, target, body)
+            addresses = self._addresses()
+            status, answer = await self._call(addresses[number % len(addresses)], method, target, body)
             if 200 <= status < 300 or status in ENDS:
                 return status, answer
             if 400 <= status < 500 and status not in (408, 429):
--- a/hallhitch/lab/system/relay.py
+++ b/hallhitch/lab/system/relay.py
@@ -12,7 +12,7 @@
 from dataclasses import dataclass
 
 from hallhitch.lab.http_wire import Reader, Writer
-from hallhitch.lab.system.linked import REFUSED, TAKEN, image, real
+from hallhitch.lab.system.linked import CALLERS, REFUSED, TAKEN, image, real
 from hallhitch.lab.system.paths import Paths, region_of
 from hallhitch.node.clock import now
 
@@ -42,9 +42,24 @@
     async def start(self) -> None:
         """Listen."""
         for caller in self._by_number.values():
-            hosts = [image(end.host, caller.number) for end in self._by_number.values() if end is not caller]
-            if hosts:
-                self._servers.append(await asyncio.start_server(self._connected, hosts, self._port, backlog=256))
+            others = [end for end in self._by_number.values() if end is not caller]
+            await self._listen([image(end.host, caller.number) for end in others])
+
+    async def add(self, new: End) -> None:
+        """One machine more, to and from all that ever were: the relay to one that is gone refuses as its port does.
+
+        Raises ValueError where no more machines can be told apart.
+        """
+        if new.number > CALLERS:
+            raise ValueError(f"{new.name}: {CALLERS} machines at most may have relays")
+        others = list(self._by_number.values())
+        self._by_number[new.number] = self._by_host[new.host] = new
+        await self._listen([*(image(new.host, other.number) for other in others),
+                            *(image(other.host, new.number) for other in others)])
+
+    async def _listen(self, hosts: Sequence[str]) -> None:
+        if hosts:
+            self._servers.append(await asyncio.start_server(self._connected, hosts, self._port, backlog=256))
 
     def close(self) -> None:
         """End."""
--- a/hallhitch/lab/system/report.py
+++ b/hallhitch/lab/system/report.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from hallhitch.lab.system.clients import Outcome
-from hallhitch.lab.system.records import Broken
+from hallhitch.lab.system.records import Broken, Order
 
 Row = tuple[str, ...]
 HEAD = ("", "asked", "served", "in aim", "refused", "failed", "p50 ms", "p99 ms", "tries")
@@ -28,7 +28,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ComponentLogger:
+class Summary:
     """What came of some requests; times in ms from a client's first try, of those served."""
 
     asked: int
@@ -52,14 +52,15 @@
                 str(self.failed), f"{self.p50:.0f}", f"{self.p99:.0f}", f"{self.tries / of:.2f}")
 
 
-def part(outcomes: Iterable[Outcome]) -> ComponentLogger:
+def part(outcomes: Iterable[Outcome]) -> Summary:
     """Count some requests."""
     all_ = list(outcomes)
     times = [o.ended - o.at for o in all_ if o.served]
     refused = sum(o.status in (429, 503) for o in all_)
-    return ComponentLogger(len(all_), len(times), sum(o.served and o.ended - o.at <= o.want.aim for o in all_), refused,
-                len(all_) - len(times) - refused, percentile(times, 0.5), percentile(times, 0.99),
-                sum(o.tries for o in all_))
+    return Summary(
+        len(all_), len(times), sum(o.served and o.ended - o.at <= o.want.aim for o in all_), refused,
+        len(all_) - len(times) - refused, percentile(times, 0.5), percentile(times, 0.99),
+        sum(o.tries for o in all_))
 
 
 def table(outcomes: Sequence[Outcome]) -> list[Row]:
@@ -71,6 +72,17 @@
     return [*rows, part(outcomes).row("all")]
 
 
+def acknowledgements(orders: Sequence[Order]) -> str:
+    """How many orders were acknowledged, and how long that took.
+
+    >>> acknowledgements([Order(0.0, "config", 40.0), Order(0.0, "evacuate", 60.0), Order(0.0, "config", None)])
+    '3 orders, 2 acknowledged: p50 40 ms, p99 60 ms, worst 60 ms'
+    """
+    times = [order.acked - order.at for order in orders if order.acked is not None]
+    return (f"{len(orders)} orders, {len(times)} acknowledged: p50 {percentile(times, 0.5):.0f} ms, "
+            f"p99 {percentile(times, 0.99):.0f} ms, worst {max(times, default=0.0):.0f} ms")
+
+
 def verdict(broken: dict[str, list[Broken]], most: int = 3) -> list[str]:
     """One line a rule, and what shows those that are broken."""
     lines = []
--- a/hallhitch/lab/system/rig.py
+++ b/hallhitch/lab/system/rig.py
@@ -32,6 +32,7 @@
 INTERNAL, SPAN_OF_PORTS = 0, 8  # offsets from a world's first port
 CONTROL, DIRECTORY, FRONT, READY, LIST, BACKEND = 8, 9, 10, 11, 12, 13
 PORTS = 16  # of one world
+FIRST_SUCCESSOR = 120  # last part of hosts of machines that come later: beyond all others but backends
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +65,7 @@
     folder: Path
     process: asyncio.subprocess.Process | None = None
     started: bool = False  # once, at any time
+    founds: bool = True  # there when the whole system starts for the first time
     stopped: bool = False
     down: float | None = None  # since when there is trouble of the rig's making
     ended: list[int] = field(default_factory=list)  # exit codes of ends that nobody asked for
@@ -119,8 +121,8 @@
             "contactWindow": _ms(figures.contact), "drainTimeout": _ms(figures.drain),
             "gracePeriod": _ms(shape.grace), "configApply": _ms(figures.config),
             "downgradeSlack": _ms(figures.back), "evacuation": _ms(figures.evacuation), "ttl_max": _ms(shape.ttl_most),
-            "seedLag": "3s", "addressReuse": "2s", "ackTimeout": "6000ms", "catchUp": "4s", "lossSlack": "200ms",
-            "maxStretch": "10000ms", "recovery": "15s", "retryBudgetRatio": figures.retry_ratio,
+            "seedLag": "3s", "addressReuse": "2s", "ackTimeout": "6000ms", "catchUp": _ms(shape.catch_up),
+            "lossSlack": "200ms", "maxStretch": "10000ms", "recovery": "15s", "retryBudgetRatio": figures.retry_ratio,
             "retryWindow": _ms(figures.retry_window), "retryBudgetSlack": int(figures.retry_slack),
             "quotaWindow": _ms(figures.quota_window), "quotaOvershoot": figures.quota_over,
             "quotaSlack": int(figures.quota_slack), "coldOvershoot": figures.cold_over,
@@ -144,20 +146,33 @@
                  linked: bool = False) -> None:
         """`linked`: relays stand between the processes."""
         self.shape, self.base, self._linked = shape, base, linked
-        self._platform, self._records = platform, records
+        self._platform, self._records, self._folder = platform, records, folder
         self.roles = roles()
         self.machines: dict[str, Machine] = {}
+        self.removed: list[Machine] = []
+        self._made = 0
         places = shape.places()
         made = [("coordinator", f"core-{n + 1}", places[n % len(places)], 101 + n) for n in range(shape.cores)]
         made += [("gateway", f"edge-{region}{zone}{n + 1}", (region, zone), 1 + n)
                  for region, zone in places for n in range(shape.edges)]
-        for number, (role, name, (region, zone), last) in enumerate(made, 1):
-            self.machines[name] = Machine(
-                name, role, self.roles[role].serves, f"127.{region}.{zone}.{last}", shape.zone(region, zone),
-                shape.region(region), number,
-                folder / name)
+        for role, name, (region, zone), last in made:
+            self._place(role, name, f"127.{region}.{zone}.{last}", shape.zone(region, zone), shape.region(region))
         self.fell = asyncio.Event()  # a process has ended that nobody asked to
 
+    def _place(self, role: str, name: str, host: str, zone: str, region: str) -> Machine:
+        self._made += 1
+        machine = Machine(name, role, self.roles[role].serves, host, zone, region, self._made, self._folder / name)
+        self.machines[name] = machine
+        return machine
+
+    def successor(self, old: Machine) -> Machine:
+        """A new, empty machine beside one: its role and zone, a host and a name of its own. It is not started."""
+        network, kind = old.host.rpartition(".")[0], old.name.partition("-")[0]
+        host = f"{network}.{FIRST_SUCCESSOR + self._made}"
+        machine = self._place(old.role, f"{kind}-{self._made + 1}", host, old.zone, old.region)
+        machine.founds = False
+        return machine
+
     def of(self, role: str) -> list[Machine]:
         """All machines of a role."""
         return [machine for machine in self.machines.values() if machine.role == role]
@@ -184,7 +199,7 @@
 
     async def start(self, machine: Machine) -> None:
         """Start its process, with the settings of this moment."""
-        path = self.configure(machine, not machine.started)
+        path = self.configure(machine, machine.founds and not machine.started)
         environ = {name: os.environ[name] for name in KEPT if name in os.environ}
         what = [self.roles[machine.role].module]
         if self._linked:
@@ -210,7 +225,7 @@
     def fallen(self) -> list[str]:
         """Which processes have ended by themselves, with their codes and the last line of their logs."""
         return [f"{m.name} ended by itself ({', '.join(map(str, m.ended))}): {(m.last_lines(1) or ['no log'])[0]}"
-                for m in self.machines.values() if m.ended]
+                for m in (*self.machines.values(), *self.removed) if m.ended]
 
     async def start_all(self) -> None:
         """Start all that do not run."""
@@ -253,6 +268,16 @@
             self.trouble(machine, what, machine.down, now())
             machine.down = None
 
+    async def remove(self, machine: Machine) -> int:
+        """It is told to end and is gone for good, with its disk; its exit code."""
+        code = await self.term(machine)
+        if machine.down is not None:
+            self.trouble(machine, "removed", machine.down, now())
+            machine.down = None
+        shutil.rmtree(machine.data, ignore_errors=True)
+        self.removed.append(self.machines.pop(machine.name))
+        return code
+
     def freeze(self, machine: Machine) -> None:
         """Its process stands still: to the others it is as if it were cut off."""
         if machine.process is not None and machine.lives:
--- a/hallhitch/lab/system/shape.py
+++ b/hallhitch/lab/system/shape.py
@@ -75,6 +75,7 @@
     within: float = 0.5
     losses: int = 1
     grace: float = 6000.0
+    catch_up: float = 4000.0  # ms after its start for which a machine may not be counted on
     ttl_most: float = 5000.0
     list_rate: float = 47.0
     list_lag: float = 500.0
--- a/hallhitch/lab/system/world.py
+++ b/hallhitch/lab/system/world.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import itertools
 import os
 import socket
 import tempfile
@@ -63,17 +64,21 @@
         listing = ("127.0.0.1", self.base + LIST)
         self.rig = Rig(shape, self.base, self.folder, listing, self.records, linked)
         machines = self.rig.machines.values()
-        self.paths = Paths(shape.between, shape.within, {m.name: m.number for m in machines}, seed=shape.seed)
+        self._numbers = {m.name: m.number for m in machines}
+        self.paths = Paths(shape.between, shape.within, self._numbers, seed=shape.seed)
         regions = {shape.region(number): number for number in range(1, shape.regions + 1)}
+        self._region_of = {m.name: regions[m.region] for m in machines}
         self.fleet = Fleet(self.records, self.paths, self.base + BACKEND, lag=shape.list_lag * 0.6, seed=shape.seed,
-                           owner=Owners(self.rig.pids).of, regions={m.name: regions[m.region] for m in machines},
+                           owner=Owners(self.rig.pids).of, regions=self._region_of,
                            size=shape.size)
         self.relays = Relays(self.paths, [End(m.number, m.name, m.host) for m in machines] if linked else [],
                              self.base + INTERNAL)
         self.platform = Platform(self.fleet, listing, shape.list_rate)
         streams = Streams(shape.seed)
-        controls = [(m.host, self.base + CONTROL) for m in self.rig.serving("control_plane")]
-        self.operator = Operator(self.records, controls, streams.of("operator"))
+        self._linked = linked
+        self._operator_streams = (streams.of(f"operator {number}") for number in itertools.count(1))
+        self.operator = Operator(self.records, lambda: self._controls(self.rig.serving("control_plane")),
+                                 streams.of("operator"))
         gateways = {f"{m.host}:{self.base + FRONT}": m for m in self.rig.of("gateway")}
         self.place = Place(
             self.records, self.paths,
@@ -94,6 +99,13 @@
         near = sorted(self.rig.serving("directory"), key=lambda machine: machine.region != region)
         return [(machine.host, self.base + DIRECTORY) for machine in near]
 
+    def _controls(self, machines: Sequence[Machine]) -> list[Address]:
+        return [(machine.host, self.base + CONTROL) for machine in machines]
+
+    def operator_at(self, machines: Sequence[Machine]) -> Operator:
+        """Another operator, who knows of these coordinators alone."""
+        return Operator(self.records, lambda: self._controls(machines), next(self._operator_streams))
+
     async def __aenter__(self) -> World:
         try:
             await self.open()
@@ -134,6 +146,16 @@
         await self.fleet.start(f"{service}-{self._started}", kind, f"127.{region}.{10 * high + zone}.{low + 1}",
                                (self.shape.zone(region, zone), self.shape.region(region)), cold)
 
+    async def succeed(self, old: Machine) -> Machine:
+        """Start a new, empty machine that is to take another one's place."""
+        new = self.rig.successor(old)
+        self._numbers[new.name], self._region_of[new.name] = new.number, self._region_of[old.name]
+        if self._linked:
+            await self.relays.add(End(new.number, new.name, new.host))
+        await self.rig.start(new)
+        self.rig.trouble(new, "new", now(), now())
+        return new
+
     # What is awaited.
 
     async def configured(self, version: int = 1) -> None:
--- a/tests/system/world/test_stand_ins.py
+++ b/tests/system/world/test_stand_ins.py
@@ -297,11 +297,13 @@
                     answer(400)][min(2, len(calls) - 1)]
 
         server = await scripted(base, core)
-        operator = Operator(records, [("127.1.1.1", base)], Streams(1).of("operator"))
+        operator = Operator(records, lambda: [("127.1.1.1", base)], Streams(1).of("operator"))
         assert (await operator.replace({"configVersion": 3})).acked is not None
         assert (await operator.replace({"configVersion": 4})).status == 400
         assert [(o.version, o.acked is None) for o in records.orders] == [(3, False), (4, True)]
         assert calls[0] == "POST /hallhitch/rpc?call=config.replace HTTP/1.1" and len(calls) == 4
+        assert (await operator.read_if_answered(1000.0)).config is None and records.reads == []
+        assert (await operator.read_back()).config is None and len(records.reads) == 1
         server.close()
         held.close()
     run(body)
