--- a/tests/system/world/test_exchange.py
+++ b/tests/system/world/test_exchange.py
@@ -8,8 +8,10 @@
 
 import pytest
 
+from hallhitch.cli.demo_system import NAMES
 from hallhitch.lab.system.backend import Kind
 from hallhitch.lab.system.control_days import Sequel
+from hallhitch.lab.system.days import DAYS
 from hallhitch.lab.system.linked import CALLERS
 from hallhitch.lab.system.paths import Paths
 from hallhitch.lab.system.relay import End, Relays
@@ -55,3 +57,7 @@
     relays = Relays(Paths(0, 0, {}), [], 1)
     with pytest.raises(ValueError, match=f"edge-9: {CALLERS} machines at most"):
         asyncio.run(relays.add(End(CALLERS + 1, "edge-9", "127.1.1.1")))
+
+
+def test_the_demo_offers_every_day() -> None:
+    assert set(NAMES) == set(DAYS)
