Own world: the demo counts numbers that were acknowledged for two contents

Cause: `control_cut` sends two contents under one number as each cut ends; no rule forbids that both are confirmed, so nothing showed it.

--- a/hallhitch/lab/system/report.py
+++ b/hallhitch/lab/system/report.py
@@ -5,11 +5,12 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 from hallhitch.lab.system.clients import Outcome
-from hallhitch.lab.system.records import Broken, Order
+from hallhitch.lab.system.records import Broken, Config, Order
 
 Row = tuple[str, ...]
 HEAD = ("", "asked", "served", "in aim", "refused", "failed", "p50 ms", "p99 ms", "tries")
@@ -73,14 +74,20 @@
 
 
 def acknowledgements(orders: Sequence[Order]) -> str:
-    """How many orders were acknowledged, and how long that took.
+    """How many orders were acknowledged, and how long that took; numbers with two contents that were both acknowledged.
 
     >>> acknowledgements([Order(0.0, "config", 40.0), Order(0.0, "evacuate", 60.0), Order(0.0, "config", None)])
-    '3 orders, 2 acknowledged: p50 40 ms, p99 60 ms, worst 60 ms'
+    '3 orders, 2 acknowledged: p50 40 ms, p99 60 ms, worst 60 ms; 0 numbers acknowledged for two contents'
     """
+    contents: dict[int, list[Config]] = defaultdict(list)
+    for order in orders:
+        if order.kind == "config" and order.acked is not None and order.config not in contents[order.version]:
+            contents[order.version].append(order.config)
+    twofold = sum(len(each) > 1 for each in contents.values())
     times = [order.acked - order.at for order in orders if order.acked is not None]
     return (f"{len(orders)} orders, {len(times)} acknowledged: p50 {percentile(times, 0.5):.0f} ms, "
-            f"p99 {percentile(times, 0.99):.0f} ms, worst {max(times, default=0.0):.0f} ms")
+            f"p99 {percentile(times, 0.99):.0f} ms, worst {max(times, default=0.0):.0f} ms; "
+            f"{twofold} numbers acknowledged for two contents")
 
 
 def verdict(broken: dict[str, list[Broken]], most: int = 3) -> list[str]:
