--- a/hallhitch/planes/control/contention.py
+++ b/hallhitch/planes/control/contention.py
@@ -13,7 +13,7 @@
 
 from hallhitch.planes.control.register import NEVER, Ballot
 
-FIRST_PHASE_MS = 60.0  # how long a phase takes before one was measured: a way between regions and back
+FIRST_PHASE_MS = 150.0  # how long a phase takes before one was measured: the longest way between regions and back
 SHORTEST_MS, LONGEST_MS = 20.0, 400.0  # bounds of the wait for another proposer: under half of an order's patience
 MARGIN = 2.0  # phases that another proposer is given: it may have a longer way to its majority
 FADING = 0.8  # of the longest phase measured that is still believed after a shorter one
