--- /dev/null
+++ b/hallhitch/planes/control/eligibility.py
@@ -0,0 +1,52 @@
+"""Whether this replica may vote and propose, by what the others tell of it: its incarnation, its founding members.
+
+Owns two findings and no message. Must never let a replica go on with votes that the others know to be void.
+"""
+
+from __future__ import annotations
+
+from hallhitch.messages.system_pb2 import Recovered
+from hallhitch.node.logs import ComponentLogger
+from hallhitch.planes.control.acceptor import DurableAcceptor
+from hallhitch.planes.control.register import NEVER, Ballot, founding_conflict
+
+FOUNDED_OTHERWISE = "the settings of the first start differ by machine"
+
+
+class Eligibility:
+    """What the answers of the others say against this replica."""
+
+    def __init__(self, address: str, acceptor: DurableAcceptor) -> None:
+        self._address, self._acceptor = address, acceptor
+        self._conflict = False
+        self._log = ComponentLogger("control")
+
+    def check(self, address: str, answer: Recovered) -> bool:
+        """One answer of another replica; False where our own data folder turned out to be old and was dropped."""
+        self._check_founding(address, answer)
+        return self._check_incarnation(answer)
+
+    @property
+    def refusal(self) -> str:
+        """Why this replica puts no change to the register; empty where there is no reason."""
+        return FOUNDED_OTHERWISE if self._conflict and self._acceptor.state.accepted == NEVER else ""
+
+    def _check_incarnation(self, answer: Recovered) -> bool:
+        state = self._acceptor.state
+        known, own = answer.incarnations.get(self._address, 0), state.incarnations.get(self._address, 0)
+        if state.recovering or known <= own:
+            return True
+        self._log.warning(f"the data folder is old: incarnation {own}, the others know {known}; nothing of it is used")
+        self._acceptor.forget()
+        return False
+
+    def _check_founding(self, address: str, answer: Recovered) -> None:
+        """Another that was founded with other members: no order is taken while neither has a ballot."""
+        state = self._acceptor.state
+        at = Ballot.of(answer.accepted)
+        if not answer.ok or not founding_conflict(state.value, state.accepted, answer.value, at):
+            return
+        if not self._conflict:
+            own, other = list(state.value.members), list(answer.value.members)
+            self._log.error(f"founded with {own}, but {address} with {other}: no order is taken")
+        self._conflict = True
--- a/hallhitch/planes/control/plane.py
+++ b/hallhitch/planes/control/plane.py
@@ -20,6 +20,7 @@
 from hallhitch.planes.control import members
 from hallhitch.planes.control.acceptor import DurableAcceptor, Run, Worker
 from hallhitch.planes.control.contacts import Contacts
+from hallhitch.planes.control.eligibility import Eligibility
 from hallhitch.planes.control.files import Disk, Folder, Store
 from hallhitch.planes.control.leaving import Departure
 from hallhitch.planes.control.proposer import Proposer
@@ -30,7 +31,6 @@
     Change,
     Membership,
     Tally,
-    founding_conflict,
 )
 from hallhitch.planes.control.renewal import Known, LeaseRenewal
 from hallhitch.planes.control.serving import ServingLease
@@ -87,6 +87,7 @@
             clock,
             self._rng,
         )
+        self._eligibility = Eligibility(self.address, self._acceptor)
         self._value = ClusterState(version=-1)
         self._at: Ballot = NEVER  # the ballot of the newest value that a majority is known to hold
         self.lease = ServingLease(node.bounds.serving_lease)
@@ -94,7 +95,7 @@
             self.address, self.lease, self._confirmable, links.call, self._hear_from, self._hear_briefly, clock
         )
         self._known = False  # whether such a value was met in this incarnation
-        self._loaded = self._empty = self._conflict = False
+        self._loaded = self._empty = False
         self._loading: asyncio.Task[None] | None = None
         self._told_of: frozenset[str] = frozenset()
         self._began = self._ticked = clock()
@@ -309,37 +310,15 @@
         except StepError:
             return None
         self._contacts.heard[address] = self._clock()
-        self._check_incarnation(answer)
-        self._check_founding(address, answer)
+        if not self._eligibility.check(address, answer):
+            self._known = False
         return answer
 
-    def _check_incarnation(self, answer: Recovered) -> None:
-        """A folder older than what the others know of this machine's votes: its votes are void, so it is not used."""
-        state = self._acceptor.state
-        known, own = answer.incarnations.get(self.address, 0), state.incarnations.get(self.address, 0)
-        if state.recovering or known <= own:
-            return
-        self._log.warning(f"the data folder is old: incarnation {own}, the others know {known}; nothing of it is used")
-        self._acceptor.forget()
-        self._known = False
-
-    def _check_founding(self, address: str, answer: Recovered) -> None:
-        """Another that was founded with other members: no order is taken while neither has a ballot."""
-        state = self._acceptor.state
-        at = Ballot.of(answer.accepted)
-        if not answer.ok or not founding_conflict(state.value, state.accepted, answer.value, at):
-            return
-        if not self._conflict:
-            own, other = list(state.value.members), list(answer.value.members)
-            self._log.error(f"founded with {own}, but {address} with {other}: no order is taken")
-        self._conflict = True
-
     @property
     def _refused(self) -> str:
         """Why no change is put to the register by this process; empty where there is no reason."""
-        if self._conflict and self._acceptor.state.accepted == NEVER:
-            return "the settings of the first start differ by machine"
-        return "this machine has left the register" if self._contacts.leaving and self._departure.is_out else ""
+        is_out = self._contacts.leaving and self._departure.is_out
+        return self._eligibility.refusal or ("this machine has left the register" if is_out else "")
 
     async def _tell(self, addresses: frozenset[str], wait: float) -> dict[str, Recovered]:
         """Say who we are, and what the others hold."""
