--- a/hallhitch/lab/system/relay.py
+++ b/hallhitch/lab/system/relay.py
@@ -80,11 +80,10 @@
                 back, there = await asyncio.open_connection(other.host, self._port)
             except OSError:
                 await self._paths.pass_on(other.name, one.name, now() + late)
-                writer.write(REFUSED)
-                return await writer.drain()
+                return await self._tell(writer, REFUSED)
             self.open.add(there)
             await self._paths.pass_on(other.name, one.name, now() + late)
-            writer.write(TAKEN)
+            await self._tell(writer, TAKEN)
             both = [asyncio.ensure_future(self._pump(reader, there, one.name, other.name, late)),
                     asyncio.ensure_future(self._pump(back, writer, other.name, one.name, late))]
             try:
@@ -100,6 +99,14 @@
                     self.open.discard(each)
                     each.close()
 
+    @staticmethod
+    async def _tell(writer: Writer, what: bytes) -> None:
+        """Say what became of a connection; the caller may have given it up while its link stood still."""
+        if writer.is_closing():
+            raise ConnectionResetError("the caller has gone")
+        writer.write(what)
+        await writer.drain()
+
     async def _pump(self, reader: Reader, writer: Writer, sender: str, receiver: str, late: float) -> None:
         """Pass on what comes one way until it ends; the end passes as late as bytes do."""
         under_way: asyncio.Queue[tuple[float, bytes]] = asyncio.Queue(HELD)
