--- a/hallhitch/planes/data/line.py
+++ b/hallhitch/planes/data/backend_connection.py
@@ -15,20 +15,20 @@
 from hallhitch.planes.data.wire import BackendReader, attempt_head, judge
 
 if TYPE_CHECKING:
-    from hallhitch.planes.data.upstream import Attempt, Pool
+    from hallhitch.planes.data.connection_pools import Attempt, ConnectionPool
 
 UNHEARD = 5000  # ms without an acknowledgement by the backend's machine after which its connection is given up
 AT_ONCE = 250.0  # ms within which a connection that was closed at rest shows it
 TOGETHER = 64 * 1024  # bytes of a body that are worth copying behind their head
 
 
-class Line(asyncio.Protocol):
+class BackendConnection(asyncio.Protocol):
     """One connection to one backend."""
 
     __slots__ = ("pool", "transport", "reader", "attempt", "flow", "idle_since", "told", "heard", "_age", "_fresh",
                  "_verdict", "_spoilt", "_closed", "_upload", "_drained", "__weakref__")
 
-    def __init__(self, pool: Pool) -> None:
+    def __init__(self, pool: ConnectionPool) -> None:
         self.pool = pool
         self.transport: asyncio.Transport | None = None
         self.reader = BackendReader(pool.pools.room_for_bodies)
@@ -55,7 +55,7 @@
         """Write an attempt and wait for its answer."""
         assert self.transport is not None
         now = self.pool.pools.clock()
-        self.attempt, attempt.line, attempt.written = attempt, self, now
+        self.attempt, attempt.connection, attempt.written = attempt, self, now
         self._age = now - self.idle_since if self.idle_since else 0.0
         self.heard = now
         self.reader.bodiless = attempt.method == b"HEAD"
@@ -85,7 +85,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         transport = cast(asyncio.Transport, transport)  # uvloop's own is none by inheritance
         self.transport = transport
-        self.pool.lines.add(self)
+        self.pool.connections.add(self)
         self.pool.pools.open += 1
         sock = transport.get_extra_info("socket")
         if sock is not None:
--- a/hallhitch/planes/data/field.py
+++ b/hallhitch/planes/data/candidates.py
@@ -13,7 +13,7 @@
 
 from hallhitch.planes.data.cold import WARMING, Cold
 from hallhitch.planes.data.health import Health, Sight, State
-from hallhitch.planes.data.pace import Pace, Ratio
+from hallhitch.planes.data.latency import LatencyEstimate, Ratio
 from hallhitch.planes.values import DOWNLOAD, Backend, Service
 
 FAR_RANK = 1 << 20
@@ -99,11 +99,11 @@
     priority: int
 
 
-class Field:
+class Candidates:
     """All seats of one service."""
 
     def __init__(self, service: Service, cold: Cold) -> None:
-        self.service, self.pace = service, Pace()
+        self.service, self.pace = service, LatencyEstimate()
         self.near: list[Seat] = []  # own region, low rank
         self.rest: list[Seat] = []  # own region otherwise
         self.far: list[Seat] = []
--- a/hallhitch/planes/data/choice.py
+++ b/hallhitch/planes/data/choice.py
@@ -11,12 +11,12 @@
 from random import Random
 
 from hallhitch.planes.data.budget import Budget
+from hallhitch.planes.data.candidates import Attempt, Candidates, Seat, Tier, Want
 from hallhitch.planes.data.cold import Cold
-from hallhitch.planes.data.field import Attempt, Field, Seat, Tier, Want
 from hallhitch.planes.data.health import SPELL, Sight
-from hallhitch.planes.data.pace import Usual
+from hallhitch.planes.data.latency import Usual
 from hallhitch.planes.data.ports import Ask, Exchange, Fail, Hold, Outcome, Refuse, Send, Step
-from hallhitch.planes.data.ranks import Weights, owners
+from hallhitch.planes.data.preference import RendezvousWeights, owners
 from hallhitch.planes.values import Backend, ClusterConfig, Gateway
 
 HOLD_PART = 0.22  # of the target: refusals are early within a quarter of it, and the answer takes its way too
@@ -53,7 +53,7 @@
 
     ask: Ask
     attempts: list[Attempt] = field(default_factory=list)
-    waits: Field | None = None  # where it is counted as waiting
+    waits: Candidates | None = None  # where it is counted as waiting
     status: int = 502
     done: bool = False  # the client has its answer, or left
 
@@ -63,14 +63,14 @@
 
     def __init__(self, settings: Settings, rng: Random) -> None:
         self._settings, self._rng = settings, rng
-        self._weights = Weights()
+        self._weights = RendezvousWeights()
         self._cold = Cold(settings.name, settings.region, settings.cold_over, settings.cold_slack, settings.list_lag,
                           self._weights)
         self._config: ClusterConfig | None = None
         self._entries: Sequence[Backend] = ()
         self._seats: dict[str, Seat] = {}
         self._shape: Sequence[tuple[object, ...]] = ()
-        self._fields: dict[str, Field] = {}
+        self._candidates: dict[str, Candidates] = {}
         self._sights: dict[str, Sight] = {}
         self._budgets: dict[str, Budget] = {}
         self._peers: dict[str, tuple[str, str]] = {settings.name: (settings.zone, settings.region)}
@@ -109,8 +109,8 @@
             self._cold.backends(now, self._entries, config.services)
         self._cold.evacuated(now, config.evacuated, self._entries, config.services)
         for name, service in config.services.items():
-            if name in self._fields:
-                self._fields[name].service = service
+            if name in self._candidates:
+                self._candidates[name].service = service
         self._place()
 
     def begin(self, now: float, ask: Ask) -> Run:
@@ -134,7 +134,7 @@
         attempt = next((a for a in reversed(run.attempts) if a.seat.backend.instance == backend.instance), None)
         if attempt is None:
             return
-        seat, place = attempt.seat, self._fields.get(backend.service)
+        seat, place = attempt.seat, self._candidates.get(backend.service)
         attempt.ran = attempt.ran or outcome.ran
         if outcome is Outcome.SILENT and not attempt.silent:
             attempt.silent = True
@@ -159,7 +159,7 @@
         exchange.done = True
         self._rest(exchange)
 
-    def _learn(self, now: float, run: Run, attempt: Attempt, place: Field | None, outcome: Outcome,
+    def _learn(self, now: float, run: Run, attempt: Attempt, place: Candidates | None, outcome: Outcome,
                lag: float) -> None:
         seat, ask = attempt.seat, run.ask
         health, jitter = seat.health, 0.8 + 0.4 * self._rng.random()
@@ -187,7 +187,7 @@
             if outcome is Outcome.SILENT and place is not None and ask.route.repeatable:
                 place.pace.ended(True)
 
-    def _network(self, now: float, place: Field) -> bool:
+    def _network(self, now: float, place: Candidates) -> bool:
         seats = place.near + place.rest
         return sum(1 for s in seats if s.health.bad_at > now - 2.0 * SPELL) > NETWORK * len(seats) > 0
 
@@ -201,7 +201,7 @@
             if left > 0 and any(not a.silent for a in out):
                 return Hold(left)
             return Fail(run.status if left > 0 else 504)
-        place = self._fields.get(ask.service)
+        place = self._candidates.get(ask.service)
         if place is None:
             return self._turn_away(ask, None)
         usual = place.pace.usual(route.name, route.target)
@@ -226,7 +226,7 @@
             return Hold(left)
         return self._wait(now, run, place, usual, ran)
 
-    def _seat(self, place: Field, run: Run, want: Want) -> tuple[Seat | None, bool]:
+    def _seat(self, place: Candidates, run: Run, want: Want) -> tuple[Seat | None, bool]:
         if not run.attempts and (seat := place.trial(want)) is not None:
             place.trials -= 1.0
             return seat, True
@@ -239,7 +239,7 @@
             seat = None
         return seat, False
 
-    def _send(self, now: float, run: Run, place: Field, usual: Usual, seat: Seat, trial: bool) -> Step:
+    def _send(self, now: float, run: Run, place: Candidates, usual: Usual, seat: Seat, trial: bool) -> Step:
         ask = run.ask
         attempt = Attempt(seat, now, ask.ends, trial)
         if any(a.arrived for a in run.attempts):
@@ -258,7 +258,7 @@
             usual, ask.route.target, now - ask.came, left)
         return Send(seat.backend, attempt.patience)
 
-    def _wait(self, now: float, run: Run, place: Field, usual: Usual, ran: bool) -> Step:
+    def _wait(self, now: float, run: Run, place: Candidates, usual: Usual, ran: bool) -> Step:
         ask = run.ask
         part = HOLD_TRIED if run.attempts else HOLD_PART
         hold = min(ask.came + part * ask.route.target - now, ask.ends - now - usual.mean)
@@ -304,9 +304,9 @@
             if backend.service in seats and not backend.draining and backend.zone not in config.evacuated:
                 seats[backend.service].append(seat)
         for name, service in config.services.items():
-            place = self._fields.get(name)
+            place = self._candidates.get(name)
             if place is None:
-                place = self._fields[name] = Field(service, self._cold)
+                place = self._candidates[name] = Candidates(service, self._cold)
             mine = [s.backend.instance for s in seats[name] if s.backend.zone == settings.zone]
             owned = owners(weights, mine, in_zone)
             for seat in seats[name]:
@@ -324,5 +324,5 @@
                     seat.tier = Tier.FAR
                     seat.rank = weights.rank(instance, settings.name, region)
             place.place(seats[name], len(region))
-        for name in [n for n in self._fields if n not in config.services]:
-            del self._fields[name]
+        for name in [n for n in self._candidates if n not in config.services]:
+            del self._candidates[name]
--- a/hallhitch/planes/data/cold.py
+++ b/hallhitch/planes/data/cold.py
@@ -11,7 +11,7 @@
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
 
-from hallhitch.planes.data.ranks import Weights
+from hallhitch.planes.data.preference import RendezvousWeights
 from hallhitch.planes.values import Backend, Gateway, Service
 
 OWNERS = 2  # gateways a cold backend belongs to: one may be gone without anybody knowing
@@ -32,7 +32,9 @@
 class Cold:
     """Answers what is cold and whether one more may go there now."""
 
-    def __init__(self, own: str, region: str, over: float, slack: float, lag: float, weights: Weights) -> None:
+    def __init__(
+        self, own: str, region: str, over: float, slack: float, lag: float, weights: RendezvousWeights
+    ) -> None:
         self._own, self._region = own, region
         self._over, self._slack, self._lag, self._weights = over, slack, lag, weights
         self._lives: dict[str, _Life] = {}
--- a/hallhitch/planes/data/upstream.py
+++ b/hallhitch/planes/data/connection_pools.py
@@ -12,9 +12,9 @@
 
 from hallhitch.net.flow import Flow
 from hallhitch.net.http import Message
-from hallhitch.planes.data.line import Line
+from hallhitch.planes.data.backend_connection import BackendConnection
+from hallhitch.planes.data.idle_reuse import IdleReuse
 from hallhitch.planes.data.ports import Outcome
-from hallhitch.planes.data.trust import Trust
 from hallhitch.planes.data.wire import Room
 from hallhitch.planes.values import Backend, Service
 
@@ -40,7 +40,7 @@
 
     __slots__ = (
         "owner", "backend", "unsafe", "ends", "method", "request_id", "shared", "body", "flow",
-        "began", "written", "over", "line", "lag", "patience", "silent")
+        "began", "written", "over", "connection", "lag", "patience", "silent")
 
     def __init__(
         self, owner: Owner, backend: Backend, *, unsafe: bool, ends: float, method: bytes, request_id: bytes | None,
@@ -54,7 +54,7 @@
         self.over = False
         self.silent = False  # whether its owner gave up waiting for it alone
         self.lag = 0.0  # ms from its writing to its answer
-        self.line: Line | None = None
+        self.connection: BackendConnection | None = None
 
     def end(self, now: float, outcome: Outcome, answer: Message | None = None) -> None:
         """Tell its owner, once."""
@@ -64,19 +64,19 @@
             self.owner.ended(self, outcome, answer)
 
 
-class Pool:
+class ConnectionPool:
     """The connections to one life of a backend."""
 
-    def __init__(self, pools: Pools, backend: Backend) -> None:
+    def __init__(self, pools: ConnectionPools, backend: Backend) -> None:
         self.pools, self.backend = pools, backend
-        self.idle: list[Line] = []  # the newest last
-        self.lines: set[Line] = set()
+        self.idle: list[BackendConnection] = []  # the newest last
+        self.connections: set[BackendConnection] = set()
         self.waiting: deque[Attempt] = deque()  # for a connection
         self.opening = 0
         self.retired = False
 
     @property
-    def trust(self) -> Trust:
+    def trust(self) -> IdleReuse:
         """What is known of the service's resting connections."""
         return self.pools.trust_of(self.backend.service)
 
@@ -84,19 +84,19 @@
         """Carry it on a connection that rests, or on a new one; it may be over when this returns."""
         if self.retired:
             return attempt.end(self.pools.clock(), Outcome.VOID)
-        line = self._pick(attempt.unsafe)
-        if line is not None:
-            return line.carry(attempt)
+        connection = self._pick(attempt.unsafe)
+        if connection is not None:
+            return connection.carry(attempt)
         self.waiting.append(attempt)
         if self.opening >= len(self.waiting):
             return
         if self._room():
             self._open()
             return
-        line = self._pick(False)
-        if line is not None:  # an older one is better than none
+        connection = self._pick(False)
+        if connection is not None:  # an older one is better than none
             self.waiting.remove(attempt)
-            line.carry(attempt)
+            connection.carry(attempt)
         elif not self.opening:
             asyncio.get_running_loop().call_later(CROWDED / 1000, self.take_back, attempt)
 
@@ -108,19 +108,19 @@
             return True
         return False
 
-    def _pick(self, unsafe: bool) -> Line | None:
+    def _pick(self, unsafe: bool) -> BackendConnection | None:
         now, trust = self.pools.clock(), self.trust
         while self.idle:
-            line = self.idle[-1]
-            if line.usable():
-                if now - line.idle_since > trust.most(now, line.told, unsafe):
+            connection = self.idle[-1]
+            if connection.usable():
+                if now - connection.idle_since > trust.most(now, connection.told, unsafe):
                     return None  # the others have rested longer
                 return self.idle.pop()
-            line.close()
+            connection.close()
         return None
 
     def _room(self) -> bool:
-        return len(self.lines) + self.opening < self.pools.most_for(self.backend.service) and self.pools.room()
+        return len(self.connections) + self.opening < self.pools.most_for(self.backend.service) and self.pools.room()
 
     def _open(self) -> None:
         self.opening += 1
@@ -133,14 +133,15 @@
     async def _connect(self) -> None:
         loop, backend = asyncio.get_running_loop(), self.backend
         most = CONNECT_NEAR if backend.region == self.pools.region else CONNECT_FAR
-        connecting = loop.create_task(loop.create_connection(lambda: Line(self), backend.host, backend.port))
-        line: Line | None = None
+        connecting = loop.create_task(
+            loop.create_connection(lambda: BackendConnection(self), backend.host, backend.port))
+        connection: BackendConnection | None = None
         try:
             done, _ = await asyncio.wait((connecting,), timeout=most / 1000)
             if not done:  # it may be our own loop that was late
                 await asyncio.wait((connecting,), timeout=LATE / 1000)
             if connecting.done():
-                line = connecting.result()[1]
+                connection = connecting.result()[1]
             else:
                 connecting.cancel()
         except OSError:
@@ -148,8 +149,8 @@
         finally:
             self.opening -= 1
             self.pools.opening -= 1
-        if line is not None and line.usable():
-            self.free(line)
+        if connection is not None and connection.usable():
+            self.free(connection)
         else:
             self._unreachable()
 
@@ -160,7 +161,7 @@
         while len(self.waiting) > self.opening:
             self.waiting.popleft().end(now, Outcome.UNREACHABLE)
 
-    def free(self, line: Line) -> None:
+    def free(self, connection: BackendConnection) -> None:
         """A connection has nothing to carry: whoever waits longest gets it."""
         now = self.pools.clock()
         while self.waiting:
@@ -168,19 +169,19 @@
             if self.retired or attempt.ends - now < 1:
                 attempt.end(now, Outcome.VOID)
                 continue
-            return line.carry(attempt)
+            return connection.carry(attempt)
         if self.retired:
-            return line.close()
-        line.idle_since = now
-        self.idle.append(line)
+            return connection.close()
+        connection.idle_since = now
+        self.idle.append(connection)
 
-    def gone(self, line: Line) -> None:
+    def gone(self, connection: BackendConnection) -> None:
         """A connection is closed."""
-        if line in self.lines:
-            self.lines.remove(line)
+        if connection in self.connections:
+            self.connections.remove(connection)
             self.pools.open -= 1
-        if line in self.idle:
-            self.idle.remove(line)
+        if connection in self.idle:
+            self.idle.remove(connection)
         self.pools.drop_if_done(self)
         if self.waiting and not self.opening and self._room():
             self._open()
@@ -188,8 +189,8 @@
     def retire(self) -> None:
         """Its backend is leaving or gone: nothing new goes there, what is out ends by itself."""
         self.retired = True
-        for line in list(self.idle):
-            line.close()
+        for connection in list(self.idle):
+            connection.close()
         now = self.pools.clock()
         while self.waiting:
             self.waiting.popleft().end(now, Outcome.VOID)
@@ -199,14 +200,14 @@
         """Close what rested too long, give up what never ends."""
         while self.idle and now - self.idle[0].idle_since > self.trust.most(now, self.idle[0].told, False):
             self.idle[0].close()
-        for line in [line for line in self.lines if line.attempt is not None]:
-            attempt = line.attempt
-            stalled = line.flow is not None and now - line.heard > STALLED
-            if attempt is not None and now > attempt.ends + OVERDUE and (line.flow is None or stalled):
-                line.give_up()
+        for connection in [connection for connection in self.connections if connection.attempt is not None]:
+            attempt = connection.attempt
+            stalled = connection.flow is not None and now - connection.heard > STALLED
+            if attempt is not None and now > attempt.ends + OVERDUE and (connection.flow is None or stalled):
+                connection.give_up()
 
 
-class Pools:
+class ConnectionPools:
     """All connections to backends."""
 
     def __init__(
@@ -217,9 +218,9 @@
         self.room_for_bodies = room
         self.open = self.opening = 0  # connections
         self.tasks: set[asyncio.Task[None]] = set()
-        self._pools: dict[str, Pool] = {}
-        self._leaving: set[Pool] = set()  # retired, with something still out
-        self._trust: dict[str, Trust] = {}
+        self._pools: dict[str, ConnectionPool] = {}
+        self._leaving: set[ConnectionPool] = set()  # retired, with something still out
+        self._trust: dict[str, IdleReuse] = {}
         self._services: Mapping[str, Service] = {}
         self._gateways = 1
 
@@ -250,7 +251,7 @@
                 pool.backend = entry
         for instance, entry in there.items():
             if instance not in self._pools:
-                self._pools[instance] = Pool(self, entry)
+                self._pools[instance] = ConnectionPool(self, entry)
 
     def send(self, attempt: Attempt) -> None:
         """Carry an attempt to its backend; VOID where there is no such backend any more."""
@@ -265,11 +266,11 @@
         pool = self._pools.get(attempt.backend.instance)
         return pool is not None and pool.take_back(attempt)
 
-    def trust_of(self, service: str) -> Trust:
+    def trust_of(self, service: str) -> IdleReuse:
         """What is known of one service's resting connections."""
         trust = self._trust.get(service)
         if trust is None:
-            trust = self._trust[service] = Trust()
+            trust = self._trust[service] = IdleReuse()
         return trust
 
     def most_for(self, service: str) -> int:
@@ -282,20 +283,20 @@
         if self.open + self.opening < self.most:
             return True
         oldest = min((pool.idle[0] for pool in self._pools.values() if pool.idle),
-                     key=lambda line: line.idle_since, default=None)
+                     key=lambda connection: connection.idle_since, default=None)
         if oldest is not None:
             oldest.close()
         return oldest is not None
 
-    def drop_if_done(self, pool: Pool) -> None:
+    def drop_if_done(self, pool: ConnectionPool) -> None:
         """Forget a retired pool that has nothing open."""
-        if pool.retired and not pool.lines and not pool.opening:
+        if pool.retired and not pool.connections and not pool.opening:
             self._leaving.discard(pool)
 
     def sweep(self, now: float) -> None:
         """Look after all connections; to be called a few times a second."""
         for pool in [*self._pools.values(), *self._leaving]:
-            if pool.lines:
+            if pool.connections:
                 pool.sweep(now)
             self.drop_if_done(pool)
 
@@ -303,5 +304,5 @@
         """Close everything, whatever is out."""
         for pool in [*self._pools.values(), *self._leaving]:
             pool.retire()
-            for line in list(pool.lines):
-                line.close()
+            for connection in list(pool.connections):
+                connection.close()
--- a/hallhitch/planes/data/exchange.py
+++ b/hallhitch/planes/data/exchange.py
@@ -14,6 +14,7 @@
 from typing import Protocol
 
 from hallhitch.net.http import Message, path_of
+from hallhitch.planes.data.connection_pools import Attempt, ConnectionPools
 from hallhitch.planes.data.ports import (
     Ask,
     Counter,
@@ -24,7 +25,6 @@
     Refuse,
     Send,
 )
-from hallhitch.planes.data.upstream import Attempt, Pools
 from hallhitch.planes.data.wire import (
     DEADLINE,
     REQUEST_ID,
@@ -50,7 +50,7 @@
 
     decisions: Decisions
     counter: Counter
-    pools: Pools
+    pools: ConnectionPools
     clock: Callable[[], float]
     figures: dict[str, int]
     config: ClusterConfig | None = None
--- a/hallhitch/planes/data/trust.py
+++ b/hallhitch/planes/data/idle_reuse.py
@@ -10,7 +10,7 @@
 PAIR = 10_000.0  # ms within which two backends must close resting connections to be believed
 
 
-class Trust:
+class IdleReuse:
     """What one service's backends showed."""
 
     def __init__(self) -> None:
--- a/hallhitch/planes/data/pace.py
+++ b/hallhitch/planes/data/latency.py
@@ -64,7 +64,7 @@
         return 1.0 + (self.value - 1.0) * RATIO_FADE / (RATIO_FADE + max(0.0, now - self.at))
 
 
-class Pace:
+class LatencyEstimate:
     """The usual times of one service, by route."""
 
     def __init__(self) -> None:
--- a/hallhitch/planes/data/plane.py
+++ b/hallhitch/planes/data/plane.py
@@ -10,10 +10,10 @@
 
 from hallhitch.node.clock import now as steady
 from hallhitch.node.settings import Node
+from hallhitch.planes.data.connection_pools import ConnectionPools
 from hallhitch.planes.data.exchange import Context
 from hallhitch.planes.data.front import Front
 from hallhitch.planes.data.ports import Counter, Decisions
-from hallhitch.planes.data.upstream import Pools
 from hallhitch.planes.data.wire import Room
 from hallhitch.planes.values import Backend, ClusterConfig, Gateway
 
@@ -36,7 +36,7 @@
         descriptors = max(64, node.files - RESERVED)
         backends = int(descriptors * BACKEND_SHARE)
         room = Room(int(node.memory * HELD_SHARE * 1024 * 1024))
-        self._pools = Pools(clock, node.region, backends, self.figures, room)
+        self._pools = ConnectionPools(clock, node.region, backends, self.figures, room)
         self.context = Context(decisions, counter, self._pools, clock, self.figures)
         self.front = Front(self.context, node.listen["frontend"], descriptors - backends, room)
         self.front.retune()
--- a/hallhitch/planes/data/ranks.py
+++ b/hallhitch/planes/data/preference.py
@@ -9,7 +9,7 @@
 from hashlib import blake2b
 
 
-class Weights:
+class RendezvousWeights:
     """Rendezvous weights, kept while both sides live."""
 
     def __init__(self) -> None:
@@ -38,7 +38,7 @@
         return sum(1 for gateway in gateways if gateway != own and self.of(instance, gateway) > mine)
 
 
-def owners(weights: Weights, instances: Sequence[str], gateways: Sequence[str]) -> dict[str, str]:
+def owners(weights: RendezvousWeights, instances: Sequence[str], gateways: Sequence[str]) -> dict[str, str]:
     """Which gateway owns which backend: the weightiest pairs first, nobody more than an even part rounded up.
 
     Plain rendezvous would give one of two gateways all of four backends once in eight times.
--- a/tests/system/data/test_attempts_connections.py
+++ b/tests/system/data/test_attempts_connections.py
@@ -6,8 +6,8 @@
 
 import pytest
 
+from hallhitch.planes.data.idle_reuse import LESSON, UNTOLD, IdleReuse
 from hallhitch.planes.data.ports import Outcome
-from hallhitch.planes.data.trust import LESSON, UNTOLD, Trust
 from hallhitch.planes.values import Service
 from tests.system.data.front_rig import SEAL, Asked, Peer, Rig, get, rigged, route, says, word
 
@@ -16,7 +16,7 @@
 
 
 def test_resting_connections_are_trusted_as_far_as_they_showed() -> None:
-    trust = Trust()
+    trust = IdleReuse()
     assert trust.most(0, 0, False) == UNTOLD and trust.most(0, 10_000, False) == 7000
     assert trust.most(0, 0, True) == 1000 and trust.most(0, 10_000, True) == 3500
     trust.closed(0, "b-1", 800)  # one backend may have ended
@@ -43,7 +43,7 @@
     for line in pool.idle:
         line.idle_since -= 5000
     pool.sweep(rig.plane.context.clock())
-    assert not pool.idle and not pool.lines
+    assert not pool.idle and not pool.connections
 
 
 @pytest.mark.parametrize("behind", [HEAD + b"Content-Length: 4\r\n\r\nmore", b"noise", b""])
--- a/tests/system/data/test_cold_bound.py
+++ b/tests/system/data/test_cold_bound.py
@@ -7,7 +7,7 @@
 import pytest
 
 from hallhitch.planes.data.cold import Cold
-from hallhitch.planes.data.ranks import Weights
+from hallhitch.planes.data.preference import RendezvousWeights
 from hallhitch.planes.values import Backend, Gateway, Service
 from tests.system.data.choice_rig import START, ZONES, backend, gateway
 
@@ -23,7 +23,7 @@
 
 def gate(own: Gateway, view: list[Gateway], entries: list[Backend]) -> Cold:
     """What one gateway knows of cold backends, settled."""
-    cold = Cold(own.name, own.region, OVER, SLACK, 800.0, Weights())
+    cold = Cold(own.name, own.region, OVER, SLACK, 800.0, RendezvousWeights())
     cold.gateways(0.0, view)
     cold.backends(0.0, entries, {"s": SERVICE})
     return cold
