--- a/tests/system/control/fleet.py
+++ b/tests/system/control/fleet.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-import selectors
 from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from pathlib import Path
 from typing import Any, TypeVar
@@ -14,6 +13,7 @@
 from hallhitch.node.settings import Bounds, Node
 from hallhitch.planes.control.operator import Operator
 from hallhitch.planes.control.plane import ControlPlane
+from tests.system.virtual_time import VirtualLoop, close
 
 T = TypeVar("T")
 GRACE = Bounds().grace
@@ -21,32 +21,6 @@
 ZONES = {"viti-a": "viti", "viti-b": "viti"}
 
 
-class _Skip(selectors.DefaultSelector):
-    """Waits for nothing: the clock is put forward instead."""
-
-    at = 0.0
-
-    def select(self, timeout: float | None = None) -> list[Any]:
-        ready = super().select(0)
-        if not ready:
-            if timeout is None:
-                raise RuntimeError("everything waits for something that never comes")
-            self.at += max(timeout, 0)
-        return ready
-
-
-class Loop(asyncio.SelectorEventLoop):
-    """An event loop in virtual time."""
-
-    def __init__(self) -> None:
-        self.skip = _Skip()
-        super().__init__(self.skip)
-
-    def time(self) -> float:
-        """Virtual seconds."""
-        return self.skip.at
-
-
 def play(
     scene: Callable[[Fleet], Coroutine[Any, Any, T]],
     seed: int = 1,
@@ -55,16 +29,13 @@
     **how: Any,
 ) -> T:
     """Run a scene in virtual time."""
-    loop = Loop()
+    loop = VirtualLoop()
     asyncio.set_event_loop(loop)
     try:
         return loop.run_until_complete(scene((fleet_type or Fleet)(loop, seed, **how)))
     finally:
-        for task in asyncio.all_tasks(loop):
-            task.cancel()
-        loop.run_until_complete(asyncio.sleep(0))
         asyncio.set_event_loop(None)
-        loop.close()
+        close(loop)
 
 
 class Memory:
@@ -211,7 +182,7 @@
 class Fleet:
     """All machines and the ways between them."""
 
-    def __init__(self, loop: Loop, seed: int, losses: int = 1, founders: int = 3, delay: float = 1.0) -> None:
+    def __init__(self, loop: VirtualLoop, seed: int, losses: int = 1, founders: int = 3, delay: float = 1.0) -> None:
         self.loop, self.rng, self.losses, self.delay = loop, random.Random(seed), losses, delay
         self.bytes_per_ms = float("inf")  # of each message by itself: messages do not queue behind each other
         self.never: asyncio.Future[None] = loop.create_future()
--- a/tests/system/quota/virtual.py
+++ b/tests/system/quota/virtual.py
@@ -3,58 +3,27 @@
 from __future__ import annotations
 
 import asyncio
-import selectors
 from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
 from hallhitch.messages.system_pb2 import Envelope
 from hallhitch.node.errors import Silent
+from tests.system.virtual_time import VirtualLoop as VirtualLoop
+from tests.system.virtual_time import close
 
 T = TypeVar("T")
 
 
-class _Skipping(selectors.SelectSelector):
-    """Waits for nothing, and tells how long it would have waited."""
-
-    def __init__(self, skip: Callable[[float], None]) -> None:
-        super().__init__()
-        self._skip = skip
-
-    def select(self, timeout: float | None = None) -> Any:
-        if timeout is None:
-            raise RuntimeError("everybody waits for nothing")
-        self._skip(max(timeout, 0.0))
-        return super().select(0)
-
-
-class VirtualLoop(asyncio.SelectorEventLoop):
-    """An event loop in simulated time."""
-
-    def __init__(self) -> None:
-        self._at = 1000.0
-        super().__init__(_Skipping(self._skip))
-
-    def _skip(self, seconds: float) -> None:
-        self._at += seconds
-
-    def time(self) -> float:
-        return self._at
-
-    def now(self) -> float:
-        """Steady ms, as hallhitch.node.clock.now."""
-        return self._at * 1000
+BEGIN = 1000.0  # s: a steady clock does not begin with the process
 
 
 def run(main: Callable[[VirtualLoop], Coroutine[Any, Any, T]]) -> T:
     """Run to the end in simulated time."""
-    loop = VirtualLoop()
+    loop = VirtualLoop(BEGIN)
     try:
         return loop.run_until_complete(main(loop))
     finally:
-        for task in asyncio.all_tasks(loop):
-            task.cancel()
-        loop.run_until_complete(asyncio.sleep(0))
-        loop.close()
+        close(loop)
 
 
 class Wires:
--- /dev/null
+++ b/tests/system/simulation/scenes.py
@@ -0,0 +1,113 @@
+"""Runs that are planned message by message, each for one mechanism whose absence chance alone would seldom show."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from functools import partial
+
+from tests.system.simulation.faults import Schedule
+from tests.system.simulation.history import Call, Order, Violation
+from tests.system.simulation.network import Blocks
+from tests.system.simulation.operators import A_ROUTE, SILENCE, attempt, configuration, settle
+from tests.system.simulation.world import OPERATORS_PORT, Machine, World
+
+Act = Callable[[], None]
+
+
+class Stage:
+    """What a scene does, at which virtual second."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self._cuts: dict[tuple[str, str], Blocks] = {}
+        self._callers = 0
+
+    def at(self, moment: float, act: Act) -> None:
+        """Do something then."""
+        self.world.network.at(moment, act)
+
+    def order(
+        self, moment: float, machine: Machine, order: Order, version: int = -1, zone: str = "", routes: int = 1
+    ) -> Call:
+        """One try of one order then, by a caller of its own; a big configuration is waited for longer."""
+        self._callers += 1
+        loop = self.world.outside(f"caller-{self._callers}")
+        call = Call(loop.host, order, moment, version, f"content-{version}" if version >= 0 else "", zone, once=True)
+        self.world.history.calls.append(call)
+        body = configuration(version, call.content, routes) if version >= 0 else b""
+
+        async def send() -> None:
+            status, answer = await attempt(loop, machine.host, OPERATORS_PORT, call, body, SILENCE + A_ROUTE * routes)
+            if status == 200 or 400 <= status < 500:
+                settle(call, status, answer, loop.time())
+
+        self.at(moment, lambda: loop.begin(send()))
+        return call
+
+    def slow_disk(self, moment: float, machine: Machine, times: float) -> None:
+        """Its disk takes so many times as long."""
+        self.at(moment, lambda: setattr(machine.disk, "slow", times))
+
+    def cut(self, moment: float, sources: Iterable[Machine], targets: Iterable[Machine]) -> None:
+        """Nothing gets from these to those from then on."""
+        for source in sources:
+            for target in targets:
+                if source is not target:
+                    self.at(moment, partial(self._cut, source.host, target.host))
+
+    def part(self, moment: float, some: Iterable[Machine], others: Iterable[Machine]) -> None:
+        """Nothing gets from these to those, nor back."""
+        some, others = list(some), list(others)
+        self.cut(moment, some, others)
+        self.cut(moment, others, some)
+
+    def join(self, moment: float, some: Iterable[Machine], others: Iterable[Machine]) -> None:
+        """All ways between these and those are open again."""
+        some, others = list(some), list(others)
+        for source, target in [(a, b) for a in some for b in others] + [(b, a) for a in some for b in others]:
+            self.at(moment, partial(self._join, source.host, target.host))
+
+    def _cut(self, source: str, target: str) -> None:
+        if (source, target) not in self._cuts:
+            blocks = self._cuts[source, target] = lambda one, other: (one, other) == (source, target)
+            self.world.network.cut(blocks)
+
+    def _join(self, source: str, target: str) -> None:
+        blocks = self._cuts.pop((source, target), None)
+        if blocks is not None:
+            self.world.network.join(blocks)
+
+
+def perform(scene: Callable[[Stage], float], founders: int = 3, gateways: int = 1) -> list[Violation]:
+    """Found a system, play the scene on it, and judge what was seen."""
+    schedule = Schedule(1, (founders - 1) // 2, founders, gateways, (), lasts=0.0, delay=1.0)
+    world = World(schedule)
+    return world.run(lambda founded: scene(Stage(founded)))
+
+
+def vote_of_a_forgotten_incarnation(stage: Stage) -> float:
+    """Five replicas. `a` accepts version 2 from `d`, loses its disk and reads the others back, none of whom has met
+    version 2. `b` and `c` and `a` agree on something newer. Only then `e` accepts version 2 from `d`: with the
+    forgotten vote of `a` it would be a majority.
+    """
+    a, b, c, d, e = stage.world.slots
+    stage.order(3.0, b, Order.REPLACE, version=1)
+    stage.part(4.9, [d], [b, c])
+    stage.slow_disk(4.9, e, 30.0)  # its promise comes late enough for the cut before the accept
+    stage.order(5.0, d, Order.REPLACE, version=2, routes=2000)
+    stage.cut(5.03, [d], [e])
+
+    def lose_disk() -> None:
+        a.end()
+        a.wipe()
+
+    stage.at(5.12, lose_disk)
+    stage.part(5.13, [d], [a])
+    stage.at(5.14, a.start)
+    stage.order(5.9, c, Order.STOP, zone="viti-b")  # refused by `e`: so `c` learns of a ballot higher than its own
+    stage.part(6.95, [e], [a, b, c])
+    stage.slow_disk(6.95, e, 1.0)
+    stage.order(7.0, c, Order.START, zone="viti-a")
+    stage.join(7.3, [d], [e])
+    stage.join(9.0, [d, e], [a, b, c])
+    return 11.0
