--- a/tests/system/simulation/faults.py
+++ b/tests/system/simulation/faults.py
@@ -26,7 +26,8 @@
     LINK_SLOW = "slow links"
     ALL_KILLED = "all killed"
     ALL_POWER = "all lose power"
-    GATEWAY_RESTART = "gateway restarted"  # costs nobody anything
+    GATEWAY_RESTART = "gateway restarted"  # no loss that counts
+    GATEWAY_FREEZE = "gateway stands still"
 
 
 class Scope(Enum):
@@ -105,7 +106,9 @@
     Kind.DISK_FULL,
     Kind.LINK_SLOW,
     *[Kind.GATEWAY_RESTART] * 3,
+    Kind.GATEWAY_FREEZE,
 )
+GATEWAYS = Kind.GATEWAY_RESTART, Kind.GATEWAY_FREEZE
 EVERYBODY = Kind.ALL_KILLED, Kind.ALL_POWER
 FIRST = 2.5  # s after the founding at which the first fault may strike
 
@@ -140,12 +143,12 @@
 
 def _one(rng: random.Random, schedule: Schedule) -> Fault:
     kind = rng.choice(SINGLE) if rng.random() < 0.95 else rng.choice(EVERYBODY)
-    lasts = rng.choice((0.3, 1.0, 3.0, 6.0, 12.0)) * rng.uniform(0.7, 1.3)
+    lasts = rng.choice((0.3, 1.0, 3.0, 6.0, 12.0, 18.0)) * rng.uniform(0.7, 1.3)
     return Fault(
         kind,
         rng.uniform(FIRST, schedule.lasts),
         round(lasts, 3),
-        rng.randrange(schedule.gateways if kind is Kind.GATEWAY_RESTART else schedule.founders),
+        rng.randrange(schedule.gateways if kind in GATEWAYS else schedule.founders),
         rng.choice(tuple(Scope)),
         rng.choice(tuple(Direction)),
     )
@@ -153,7 +156,7 @@
 
 def bearable(faults: list[Fault], schedule: Schedule) -> bool:
     """Whether at no moment more machines are lost than have to be borne (all at once, disks kept, stands apart)."""
-    single = [fault for fault in faults if fault.kind in SINGLE and fault.kind is not Kind.GATEWAY_RESTART]
+    single = [fault for fault in faults if fault.kind in SINGLE and fault.kind not in GATEWAYS]
     all_at_once = [fault for fault in faults if fault.kind in EVERYBODY]
     for fault in [*single, *all_at_once]:
         lost = [one for one in single if one.at <= fault.at <= one.lost_until(schedule.catch_up)]
--- a/tests/system/simulation/history.py
+++ b/tests/system/simulation/history.py
@@ -58,11 +58,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Span:
-    """From when to when (s) more was lost than has to be borne."""
+    """From when to when (s) something lasted."""
 
     begin: float
     end: float
 
+    def meets(self, begin: float, end: float) -> bool:
+        """Whether it has a moment in common with that."""
+        return self.begin <= end and self.end >= begin
+
 
 @dataclass(frozen=True, slots=True)
 class Violation:
@@ -77,14 +81,17 @@
 
 @dataclass(slots=True)
 class History:
-    """All that was seen in one run. `config_apply` and `ack` are the bounds (s) of the settings."""
+    """All that was seen in one run. `config_apply`, `ack` and `contact` are the bounds (s) of the settings."""
 
     config_apply: float
     ack: float
+    contact: float
     calls: list[Call] = field(default_factory=list)
     gateways: list[Sight] = field(default_factory=list)
     coordinators: list[Sight] = field(default_factory=list)
-    too_many_lost: list[Span] = field(default_factory=list)
+    lives: dict[str, Span] = field(default_factory=dict)  # of gateways
+    too_many_lost: list[Span] = field(default_factory=list)  # more than has to be borne
+    troubles: list[Span] = field(default_factory=list)  # any fault, the time after which all are in touch included
     final: float = float("inf")  # when all was calm again for long
 
     def violations(self) -> list[Violation]:
@@ -96,6 +103,7 @@
             self._never_refused_for_its_own_try,
             self._never_back,
             self._nobody_told_old_state,
+            self._in_force_in_time,
             self._majority_kept,
             self._evacuations_in_order,
             self._all_agree_at_the_end,
@@ -184,12 +192,28 @@
                     f"{least} was acknowledged over {self.config_apply:.1f} s before",
                 )
 
+    def _in_force_in_time(self) -> Iterator[Violation]:
+        """In calm times each gateway knows a version within the bound after its acknowledgement."""
+        known: dict[str, list[Sight]] = {}
+        for sight in self.gateways:
+            known.setdefault(sight.process, []).append(sight)
+        for call in self._of(Order.REPLACE):
+            if not call.acknowledged or call.end is None:
+                continue
+            begin, end = call.end - self.contact, call.end + self.config_apply
+            if any(span.meets(begin, end) for span in self.troubles):
+                continue
+            for process, life in self.lives.items():
+                seen = (sight.version for sight in known.get(process, ()) if sight.at <= end)
+                if life.begin < begin and life.end > end and max(seen, default=-1) < call.version:
+                    yield Violation("in force", f"{process} lacked version {call.version} at {end:.3f}")
+
     def _majority_kept(self) -> Iterator[Violation]:
         """While no more is lost than has to be borne, an order is acknowledged within the bound."""
         for call in self._of(Order.REPLACE, Order.START, Order.STOP):
             begin = call.begin
             for span in self.too_many_lost:
-                if span.begin < begin + self.ack and span.end > begin:
+                if span.meets(begin, begin + self.ack):
                     begin = max(begin, span.end)
             end = call.end if call.end is not None else float("inf")
             refused = call.order is Order.REPLACE and call.status == 409
--- a/tests/system/simulation/scenes.py
+++ b/tests/system/simulation/scenes.py
@@ -12,6 +12,7 @@
 from tests.system.simulation.world import OPERATORS_PORT, Machine, World
 
 Act = Callable[[], None]
+Scene = Callable[["Stage"], float]  # plans what happens, and tells the virtual second at which it is over
 
 
 class Stage:
@@ -48,6 +49,15 @@
         """Its disk takes so many times as long."""
         self.at(moment, lambda: setattr(machine.disk, "slow", times))
 
+    def freeze(self, moment: float, machine: Machine, frozen: bool) -> None:
+        """Its process stands still from then on, or goes on."""
+
+        def act() -> None:
+            if machine.loop is not None:
+                machine.loop.frozen = frozen
+
+        self.at(moment, act)
+
     def cut(self, moment: float, sources: Iterable[Machine], targets: Iterable[Machine]) -> None:
         """Nothing gets from these to those from then on."""
         for source in sources:
@@ -78,7 +88,7 @@
             self.world.network.join(blocks)
 
 
-def perform(scene: Callable[[Stage], float], founders: int = 3, gateways: int = 1) -> list[Violation]:
+def perform(scene: Scene, founders: int = 3, gateways: int = 1) -> list[Violation]:
     """Found a system, play the scene on it, and judge what was seen."""
     schedule = Schedule(1, (founders - 1) // 2, founders, gateways, (), lasts=0.0, delay=1.0)
     world = World(schedule)
@@ -111,3 +121,41 @@
     stage.join(7.3, [d], [e])
     stage.join(9.0, [d, e], [a, b, c])
     return 11.0
+
+
+def new_gateway_beside_a_cut_off_coordinator(stage: Stage) -> float:
+    """`a` has been cut off from `b` and `c` for long, and is all that a gateway that starts can reach."""
+    a, b, c = stage.world.slots
+    stage.part(5.0, [a], [b, c])
+    _new_gateway_with(stage, a, 12.0)
+    return 18.0
+
+
+def new_gateway_beside_a_coordinator_that_hears_nothing(stage: Stage) -> float:
+    """The same, but what `a` sends still reaches the others."""
+    a, b, c = stage.world.slots
+    stage.cut(5.0, [b, c], [a])
+    _new_gateway_with(stage, a, 12.0)
+    return 18.0
+
+
+def new_gateway_beside_a_coordinator_that_wakes(stage: Stage) -> float:
+    """`a` stood still for 20 s; a gateway's call waits when it wakes, and is answered before any timer is looked at."""
+    a = stage.world.slots[0]
+    stage.freeze(5.0, a, True)
+    _new_gateway_with(stage, a, 24.9)
+    stage.freeze(25.0, a, False)
+    return 31.0
+
+
+def _new_gateway_with(stage: Stage, reached: Machine, moment: float) -> None:
+    """Version 2 is acknowledged without `reached`; later a gateway starts that reaches nobody else until 4 s after."""
+    others = [machine for machine in stage.world.slots if machine is not reached]
+    gateway = stage.world.gateways[0]
+    stage.order(3.0, others[0], Order.REPLACE, version=1)
+    stage.order(6.0, others[0], Order.REPLACE, version=2)
+    stage.part(moment, [gateway], others)
+    stage.at(moment, gateway.end)
+    stage.at(moment + 0.01, gateway.start)
+    stage.join(moment + 4.0, [gateway], others)
+    stage.join(moment + 5.0, [reached], others)
--- a/tests/system/simulation/troubles.py
+++ b/tests/system/simulation/troubles.py
@@ -64,8 +64,10 @@
 
 
 def _freeze(world: World, fault: Fault) -> Acts:
+    machines = world.gateways if fault.kind is Kind.GATEWAY_FREEZE else world.slots
+
     def frozen(value: bool) -> None:
-        loop = world.slots[fault.slot].loop
+        loop = machines[fault.slot].loop
         if loop is not None:
             loop.frozen = value
 
@@ -178,4 +180,5 @@
     Kind.ALL_KILLED: _everybody(power=False),
     Kind.ALL_POWER: _everybody(power=True),
     Kind.GATEWAY_RESTART: _gateway_restart,
+    Kind.GATEWAY_FREEZE: _freeze,
 }
--- a/tests/system/simulation/world.py
+++ b/tests/system/simulation/world.py
@@ -101,9 +101,14 @@
 
         loop.begin(main())
 
+    @property
+    def life(self) -> str:
+        """The name of this life of its process."""
+        return f"{self.host}#{self.lives}"
+
     def _watch(self, hub: StateHub) -> None:
         """Note each newer state that this process knows."""
-        world, born, process = self.world, self.world.network.now, f"{self.host}#{self.lives}"
+        world, born, process = self.world, self.world.network.now, self.life
         sights = world.history.coordinators if self.core else world.history.gateways
         last = [0]
 
@@ -117,12 +122,17 @@
             sights.append(Sight(process, world.network.now, born, config.serial, config.version, content, zones))
 
         hub.on_change.append(look)
+        if not self.core:
+            world.history.lives[process] = Span(born, float("inf"))
 
     def end(self, power: bool = False) -> None:
         """The process is gone; with `power` the machine as well."""
         if power:
             self.world.network.down.add(self.host)
         loop, self.loop, self.program = self.loop, None, None
+        life = self.world.history.lives.get(self.life)
+        if life is not None and loop is not None:
+            self.world.history.lives[self.life] = Span(life.begin, self.world.network.now)
         if loop is not None:
             if self._thread is not None:
                 self._thread.interrupt()
@@ -174,7 +184,7 @@
         self.schedule = schedule
         self.network = Network(schedule.seed, schedule.delay)
         bounds = Bounds()
-        self.history = History(bounds.config / 1000, bounds.ack / 1000)
+        self.history = History(bounds.config / 1000, bounds.ack / 1000, bounds.contact / 1000)
         self.failures: list[str] = []
         self.seeds = tuple(f"10.0.0.{number}" for number in range(1, schedule.founders + 1))[:3]
         self.slots = [Machine(self, f"10.0.0.{n}", True) for n in range(1, schedule.founders + 1)]
@@ -189,7 +199,8 @@
 
     def node(self, host: str, core: bool, first: bool) -> Node:
         """The settings of a machine."""
-        seeds = tuple(f"{one}:{INTERNAL_PORT}" for one in self.seeds)
+        hosts = self.seeds if first else self.listed()[: len(self.seeds)]  # the file was written from a list that lags
+        seeds = tuple(f"{one}:{INTERNAL_PORT}" for one in hosts)
         plain = settings(f"{host}:{INTERNAL_PORT}", first, seeds, self.schedule.losses)
         plain = replace(plain, bounds=replace(plain.bounds, catch_up=self.schedule.catch_up * 1000))
         if core:
@@ -255,6 +266,8 @@
             loop.begin(operator.work())
         for fault in schedule.faults:
             troubles.strike(self, fault)
+            over = fault.at + fault.lasts + self.history.contact
+            self.history.troubles.append(Span(fault.at, over))
             if fault.kind in EVERYBODY:
                 self.history.too_many_lost.append(Span(fault.at, fault.lost_until(schedule.catch_up)))
         return max([schedule.lasts, *(fault.at + fault.lasts for fault in schedule.faults)])
