--- a/tests/system/simulation/history.py
+++ b/tests/system/simulation/history.py
@@ -68,6 +68,15 @@
         return self.begin <= end and self.end >= begin
 
 
+@dataclass(frozen=True, slots=True)
+class Seat:
+    """A machine that became a member of the register, and whether it held the state then."""
+
+    host: str
+    at: float
+    holds_state: bool
+
+
 @dataclass(frozen=True, slots=True)
 class Violation:
     """A rule that did not hold, and where."""
@@ -89,6 +98,7 @@
     calls: list[Call] = field(default_factory=list)
     gateways: list[Sight] = field(default_factory=list)
     coordinators: list[Sight] = field(default_factory=list)
+    seats: list[Seat] = field(default_factory=list)  # taken after the founding
     lives: dict[str, Span] = field(default_factory=dict)  # of gateways
     too_many_lost: list[Span] = field(default_factory=list)  # more than has to be borne
     troubles: list[Span] = field(default_factory=list)  # any fault, the time after which all are in touch included
@@ -105,6 +115,7 @@
             self._nobody_told_old_state,
             self._in_force_in_time,
             self._majority_kept,
+            self._seats_hold_state,
             self._evacuations_in_order,
             self._all_agree_at_the_end,
         )
@@ -223,6 +234,12 @@
                     f"{call.order.value} {call.version}{call.zone} begun at {call.begin:.3f}, ended {call.end}",
                 )
 
+    def _seats_hold_state(self) -> Iterator[Violation]:
+        """Who becomes a member has the state on its disk before."""
+        for seat in self.seats:
+            if not seat.holds_state:
+                yield Violation("empty seat", f"{seat.host} became a member at {seat.at:.3f} and held nothing")
+
     def _evacuations_in_order(self) -> Iterator[Violation]:
         """A start that was sent again never comes into force after its stop was acknowledged."""
         for sight in self.gateways:
--- a/tests/system/simulation/network.py
+++ b/tests/system/simulation/network.py
@@ -132,6 +132,7 @@
         self.listeners: dict[tuple[str, int], _Listener] = {}
         self.down: set[str] = set()  # hosts without power
         self.cuts: list[Blocks] = []
+        self.moved: dict[tuple[str, str], str] = {}  # (from, to) -> who is reached there now in place of it
         self.slow: dict[str, float] = {}  # host -> s more on each of its ways
         self._times: dict[tuple[str, str], random.Random] = {}
 
@@ -188,6 +189,7 @@
 
     async def connect(self, loop: ProcessLoop, host: str, port: int, factory: Callable[[], Any]) -> tuple[Any, Any]:
         """A new connection, as a kernel makes it."""
+        named, host = host, self.moved.get((loop.host, host), host)
         while True:
             await asyncio.sleep(self.way(loop.host, host))
             if host not in self.down and not self.blocked(loop.host, host) and not self.blocked(host, loop.host):
@@ -197,7 +199,7 @@
                     raise ConnectionRefusedError(f"nobody listens at {host}:{port}")
                 break
             await asyncio.sleep(SYN_AGAIN)
-        near, far = Endpoint(self, loop, f"{host}:{port}"), Endpoint(self, listener.loop, loop.host)
+        near, far = Endpoint(self, loop, f"{named}:{port}"), Endpoint(self, listener.loop, loop.host)
         near.other, far.other = far, near
         near.protocol = factory()
         if listener.loop.ended:
--- a/tests/system/simulation/scenes.py
+++ b/tests/system/simulation/scenes.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from contextlib import suppress
 from functools import partial
 
+from hallhitch.node.errors import StepError
+from hallhitch.planes.control import changes
+from hallhitch.planes.control.register import Membership
 from tests.system.simulation.faults import Schedule
 from tests.system.simulation.history import Call, Order, Violation
 from tests.system.simulation.network import Blocks
 from tests.system.simulation.operators import A_ROUTE, SILENCE, attempt, configuration, settle
-from tests.system.simulation.world import OPERATORS_PORT, Machine, World
+from tests.system.simulation.world import INTERNAL_PORT, OPERATORS_PORT, Machine, World
 
+PATIENCE = 800.0  # ms for a change of members
 Act = Callable[[], None]
 Scene = Callable[["Stage"], float]  # plans what happens, and tells the virtual second at which it is over
 
@@ -45,6 +50,23 @@
         self.at(moment, lambda: loop.begin(send()))
         return call
 
+    def spare(self, moment: float) -> Machine:
+        """One more core machine, started then."""
+        machine = self.world.add(f"10.0.3.{len(self.world.machines)}")
+        self.at(moment, machine.start)
+        return machine
+
+    def exchange(self, moment: float, proposer: Machine, members: Iterable[Machine]) -> None:
+        """A coordinator puts a change of members to the register then."""
+        addresses = [f"{machine.host}:{INTERNAL_PORT}" for machine in members]
+
+        async def change() -> None:
+            control = proposer.program._control
+            with suppress(StepError):
+                await control.change(changes.reconfigure(addresses, Membership.of(control.value)), PATIENCE)
+
+        self.at(moment, lambda: proposer.loop.begin(change()) if proposer.loop is not None else None)
+
     def slow_disk(self, moment: float, machine: Machine, times: float) -> None:
         """Its disk takes so many times as long."""
         self.at(moment, lambda: setattr(machine.disk, "slow", times))
@@ -114,11 +136,11 @@
     stage.at(5.12, lose_disk)
     stage.part(5.13, [d], [a])
     stage.at(5.14, a.start)
-    stage.order(5.9, c, Order.STOP, zone="viti-b")  # refused by `e`: so `c` learns of a ballot higher than its own
-    stage.part(6.95, [e], [a, b, c])
-    stage.slow_disk(6.95, e, 1.0)
-    stage.order(7.0, c, Order.START, zone="viti-a")
-    stage.join(7.3, [d], [e])
+    stage.part(5.4, [e], [a, b, c])
+    for moment in (5.45, 6.4, 7.0):  # the first may meet the ballot of `d` and only learn of it
+        stage.order(moment, c, Order.START, zone="viti-a")
+    stage.slow_disk(7.2, e, 1.0)
+    stage.join(7.25, [d], [e])
     stage.join(9.0, [d, e], [a, b, c])
     return 11.0
 
@@ -159,3 +181,47 @@
     stage.at(moment + 0.01, gateway.start)
     stage.join(moment + 4.0, [gateway], others)
     stage.join(moment + 5.0, [reached], others)
+
+
+def half_made_change_of_members(stage: Stage) -> float:
+    """`c` exchanges `a` for `d`; of the accepts only its own and that of `d` get through. Then `a` and `b` are on one
+    side, `c` and `d` on the other: no more than one of the two may agree on anything.
+    """
+    a, b, c = stage.world.slots
+    d = stage.spare(1.0)
+    stage.order(3.0, b, Order.REPLACE, version=1)
+    stage.part(7.9, [c], [b])
+    stage.slow_disk(7.9, a, 30.0)  # its promise comes late enough for the cut before the accept
+    stage.exchange(8.0, c, [b, c, d])
+    stage.cut(8.03, [c], [a])
+    stage.part(8.2, [a, b], [c, d])
+    stage.slow_disk(8.2, a, 1.0)
+    for moment in (9.0, 9.9, 10.8):
+        stage.order(moment, c, Order.REPLACE, version=2)
+        stage.order(moment, a, Order.START, zone="viti-a")
+    stage.join(13.0, [a, b], [c, d])
+    return 15.0
+
+
+def newcomer_with_a_full_disk(stage: Stage) -> float:
+    """`d` is to stand for `a`, which leaves in order, but its disk takes nothing for some seconds."""
+    a, b, _ = stage.world.slots
+    stage.order(3.0, b, Order.REPLACE, version=1)
+    d = stage.spare(5.0)
+    d.disk.refuses = True
+    stage.at(7.0, lambda: setattr(a, "removed", True))
+    stage.at(7.0, a.leave)
+    stage.at(16.0, lambda: setattr(d.disk, "refuses", False))
+    stage.order(20.0, b, Order.REPLACE, version=2)
+    return 22.0
+
+
+def address_taken_by_another(stage: Stage) -> float:
+    """`c` is cut off, and the address of `b` leads it to itself: its own answers must not be taken for those of `b`."""
+    a, b, c = stage.world.slots
+    stage.part(5.0, [c], [a, b])
+    stage.at(8.0, lambda: stage.world.network.moved.update({(c.host, b.host): c.host}))
+    stage.order(11.0, c, Order.DESCRIBE)
+    _new_gateway_with(stage, c, 12.0)
+    stage.at(16.0, stage.world.network.moved.clear)
+    return 22.0
--- a/tests/system/simulation/world.py
+++ b/tests/system/simulation/world.py
@@ -29,7 +29,7 @@
 from tests.system.simulation import troubles
 from tests.system.simulation.disk import DiskThread, SimulatedDisk
 from tests.system.simulation.faults import EVERYBODY, Schedule
-from tests.system.simulation.history import History, Sight, Span, Violation
+from tests.system.simulation.history import History, Seat, Sight, Span, Violation
 from tests.system.simulation.network import Network
 from tests.system.simulation.operators import Operator, Versions
 from tests.system.simulation.process_loop import ProcessLoop
@@ -117,6 +117,8 @@
             if config.serial == last[0]:
                 return
             last[0] = config.serial
+            if self.core:
+                world.note_seats(self.program)
             content = json.loads(zlib.decompress(config.content))["mark"] if config.content else ""
             zones = frozenset(config.evacuated)
             sights.append(Sight(process, world.network.now, born, config.serial, config.version, content, zones))
@@ -190,6 +192,7 @@
         self.slots = [Machine(self, f"10.0.0.{n}", True) for n in range(1, schedule.founders + 1)]
         self.gateways = [Machine(self, f"10.0.1.{n}", False) for n in range(1, schedule.gateways + 1)]
         self.machines = {machine.host: machine for machine in [*self.slots, *self.gateways]}
+        self._seated = {machine.host for machine in self.slots}
         self._lists: list[tuple[float, list[str]]] = []
         self.note_list()
         self.operators: list[Operator] = []
@@ -217,6 +220,17 @@
             (hosts for since, hosts in reversed(self._lists) if since <= self.network.now - SEED_LAG), self._lists[0][1]
         )
 
+    def note_seats(self, program: CoordinatorProgram) -> None:
+        """A coordinator knows a newer state: who has become a member with it?"""
+        for address in program._control.value.members:
+            host = address.partition(":")[0]
+            if host in self._seated:
+                continue
+            self._seated.add(host)
+            newcomer = self.machines[host].program
+            holds = newcomer is not None and not newcomer._control._acceptor.state.recovering
+            self.history.seats.append(Seat(host, self.network.now, holds))
+
     def add(self, host: str) -> Machine:
         """One more core machine."""
         self.machines[host] = machine = Machine(self, host, True)
