--- a/tests/system/simulation/troubles.py
+++ b/tests/system/simulation/troubles.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from tests.system.simulation.faults import Direction, Fault, Kind, Scope
+from tests.system.simulation.history import Span
 from tests.system.simulation.network import Blocks
 
 if TYPE_CHECKING:
@@ -71,6 +72,9 @@
         if loop is not None:
             loop.frozen = value
 
+    if fault.kind is Kind.GATEWAY_FREEZE:
+        spans = world.history.standstills.setdefault(machines[fault.slot].host, [])
+        spans.append(Span(fault.at, fault.at + fault.lasts))
     return lambda: frozen(True), lambda: frozen(False)
 
 
