--- a/tests/system/control/test_contention.py
+++ b/tests/system/control/test_contention.py
@@ -14,7 +14,8 @@
 from hallhitch.planes.control.contention import LONGEST_MS, SHORTEST_MS, PhaseTime, RivalBallots
 from hallhitch.planes.control.files import Store
 from hallhitch.planes.control.register import AcceptorState, Ballot, founded
-from tests.system.control.fleet import Loop, Memory
+from tests.system.control.fleet import Memory
+from tests.system.virtual_time import VirtualLoop
 
 
 def test_a_rival_is_let_through_between_its_prepares_and_its_accepts() -> None:
@@ -55,7 +56,7 @@
 
 
 def test_a_ballot_that_was_overtaken_while_it_waited_for_the_disk_is_not_written() -> None:
-    loop = Loop()
+    loop = VirtualLoop()
     value = founded("abc")
     written: list[AcceptorState] = []
 
@@ -92,7 +93,7 @@
 
 
 def test_no_queue_grows_behind_a_disk_that_hangs() -> None:
-    loop = Loop()
+    loop = VirtualLoop()
 
     async def hanging(call: Callable[[], None]) -> None:
         await asyncio.sleep(60)
--- a/tests/system/distribution/ways.py
+++ b/tests/system/distribution/ways.py
@@ -15,7 +15,7 @@
 from hallhitch.planes.distribution.gateway_sync import GatewaySync
 from hallhitch.planes.distribution.hub import StateHub
 from hallhitch.planes.values import Gateway
-from tests.system.control.fleet import Loop
+from tests.system.virtual_time import VirtualLoop
 
 BOUNDS = Bounds()
 
@@ -33,7 +33,7 @@
 class Ways:
     """Who answers at which address; `delay` is the time (ms) of one way."""
 
-    def __init__(self, loop: Loop, seed: int) -> None:
+    def __init__(self, loop: VirtualLoop, seed: int) -> None:
         self.loop, self.rng = loop, random.Random(seed)
         self.hubs: dict[str, StateHub] = {}
         self.contact: dict[str, float] = {}  # when a majority confirmed a coordinator; absent = at all times
@@ -92,7 +92,7 @@
 
 def play(scene: Callable[[Ways], Coroutine[Any, Any, None]], seed: int = 1) -> None:
     """Run a scene in virtual time."""
-    loop = Loop()
+    loop = VirtualLoop()
     asyncio.set_event_loop(loop)
     try:
         loop.run_until_complete(scene(Ways(loop, seed)))
--- a/tests/system/simulation/world.py
+++ b/tests/system/simulation/world.py
@@ -20,7 +20,7 @@
 from hallhitch.messages.system_pb2 import Envelope
 from hallhitch.node import clock as node_clock
 from hallhitch.node.settings import Bounds, Node
-from hallhitch.planes.distribution.following import GatewaySync
+from hallhitch.planes.distribution.gateway_sync import GatewaySync
 from hallhitch.planes.distribution.hub import StateHub
 from hallhitch.planes.values import Gateway
 from hallhitch.programs.coordinator import CoordinatorProgram
@@ -52,7 +52,7 @@
         self._node, self._incarnation = node, incarnation
         self._links = runtime.connect(node.cluster, node.internal, incarnation, self._handle)
         self.hub = StateHub(incarnation, runtime.clock)
-        self._sync = GatewaySync(self._links, self.hub, self._own, node.peers, runtime.clock)
+        self._sync = GatewaySync(self._links, self.hub, self._own, node.peers, runtime.clock, node.bounds)
 
     def _own(self) -> Gateway:
         n = self._node
