Lab: the simulation of the control side stands where benchmarks and tests both reach it

Benchmarks imported from tests. The simulated network, disks, processes, operators, faults and the judge of histories are tools of the lab, as its emulator and rules are; scenes and tests stay in tests.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 FORMATTED = hallhitch/planes/control hallhitch/planes/distribution hallhitch/planes/quota hallhitch/planes/discovery \
 	hallhitch/planes/values.py $(wildcard hallhitch/messages/[acfl]*.py) hallhitch/programs hallhitch/node tests/system/control \
 	tests/system/quota tests/system/distribution tests/system/node tests/system/simulation \
-	tests/system/virtual_time.py
+	hallhitch/lab/simulation
 
 .PHONY: build test soak lint run demo demo-gateway demo-control demo-fleet messages clean
 
--- a/benchmarks/control_repair.py
+++ b/benchmarks/control_repair.py
@@ -11,11 +11,11 @@
 from dataclasses import dataclass, replace
 from functools import partial
 
+from hallhitch.lab.simulation.coordinators import Fleet, Machine, play
 from hallhitch.node.errors import StepError
 from hallhitch.node.settings import Node
 from hallhitch.planes.control import changes
 from hallhitch.planes.control.register import Membership
-from tests.system.control.fleet import Fleet, Machine, play
 
 CATCH_UP = 4000.0  # ms, as the small sites have it
 BACK = 1.0  # s until a machine that was lost is back, or its successor starts
--- a/benchmarks/control_state.py
+++ b/benchmarks/control_state.py
@@ -14,8 +14,8 @@
 from pathlib import Path
 
 from benchmarks.order_latency import Operator, Sample
+from hallhitch.lab.simulation.coordinators import Fleet, Machine, play
 from hallhitch.planes.control.files import Folder
-from tests.system.control.fleet import Fleet, Machine, play
 
 
 class Counted(Fleet):
--- a/benchmarks/order_latency.py
+++ b/benchmarks/order_latency.py
@@ -1,6 +1,6 @@
 """How long an operator waits for an acknowledgement: calm, eight orders at once, many in a row, a slow disk, a cut.
 
-The real coordinators run in virtual time over simulated links and disks (`tests/system/control/fleet.py`): waiting is
+The real coordinators run in virtual time over simulated links and disks (`lab/simulation/coordinators.py`): waiting is
 counted, processor time is not. An order is sent again to the next coordinator after a 503 or a second of silence, with
 a pause that grows, as an operator does. Prints one table row for each case; the same seed gives the same table.
 
@@ -16,7 +16,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from tests.system.control.fleet import Fleet, Machine, play
+from hallhitch.lab.simulation.coordinators import Fleet, Machine, play
 
 SILENCE_S = 1.0  # after which a caller moves on
 A_ROUTE_S = 0.001  # more silence that is borne for each route
--- a/tests/system/control/fleet.py
+++ b/hallhitch/lab/simulation/coordinators.py
@@ -8,12 +8,12 @@
 from pathlib import Path
 from typing import Any, TypeVar
 
+from hallhitch.lab.simulation.virtual_time import VirtualLoop, close
 from hallhitch.messages.system_pb2 import ClusterState, Envelope
 from hallhitch.node.errors import Silent
 from hallhitch.node.settings import Bounds, Node
 from hallhitch.planes.control.operator import Operator
 from hallhitch.planes.control.plane import ControlPlane
-from tests.system.virtual_time import VirtualLoop, close
 
 T = TypeVar("T")
 GRACE = Bounds().grace
--- a/tests/system/simulation/examine.py
+++ b/hallhitch/lab/simulation/examine.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-from tests.system.simulation.faults import Schedule
-from tests.system.simulation.history import Violation, rules
-from tests.system.simulation.shrink import shrink
-from tests.system.simulation.world import play
+from hallhitch.lab.simulation.faults import Schedule
+from hallhitch.lab.simulation.history import Violation, rules
+from hallhitch.lab.simulation.shrink import shrink
+from hallhitch.lab.simulation.world import play
 
 TOLD_MOST = 6  # violations that are printed
 
--- a/tests/system/simulation/network.py
+++ b/hallhitch/lab/simulation/network.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from tests.system.simulation.process_loop import ProcessLoop
+from hallhitch.lab.simulation.process_loop import ProcessLoop
 
 UNHEARD = 2.5  # s without an acknowledgement after which a kernel gives a connection up, as messages.link asks for
 SYN_AGAIN = 1.0  # s between tries of a kernel to connect
--- a/tests/system/simulation/operators.py
+++ b/hallhitch/lab/simulation/operators.py
@@ -8,9 +8,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from tests.system.simulation.faults import Schedule
-from tests.system.simulation.history import Call, History, Order
-from tests.system.simulation.process_loop import ProcessLoop
+from hallhitch.lab.simulation.faults import Schedule
+from hallhitch.lab.simulation.history import Call, History, Order
+from hallhitch.lab.simulation.process_loop import ProcessLoop
 
 SILENCE = 1.0  # s without an answer after which an operator goes on to another machine
 A_ROUTE = 0.001  # s that it waits longer for each route of a configuration
--- a/tests/system/simulation/process_loop.py
+++ b/hallhitch/lab/simulation/process_loop.py
@@ -13,7 +13,7 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
-    from tests.system.simulation.network import Network
+    from hallhitch.lab.simulation.network import Network
 
 TURNS = 20  # of a loop in one step, before others have theirs
 CLEANUP_STEPS = 50  # steps in which the tasks of an ended process are taken apart, its outlets being closed
--- a/tests/system/simulation/shrink.py
+++ b/hallhitch/lab/simulation/shrink.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from tests.system.simulation.faults import Schedule
+from hallhitch.lab.simulation.faults import Schedule
 
 RUNS_MOST = 60  # runs that shrinking may take
 
--- a/tests/system/simulation/troubles.py
+++ b/hallhitch/lab/simulation/troubles.py
@@ -5,12 +5,12 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
-from tests.system.simulation.faults import Direction, Fault, Kind, Scope
-from tests.system.simulation.history import Span
-from tests.system.simulation.network import Blocks
+from hallhitch.lab.simulation.faults import Direction, Fault, Kind, Scope
+from hallhitch.lab.simulation.history import Span
+from hallhitch.lab.simulation.network import Blocks
 
 if TYPE_CHECKING:
-    from tests.system.simulation.world import Machine, World
+    from hallhitch.lab.simulation.world import Machine, World
 
 NEW_HOSTS = "10.0.2."  # machines that come later
 PLANNED_GAP = 1.0  # s at least between the start of a new machine and the SIGTERM of the one it stands for
--- a/tests/system/simulation/world.py
+++ b/hallhitch/lab/simulation/world.py
@@ -16,6 +16,14 @@
 from types import SimpleNamespace
 from typing import Any
 
+from hallhitch.lab.simulation import troubles
+from hallhitch.lab.simulation.coordinators import settings
+from hallhitch.lab.simulation.disk import DiskThread, SimulatedDisk
+from hallhitch.lab.simulation.faults import EVERYBODY, Schedule
+from hallhitch.lab.simulation.history import History, Seat, Sight, Span, Violation
+from hallhitch.lab.simulation.network import Network
+from hallhitch.lab.simulation.operators import Operator, Versions
+from hallhitch.lab.simulation.process_loop import ProcessLoop
 from hallhitch.messages.link import Links
 from hallhitch.messages.system_pb2 import Envelope
 from hallhitch.node import clock as node_clock
@@ -25,14 +33,6 @@
 from hallhitch.planes.values import Gateway
 from hallhitch.programs.coordinator import CoordinatorProgram
 from hallhitch.programs.runtime import Runtime
-from tests.system.control.fleet import settings
-from tests.system.simulation import troubles
-from tests.system.simulation.disk import DiskThread, SimulatedDisk
-from tests.system.simulation.faults import EVERYBODY, Schedule
-from tests.system.simulation.history import History, Seat, Sight, Span, Violation
-from tests.system.simulation.network import Network
-from tests.system.simulation.operators import Operator, Versions
-from tests.system.simulation.process_loop import ProcessLoop
 
 INTERNAL_PORT, OPERATORS_PORT = 7000, 9000
 OPERATORS = ("one", "viti-a"), ("two", "viti-b")  # each with the zone that it evacuates
--- a/tests/system/control/test_contention.py
+++ b/tests/system/control/test_contention.py
@@ -8,14 +8,14 @@
 import pytest
 
 from benchmarks.order_latency import CASES, measure
+from hallhitch.lab.simulation.coordinators import Memory
+from hallhitch.lab.simulation.virtual_time import VirtualLoop
 from hallhitch.messages.system_pb2 import Accept, Envelope, Prepare
 from hallhitch.planes.control import changes
 from hallhitch.planes.control.acceptor import DurableAcceptor, consume_exception
 from hallhitch.planes.control.contention import LONGEST_MS, SHORTEST_MS, PhaseTime, RivalBallots
 from hallhitch.planes.control.files import Store
 from hallhitch.planes.control.register import AcceptorState, Ballot, founded
-from tests.system.control.fleet import Memory
-from tests.system.virtual_time import VirtualLoop
 
 
 def test_a_rival_is_let_through_between_its_prepares_and_its_accepts() -> None:
--- a/tests/system/control/test_exchange.py
+++ b/tests/system/control/test_exchange.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from tests.system.control.fleet import LEASE, Fleet, Machine, play
+from hallhitch.lab.simulation.coordinators import LEASE, Fleet, Machine, play
 from tests.system.control.test_plane import CATCH_UP, FIFTH, FOURTH, SPARE, described, put
 
 READY = 1.0  # s in which a machine that comes is to be a candidate
--- a/tests/system/control/test_founding.py
+++ b/tests/system/control/test_founding.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from hallhitch.lab.simulation.coordinators import Fleet, Machine, play
 from hallhitch.messages.system_pb2 import Recover
 from hallhitch.node.logs import ComponentLogger
 from hallhitch.planes.control import changes
@@ -20,7 +21,6 @@
     Proposal,
     founded,
 )
-from tests.system.control.fleet import Fleet, Machine, play
 from tests.system.control.test_plane import FOURTH, described, put
 
 A, B, C, D = "10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000", FOURTH
--- a/tests/system/control/test_lease_membership.py
+++ b/tests/system/control/test_lease_membership.py
@@ -4,11 +4,11 @@
 
 import asyncio
 
+from hallhitch.lab.simulation.coordinators import Fleet, play
 from hallhitch.messages.system_pb2 import Accept, BallotMessage, Envelope
 from hallhitch.planes.control import changes
 from hallhitch.planes.control.register import Membership
 from hallhitch.planes.values import LeaseMembership
-from tests.system.control.fleet import Fleet, play
 
 
 def test_an_accepted_change_counts_before_it_is_known_to_be_committed() -> None:
--- a/tests/system/control/test_many_changes.py
+++ b/tests/system/control/test_many_changes.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.system.control.fleet import Fleet, Machine, play
+from hallhitch.lab.simulation.coordinators import Fleet, Machine, play
 from tests.system.control.test_plane import described, put
 
 MOST_FILES = 8  # two generations and two contents, two files each, while the older ones are being removed
--- a/tests/system/control/test_one_number_one_content.py
+++ b/tests/system/control/test_one_number_one_content.py
@@ -8,12 +8,12 @@
 
 import pytest
 
+from hallhitch.lab.simulation.coordinators import Fleet, play
 from hallhitch.messages.system_pb2 import ClusterState
 from hallhitch.planes.control import changes
 from hallhitch.planes.control.digests import REMEMBERED, OrderOutcome, canonical_digest, content_digest, outcome
 from hallhitch.planes.control.proposer import _Order
 from hallhitch.planes.control.register import NEVER, AcceptorState, Ballot, Membership, Proposal, founded
-from tests.system.control.fleet import Fleet, play
 from tests.system.control.test_plane import call, described, put, word, zones
 
 NUMBER, STEPS = 7, 6  # three prepares and three accepts of one ballot
--- a/tests/system/control/test_plane.py
+++ b/tests/system/control/test_plane.py
@@ -9,12 +9,12 @@
 
 import pytest
 
+from hallhitch.lab.simulation.coordinators import Fleet, Machine, play, settings
 from hallhitch.messages.system_pb2 import ClusterState, Envelope
 from hallhitch.node.errors import Silent
 from hallhitch.node.settings import Bounds
 from hallhitch.planes.control.operator import Operator
 from hallhitch.planes.control.plane import ControlPlane
-from tests.system.control.fleet import Fleet, Machine, play, settings
 
 CATCH_UP = Bounds().catch_up / 1000  # s, after which a machine that was exchanged is no longer lost
 FOURTH, FIFTH, SPARE = "10.0.0.4:7000", "10.0.0.5:7000", "10.0.0.6:7000"
--- a/tests/system/control/test_reads.py
+++ b/tests/system/control/test_reads.py
@@ -4,9 +4,9 @@
 
 import asyncio
 
+from hallhitch.lab.simulation.coordinators import Fleet, play
 from hallhitch.messages.system_pb2 import Envelope
 from hallhitch.planes.control import changes
-from tests.system.control.fleet import Fleet, play
 from tests.system.control.test_plane import put
 
 
--- a/tests/system/control/test_serving.py
+++ b/tests/system/control/test_serving.py
@@ -6,13 +6,13 @@
 
 import pytest
 
+from hallhitch.lab.simulation.coordinators import Fleet, Machine, play
 from hallhitch.messages.system_pb2 import Envelope, Recovered
 from hallhitch.planes.control.operator import QUICK
 from hallhitch.planes.control.plane import ControlPlane
 from hallhitch.planes.control.register import Ballot, Membership
 from hallhitch.planes.control.renewal import Known, LeaseRenewal
 from hallhitch.planes.control.serving import NEVER_CONFIRMED, ConfirmingRead, ServingLease
-from tests.system.control.fleet import Fleet, Machine, play
 from tests.system.control.test_plane import call, described, put
 
 TURN = 1.0  # ms: what one step of the virtual loop may add
--- a/tests/system/distribution/test_coordinator_speaks.py
+++ b/tests/system/distribution/test_coordinator_speaks.py
@@ -8,6 +8,7 @@
 from collections.abc import Awaitable
 from dataclasses import replace
 
+from hallhitch.lab.simulation.coordinators import Memory, settings
 from hallhitch.messages.link import Handler
 from hallhitch.messages.system_pb2 import Envelope, Pull
 from hallhitch.node.errors import Silent
@@ -15,7 +16,6 @@
 from hallhitch.planes.distribution.hub import StateHub, entry_of
 from hallhitch.programs.coordinator import CoordinatorProgram
 from hallhitch.programs.runtime import Runtime
-from tests.system.control.fleet import Memory, settings
 from tests.system.distribution.ways import Ways, gateway, play
 
 SEEDS = ("10.0.0.1:7000", "10.0.0.2:7000", "10.0.0.3:7000")
--- a/tests/system/distribution/ways.py
+++ b/tests/system/distribution/ways.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from hallhitch.lab.simulation.virtual_time import VirtualLoop
 from hallhitch.messages.system_pb2 import Envelope, Pull
 from hallhitch.node.errors import Silent
 from hallhitch.node.settings import Bounds
@@ -15,7 +16,6 @@
 from hallhitch.planes.distribution.gateway_sync import GatewaySync
 from hallhitch.planes.distribution.hub import StateHub
 from hallhitch.planes.values import Gateway
-from tests.system.virtual_time import VirtualLoop
 
 BOUNDS = Bounds()
 
--- a/tests/system/quota/virtual.py
+++ b/tests/system/quota/virtual.py
@@ -6,10 +6,10 @@
 from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
+from hallhitch.lab.simulation.virtual_time import VirtualLoop as VirtualLoop
+from hallhitch.lab.simulation.virtual_time import close
 from hallhitch.messages.system_pb2 import Envelope
 from hallhitch.node.errors import Silent
-from tests.system.virtual_time import VirtualLoop as VirtualLoop
-from tests.system.virtual_time import close
 
 T = TypeVar("T")
 
--- a/tests/system/simulation/scenes.py
+++ b/tests/system/simulation/scenes.py
@@ -6,14 +6,14 @@
 from contextlib import suppress
 from functools import partial
 
+from hallhitch.lab.simulation.faults import Schedule
+from hallhitch.lab.simulation.history import Call, Order, Violation
+from hallhitch.lab.simulation.network import Blocks
+from hallhitch.lab.simulation.operators import A_ROUTE, SILENCE, attempt, configuration, settle
+from hallhitch.lab.simulation.world import INTERNAL_PORT, OPERATORS_PORT, Machine, World
 from hallhitch.node.errors import StepError
 from hallhitch.planes.control import changes
 from hallhitch.planes.control.register import Membership
-from tests.system.simulation.faults import Schedule
-from tests.system.simulation.history import Call, Order, Violation
-from tests.system.simulation.network import Blocks
-from tests.system.simulation.operators import A_ROUTE, SILENCE, attempt, configuration, settle
-from tests.system.simulation.world import INTERNAL_PORT, OPERATORS_PORT, Machine, World
 
 PATIENCE = 800.0  # ms for a change of members
 Act = Callable[[], None]
--- a/tests/system/simulation/test_history.py
+++ b/tests/system/simulation/test_history.py
@@ -4,9 +4,9 @@
 
 import pytest
 
-from tests.system.simulation.faults import Fault, Kind, Schedule, bearable, draw
-from tests.system.simulation.history import Call, History, Order, Seat, Sight, Span, rules
-from tests.system.simulation.shrink import shrink
+from hallhitch.lab.simulation.faults import Fault, Kind, Schedule, bearable, draw
+from hallhitch.lab.simulation.history import Call, History, Order, Seat, Sight, Span, rules
+from hallhitch.lab.simulation.shrink import shrink
 
 BOUND = 5.0
 
--- a/tests/system/simulation/test_mechanisms.py
+++ b/tests/system/simulation/test_mechanisms.py
@@ -11,6 +11,10 @@
 
 import pytest
 
+from hallhitch.lab.simulation.disk import SimulatedDisk
+from hallhitch.lab.simulation.faults import Fault, Kind, Schedule
+from hallhitch.lab.simulation.history import Violation, rules
+from hallhitch.lab.simulation.world import play
 from hallhitch.messages.addressing import Identity
 from hallhitch.messages.system_pb2 import Recover
 from hallhitch.planes.control import operator
@@ -19,11 +23,7 @@
 from hallhitch.planes.control.register import Ballot, Membership, Tally
 from hallhitch.planes.control.serving import ServingLease
 from tests.system.simulation import scenes
-from tests.system.simulation.disk import SimulatedDisk
-from tests.system.simulation.faults import Fault, Kind, Schedule
-from tests.system.simulation.history import Violation, rules
 from tests.system.simulation.scenes import perform
-from tests.system.simulation.world import play
 
 Run = Callable[[], list[Violation]]
 
--- a/tests/system/simulation/test_schedules.py
+++ b/tests/system/simulation/test_schedules.py
@@ -4,9 +4,9 @@
 
 import pytest
 
+from hallhitch.lab.simulation.examine import examine
+from hallhitch.lab.simulation.faults import Fault, Kind, Schedule
 from tests.system.simulation import scenes
-from tests.system.simulation.examine import examine
-from tests.system.simulation.faults import Fault, Kind, Schedule
 from tests.system.simulation.scenes import Scene, perform
 
 SECOND_LOSSES = {
