--- a/hallhitch/planes/data/front.py
+++ b/hallhitch/planes/data/front.py
@@ -17,7 +17,7 @@
 from hallhitch.planes.data.wire import KEPT, ClientReader, Reply, Room, bodiless, own_reply, reply_head
 
 AHEAD = 8  # requests of one connection that are read before they are begun
-LINGER = 1000.0  # ms that a connection which was answered for the last time waits for its client to close
+LINGER = 1000.0  # ms that a connection whose last answer has left waits for its client to close
 REST_AFTER_LEAVE = 1000.0  # ms of rest after which a connection is closed once the listener is
 TOGETHER = 64 * 1024  # bytes of a body that are worth copying behind their head
 UNHEARD = 10_000  # ms without an acknowledgement by the client's machine after which its connection is given up
@@ -128,6 +128,11 @@
         if self.transport is not None:
             self.transport.close()
 
+    @property
+    def has_unsent(self) -> bool:
+        """Whether part of what was written has not left this process yet."""
+        return self.transport is not None and self.transport.get_write_buffer_size() > 0
+
     @property
     def head_is_coming(self) -> bool:
         """Whether a request's head has begun and not ended."""
@@ -347,7 +352,11 @@
         for client, since in list(self.lingering.items()):
             if now - since < LINGER:
                 break
-            client.abort()
+            if client.has_unsent:  # over a full link an answer takes longer than that to leave: counted anew after it
+                del self.lingering[client]
+                self.lingering[client] = now
+            else:
+                client.abort()
 
     # Leaving.
 
