--- a/hallhitch/planes/control/operator.py
+++ b/hallhitch/planes/control/operator.py
@@ -66,7 +66,7 @@
         change = changes.evacuate(of) if name == "evacuations.start" else changes.restore(of)
         # One turn of the loop: a caller that has left long ago is noticed before its order is taken.
         await asyncio.sleep(0)
-        if self._plane.stood:
+        if self._plane.was_suspended:
             return _error(503, "this machine stood still: ask again", {"Retry-After": "0.5"})
         return await self._order(change, began, PATIENCE, _in_force)
 
@@ -86,7 +86,7 @@
     ) -> Answer:
         """Put an order to the register; the answer is made of the state that a majority holds after it."""
         ends = began + patience
-        while self._plane.short:
+        while self._plane.is_under_replicated:
             if ends - self._clock() < PATIENCE / 2:
                 return _error(503, "not enough replicas yet", {"Retry-After": "0.3"})
             await asyncio.sleep(0.05)
--- a/hallhitch/planes/control/plane.py
+++ b/hallhitch/planes/control/plane.py
@@ -198,14 +198,14 @@
         return await self._proposer.change(change, patience)
 
     @property
-    def short(self) -> bool:
+    def is_under_replicated(self) -> bool:
         """Whether more replicas are needed for the losses to be borne, and may still be on their way."""
         return self._clock() - self._began < YOUNG and (
             not self._known or len(self._proposer.settled.members) < members.needed(self._node.losses)
         )
 
     @property
-    def stood(self) -> bool:
+    def was_suspended(self) -> bool:
         """Whether this process stood still a moment ago: what it reads now may have waited long."""
         at = self._clock()
         return at - self._ticked > STANDSTILL or at - self._stood < STANDSTILL
