Metrics of gateways and coordinators at an address of their own

Cause: counts were kept and read by nothing, so that no record of the incident tells whether a gateway knew that a client had left, nor how old its endpoint list was. Change: node/metrics.py serves them in Prometheus' text format (port 9464 unless the settings say another one); new counts client_gone, attempt_ended_after_client_gone, replies to peers by content, age and version of the endpoint list. No decision is changed. Result: tests of node, distribution and data pass.

--- /dev/null
+++ b/hallhitch/node/metrics.py
@@ -0,0 +1,83 @@
+"""The figures of one process, in the text format of Prometheus, at an address of their own.
+
+A metric is read when it is asked for: nothing is sampled in between. The address is an aid: where it cannot be listened
+at, the process runs on without it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import Final
+
+from hallhitch.node.http_server import HttpReply, HttpServer
+from hallhitch.node.logs import ComponentLogger
+from hallhitch.node.settings import HostPort
+
+METRICS_PATH: Final = "/metrics"
+CONTENT_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
+PREFIX: Final = "hallhitch_"
+
+
+class MetricKind(Enum):
+    """How a metric is to be read; the values are Prometheus' names."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+
+
+@dataclass(frozen=True, slots=True)
+class Metric:
+    """One metric: a value for each value of its label, or a single one under the label value ""."""
+
+    name: str
+    kind: MetricKind
+    description: str
+    samples: Mapping[str, float]
+    label: str = ""
+
+
+def gauge(name: str, description: str, value: float) -> Metric:
+    """Return a gauge without a label."""
+    return Metric(name, MetricKind.GAUGE, description, {"": value})
+
+
+def render_metrics(metrics: Iterable[Metric]) -> bytes:
+    """Return the text of these metrics; label values are names of this program, which need no escape."""
+    lines = []
+    for metric in metrics:
+        name = PREFIX + metric.name
+        lines.append(f"# HELP {name} {metric.description}")
+        lines.append(f"# TYPE {name} {metric.kind.value}")
+        for label_value, value in sorted(metric.samples.items()):
+            labels = f'{{{metric.label}="{label_value}"}}' if metric.label else ""
+            lines.append(f"{name}{labels} {value:g}")
+    return "\n".join([*lines, ""]).encode()
+
+
+class MetricsServer:
+    """Serves the figures of a process at METRICS_PATH."""
+
+    def __init__(self, read_metrics: Callable[[], Iterable[Metric]]) -> None:
+        self._read_metrics = read_metrics
+        self._server = HttpServer("metrics", self._handle)
+        self._log = ComponentLogger("metrics")
+
+    async def serve(self, address: HostPort) -> None:
+        """Listen at the address, unless its port is 0 or taken."""
+        if not address[1]:
+            return
+        try:
+            await self._server.serve(address)
+        except OSError as error:
+            self._log.warning("metrics not served", port=address[1], error=error.strerror)
+
+    async def close(self) -> None:
+        """Stop listening."""
+        await self._server.close()
+
+    def _handle(self, method: str, target: str, body: bytes) -> HttpReply:
+        if target.partition("?")[0] != METRICS_PATH:
+            return HttpReply(404, {}, b"")
+        return HttpReply(200, {"Content-Type": CONTENT_TYPE}, render_metrics(self._read_metrics()))
--- a/hallhitch/node/settings.py
+++ b/hallhitch/node/settings.py
@@ -77,12 +77,18 @@
     cloud_api_rate_per_s: float
     endpoint_list_lag_ms: float
     cluster_name: str
+    metrics_port: int = 0  # 0: the process tells no metrics
 
     @property
     def internal_address(self) -> str:
         """The address at which the system's other processes reach this one."""
         return f"{self.ip_address}:{self.internal_port_range[0]}"
 
+    @property
+    def metrics_address(self) -> HostPort:
+        """The address at which this process tells its metrics."""
+        return self.ip_address, self.metrics_port
+
     @property
     def seed_addresses(self) -> tuple[str, ...]:
         """The internal addresses of the seed nodes: the internal port is the same on all machines."""
--- a/hallhitch/node/settings_file.py
+++ b/hallhitch/node/settings_file.py
@@ -20,6 +20,7 @@
 DEFAULT_MAX_OPEN_FILES: Final = 1024
 DEFAULT_CLOUD_API_RATE_PER_S: Final = 1.0
 DEFAULT_ENDPOINT_LIST_LAG_MS: Final = 1000.0
+DEFAULT_METRICS_PORT: Final = 9464  # registered for exporters of Prometheus metrics; deploy/system.toml names it
 
 
 def read_settings(path: str) -> NodeSettings:
@@ -56,6 +57,7 @@
         cloud_api_rate_per_s=cloud_api.number("ratePerS", DEFAULT_CLOUD_API_RATE_PER_S),
         endpoint_list_lag_ms=cloud_api.duration_ms("maxLag", DEFAULT_ENDPOINT_LIST_LAG_MS),
         cluster_name=top.text("clusterName", ""),
+        metrics_port=_read_metrics_port(top),
     )
 
 
@@ -140,6 +142,13 @@
     return ports[0], ports[1]
 
 
+def _read_metrics_port(top: _TableReader) -> int:
+    port = top.number("metricsPort", DEFAULT_METRICS_PORT)
+    if not port.is_integer() or port > MAX_PORT:
+        raise top.error("metricsPort", f"{port:g} is no port")
+    return int(port)
+
+
 def _read_listen_addresses(table: _TableReader) -> dict[str, HostPort]:
     return {name: table.parse_address(name, value) for name, value in table.fields.items()}
 
--- a/hallhitch/planes/data/client_connection.py
+++ b/hallhitch/planes/data/client_connection.py
@@ -141,18 +141,25 @@
     def eof_received(self) -> bool:
         """Note that the peer sends no more; True keeps the transport open."""
         # A client that has closed cannot be told from one that only sends no more: its request is still answered.
-        self.is_gone = True
+        self._note_gone()
         return self.is_busy and not self._has_ended
 
     def connection_lost(self, error: Exception | None) -> None:
         """Note that the connection is closed."""
-        self.is_gone = self._has_ended = True
+        self._note_gone()
+        self._has_ended = True
         self._listener.on_connection_closed(self)
         self._release_memory()
         self._reader.close()
         self._queue.clear()
         self.resume_writing()
 
+    def _note_gone(self) -> None:
+        """Note that the client is gone, and count it once if it did not wait for its reply."""
+        if self.is_busy and not self.is_gone:
+            self._context.count("client_gone")
+        self.is_gone = True
+
     def pause_writing(self) -> None:
         """Note that the transport's buffer is full."""
         if self._write_resumed is None:
--- a/hallhitch/planes/data/plane.py
+++ b/hallhitch/planes/data/plane.py
@@ -11,6 +11,7 @@
 from typing import Any, Final
 
 from hallhitch.node.clock import now as steady_now
+from hallhitch.node.metrics import Metric, MetricKind
 from hallhitch.node.settings import NodeSettings
 from hallhitch.planes.data.connection_pools import ConnectionPools
 from hallhitch.planes.data.context import DataPlaneContext
@@ -88,6 +89,15 @@
         self._load_balancer.set_gateways(self._clock(), entries)
         self._pools.set_gateway_count(sum(1 for entry in entries if entry.frontend))
 
+    def metrics(self) -> list[Metric]:
+        """Return the counts of events, and the connections that are open now."""
+        events = {event: float(count) for event, count in self.event_counts.items()}
+        connections = {"client": float(len(self.listener.connections)), "backend": float(self._pools.open_count)}
+        return [
+            Metric("events_total", MetricKind.COUNTER, "Events of the data plane.", events, "event"),
+            Metric("connections", MetricKind.GAUGE, "Connections that are open.", connections, "peer"),
+        ]
+
     # Shutdown.
 
     def start_draining(self) -> None:
--- a/hallhitch/planes/data/request_handler.py
+++ b/hallhitch/planes/data/request_handler.py
@@ -288,6 +288,8 @@
         self._in_flight.remove(attempt)
         self._written_count += attempt.written_at is not None
         context.count(f"attempt_{outcome.value}")
+        if self._client.is_gone and attempt.written_at is not None:
+            context.count("attempt_ended_after_client_gone")
         self._may_have_run = self._may_have_run or outcome.may_have_run
         if response is not None and not self._is_finished:
             self._keep_response(outcome, response)
--- a/hallhitch/planes/distribution/state_hub.py
+++ b/hallhitch/planes/distribution/state_hub.py
@@ -13,11 +13,13 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
 from hallhitch.messages.system_pb2 import ConfigSnapshot, Envelope, LeaseHolderUpdate, StateRequest, StateUpdate
 from hallhitch.node.clock import now
+from hallhitch.node.metrics import Metric, MetricKind, gauge
 from hallhitch.planes.discovery.endpoint_list import ListedBackend, reconcile_list
 from hallhitch.planes.distribution.state_messages import (
     decode_version,
@@ -58,8 +60,23 @@
         self.quorum_contact_age_ms: Callable[[], float] = lambda: NO_QUORUM_CONTACT
         self.can_bootstrap_peers: Callable[[], bool] = lambda: True  # whether a first configuration may come from here
         self.on_change: list[Callable[[], None]] = []
+        self.reply_counts: Counter[str] = Counter()  # by what they held
         self._waiters: set[asyncio.Future[None]] = set()
 
+    def metrics(self) -> list[Metric]:
+        """Return how new the state is, and what the replies to peers held."""
+        draining = sum(backend.is_draining for backend in self.backends.values())
+        backends = {"draining": float(draining), "ready": float(len(self.backends) - draining)}
+        replies = {content: float(count) for content, count in self.reply_counts.items()}
+        list_age_ms = self._clock() - self.list_read_at if self._knows_backends else -1.0
+        return [
+            gauge("config_serial", "Serial of the configuration in force.", self.config.serial),
+            gauge("endpoint_list_age_ms", "Since the endpoint list in force was read; -1: none is known.", list_age_ms),
+            gauge("endpoint_list_version", "Changes of the endpoint list that were applied.", self.backends.number),
+            Metric("backends", MetricKind.GAUGE, "Backends in the endpoint list.", backends, "state"),
+            Metric("state_replies_total", MetricKind.COUNTER, "Replies to peers, by content.", replies, "content"),
+        ]
+
     # Updates of the state.
 
     def notify(self) -> None:
@@ -136,6 +153,7 @@
                 update = self.add_status(StateUpdate())
                 break
             await self._wait_for_change(remaining_ms)
+        self.reply_counts[_content_of(update)] += 1
         update.held_back_ms = self._clock() - received_at
         return Envelope(state_update=update)
 
@@ -210,3 +228,9 @@
             return False
         update.holders.CopyFrom(LeaseHolderUpdate(version=encode_version(version), holders=self.holders))
         return True
+
+
+def _content_of(update: StateUpdate) -> str:
+    """Return the names of the parts that a reply holds, for its count."""
+    parts = [name for name in ("config", "backends", "gateways", "holders") if update.HasField(name)]
+    return "+".join(parts) or "status"
--- a/hallhitch/programs/coordinator.py
+++ b/hallhitch/programs/coordinator.py
@@ -14,6 +14,7 @@
 from hallhitch.messages.system_pb2 import ClusterState, Envelope
 from hallhitch.node.errors import PeerCallError
 from hallhitch.node.http_server import HttpReply, HttpServer
+from hallhitch.node.metrics import MetricsServer
 from hallhitch.node.settings import NodeSettings
 from hallhitch.planes.control import state_transitions
 from hallhitch.planes.control.operator_api import OperatorApi
@@ -69,6 +70,7 @@
         self._leases = LeaseCoordinator(self._clock, runtime.random.getrandbits(INCARNATION_BITS))
         self._operator_api = OperatorApi(node, self._control, self._clock)
         self._operator_server = HttpServer("operator", self._operator_api.handle, MAX_BODY_BYTES)
+        self._metrics_server = MetricsServer(self._hub.metrics)
         self._directory = Directory(node.region_by_zone, node.bounds.max_ttl_ms)
         self._directory_server = HttpServer("directory", self._handle_resolve)
         self._reading_interval_ms = reading_interval_ms(node.bounds.drain_timeout_ms)
@@ -93,6 +95,7 @@
         for name, server in (("controlPlane", self._operator_server), ("directoryApi", self._directory_server)):
             if name in self._node.listen_addresses:
                 await server.serve(self._node.listen_addresses[name])
+        await self._metrics_server.serve(self._node.metrics_address)
         loops = (self._maintain(), self._read_endpoint_list(), self._record_max_gateways())
         self._tasks = [asyncio.ensure_future(loop) for loop in loops]
 
@@ -105,7 +108,7 @@
     async def shut_down(self) -> None:
         """Hand the membership over while calls are still answered, then let those under way end, then stop."""
         await self._control.leave(HANDOVER_RATIO * self._node.bounds.grace_period_ms)
-        for server in (self._operator_server, self._directory_server):
+        for server in (self._operator_server, self._directory_server, self._metrics_server):
             await server.close()
         for task in self._tasks:
             task.cancel()
--- a/hallhitch/programs/gateway.py
+++ b/hallhitch/programs/gateway.py
@@ -14,6 +14,7 @@
 from hallhitch.node.clock import now
 from hallhitch.node.http_server import HttpReply, HttpServer
 from hallhitch.node.logs import ComponentLogger
+from hallhitch.node.metrics import MetricsServer
 from hallhitch.node.settings import NodeSettings
 from hallhitch.planes.data.load_balancer import LoadBalancer, LoadBalancerSettings
 from hallhitch.planes.data.plane import DataPlane
@@ -50,6 +51,7 @@
         load_balancer = LoadBalancer(_load_balancer_settings(node), random.Random(self._incarnation))
         self._data = DataPlane(node, load_balancer, self._quota.counter, runtime.clock)
         self._readiness_server = HttpServer("readiness", self._handle_readiness)
+        self._metrics_server = MetricsServer(lambda: [*self._hub.metrics(), *self._data.metrics()])
         self._directory = Directory(node.region_by_zone, node.bounds.max_ttl_ms)
         self._directory_server = HttpServer("directory", self._handle_resolve)
         self._config = EMPTY_CONFIG
@@ -63,6 +65,7 @@
         for name, server in (("readiness", self._readiness_server), ("directoryApi", self._directory_server)):
             if name in self._node.listen_addresses:
                 await server.serve(self._node.listen_addresses[name])
+        await self._metrics_server.serve(self._node.metrics_address)
         self._hub.on_change.append(self._on_state_change)
         await self._data.start()
         await self._quota.start()
@@ -82,6 +85,7 @@
         await asyncio.sleep(grace_period_ms * LISTEN_RATIO / 1000)
         self._data.close_listener()
         await self._data.wait_drained(started_at + grace_period_ms * FINISH_RATIO)
+        await self._metrics_server.close()
         self._sync.stop()
         self._links.close()
 
--- /dev/null
+++ b/tests/system/node/test_metrics.py
@@ -0,0 +1,74 @@
+"""Metrics in Prometheus' text format, at an address that the process can do without."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from hallhitch.node.metrics import Metric, MetricKind, MetricsServer, gauge, render_metrics
+
+METRICS = [
+    gauge("config_serial", "Serial in force.", 12),
+    Metric("events_total", MetricKind.COUNTER, "Events.", {"opened": 3.0, "attempt_ok": 2.5}, "event"),
+]
+TEXT = (
+    b"# HELP hallhitch_config_serial Serial in force.\n"
+    b"# TYPE hallhitch_config_serial gauge\n"
+    b"hallhitch_config_serial 12\n"
+    b"# HELP hallhitch_events_total Events.\n"
+    b"# TYPE hallhitch_events_total counter\n"
+    b'hallhitch_events_total{event="attempt_ok"} 2.5\n'
+    b'hallhitch_events_total{event="opened"} 3\n'
+)
+
+
+def test_metrics_are_rendered_with_their_types_and_labels() -> None:
+    assert render_metrics(METRICS) == TEXT
+    assert render_metrics([]) == b""
+
+
+async def fetch(port: int, path: str) -> bytes:
+    """Return the reply to a request for a path."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(f"GET {path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".encode())
+    reply = await reader.read()
+    writer.close()
+    return reply
+
+
+async def find_free_port() -> int:
+    """Return a port of this machine that nobody listens at."""
+    server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+    port = int(server.sockets[0].getsockname()[1])
+    server.close()
+    return port
+
+
+@pytest.mark.parametrize(("path", "status"), [("/metrics", b"200"), ("/metrics?x=1", b"200"), ("/", b"404")])
+def test_metrics_are_read_when_they_are_asked_for(path: str, status: bytes) -> None:
+    async def scenario() -> None:
+        values = [1.0]
+        server = MetricsServer(lambda: [gauge("value", "A value.", values[0])])
+        port = await find_free_port()
+        await server.serve(("127.0.0.1", port))
+        values[0] = 2.0
+        reply = await fetch(port, path)
+        await server.close()
+        assert reply.split(b" ")[1] == status
+        assert (b"hallhitch_value 2\n" in reply) == (status == b"200")
+
+    asyncio.run(scenario())
+
+
+def test_a_port_that_is_taken_or_none_does_not_stop_the_process() -> None:
+    async def scenario() -> None:
+        holder = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
+        taken = int(holder.sockets[0].getsockname()[1])
+        for port in (taken, 0):
+            server = MetricsServer(list)
+            await server.serve(("127.0.0.1", port))
+            await server.close()
+        holder.close()
+
+    asyncio.run(scenario())
