--- /dev/null
+++ b/tests/system/distribution/test_update_starvation.py
@@ -0,0 +1,85 @@
+"""Frequent changes of one part of the state do not keep another part from the gateways."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from hallhitch.messages.system_pb2 import StateRequest
+from hallhitch.planes.distribution.peer_replica import PeerReplica
+from hallhitch.planes.distribution.state_hub import StateHub
+from hallhitch.planes.distribution.versioned_map import CHUNK_ENTRIES
+from tests.system.distribution.simulated_peers import (
+    SimulatedPeers,
+    make_backend,
+    make_gateway,
+    run_in_virtual_time,
+)
+
+COORDINATOR = "c1:1"
+CHANGE_INTERVAL_S = 0.1
+CHANGE_COUNT = 100
+ROUND_TRIP_LIMIT = 4  # round trips in which a change of the list reaches a gateway
+
+
+def pull(source: StateHub, replica: PeerReplica, hub: StateHub, at: float) -> None:
+    """Pull once from a peer, in no time."""
+    request = replica.build_request(make_gateway("me"), hub, 0.0, direct_only=False)
+    update = source.build_update(StateRequest.FromString(request.SerializeToString()))
+    assert update is not None
+    replica.record_reply(update, at, 2000.0)
+    replica.apply(update, hub, at, with_view=True)
+
+
+async def change_config(peers: SimulatedPeers) -> None:
+    """Change the configuration again and again."""
+    for serial in range(2, CHANGE_COUNT + 2):
+        peers.hubs[COORDINATOR].update_config(serial, serial, b"", [])
+        await asyncio.sleep(CHANGE_INTERVAL_S)
+
+
+@pytest.mark.parametrize("one_way_ms", [35.0, 55.0, 150.0])
+def test_a_draining_backend_is_known_in_time_while_the_configuration_keeps_changing(one_way_ms: float) -> None:
+    async def scenario(peers: SimulatedPeers) -> None:
+        hub = peers.add_coordinator(COORDINATOR, serial=1)
+        hub.update_backends(peers.clock(), [make_backend("i-1"), make_backend("i-2")])
+        sync = peers.add_gateway("me", [COORDINATOR])
+        sync.start()
+        await asyncio.sleep(3)
+        peers.delay_ms = lambda: one_way_ms
+        changes = asyncio.ensure_future(change_config(peers))
+        await asyncio.sleep(2)
+        drained_at = peers.clock()
+        hub.update_backends(peers.clock(), [make_backend("i-1", is_draining=True), make_backend("i-2")])
+        while not any(backend.is_draining for backend in sync._hub.backends.values()) and not changes.done():
+            await asyncio.sleep(0.01)
+        assert peers.clock() - drained_at <= ROUND_TRIP_LIMIT * 2 * one_way_ms
+        await changes
+
+    run_in_virtual_time(scenario)
+
+
+@pytest.mark.parametrize("changed_count", [1, 3 * CHUNK_ENTRIES])
+def test_a_reply_does_not_date_a_list_of_which_it_lacks_the_newest_changes(changed_count: int) -> None:
+    async def scenario(peers: SimulatedPeers) -> None:
+        source, hub = peers.add_coordinator(COORDINATOR, serial=1), StateHub(9, peers.clock)
+        replica = PeerReplica(COORDINATOR, peers.clock)
+        names = [f"i-{n}" for n in range(3 * CHUNK_ENTRIES)]
+        await asyncio.sleep(1)
+        source.update_backends(peers.clock(), [make_backend(name) for name in names])
+        while len(hub.backends) < len(names):
+            pull(source, replica, hub, peers.clock())
+        await asyncio.sleep(1)
+        changed_at = peers.clock()
+        drained = names[:changed_count]
+        source.update_backends(changed_at, [make_backend(name, is_draining=name in drained) for name in names])
+        for serial in range(2, 30):
+            await asyncio.sleep(0.01)
+            source.update_config(serial, serial, b"", [])
+            pull(source, replica, hub, peers.clock())
+            known_count = sum(backend.is_draining for backend in hub.backends.values())
+            assert known_count == (changed_count if hub.list_read_at > changed_at - 500 else 0)
+        assert hub.config.serial == 29 and known_count == changed_count
+
+    run_in_virtual_time(scenario)
