Attempts end when the client of a repeatable request has left (GONE)

Class: the end of interest is not carried to what works for it. Change: the connection tells its handler, which withdraws what is queued and abandons what was written (new outcome ABANDONED: may have run, says nothing of the backend). Unsafe requests that were sent run on. Pipelined requests and uploads end too; an upload that its client breaks off no longer counts as its backend's failure.

--- a/hallhitch/planes/data/backend_connection.py
+++ b/hallhitch/planes/data/backend_connection.py
@@ -104,7 +104,8 @@
         """Write an attempt and wait for its response."""
         now = self._clock()
         request = attempt.request
-        self.attempt, attempt.written_at = attempt, now
+        self.attempt = attempt
+        attempt.on_carried(now, self)
         self._idle_before_ms = now - self.idle_since if self.idle_since else 0.0
         self.received_at = now
         self._reader.is_head_request = request.method == b"HEAD"
@@ -125,6 +126,11 @@
             self._transport.abort()
             self._end_attempt(Outcome.CONNECTION_LOST)
 
+    def abandon(self) -> None:
+        """Close it because nobody waits any more for what it carries."""
+        self._transport.abort()
+        self._end_attempt(Outcome.ABANDONED)
+
     def give_up(self) -> None:
         """Close it because what it carries does not end."""
         self._transport.abort()
@@ -321,7 +327,7 @@
                 while self._write_resumed is not None:
                     await self._write_resumed
         except Broken:
-            self._end_attempt(Outcome.CONNECTION_LOST)
+            self._end_attempt(Outcome.ABANDONED)  # its client's doing
 
 
 def is_chunked(head_prefix: bytes) -> bool:
--- a/hallhitch/planes/data/client_connection.py
+++ b/hallhitch/planes/data/client_connection.py
@@ -5,6 +5,8 @@
 - Reading is paused while more than MAX_QUEUED_REQUESTS wait, and while a streamed body waits to be taken.
 - After the last reply nothing more is read, and the connection lingers, so that a client that still sends sees the
   reply before a reset (RFC 9112, section 9.6).
+- A client that closes its connection, or only its sending side, has left: nothing more is done for it, but for an
+  unsafe request that was sent. The two cannot be told apart, and a client that waits for its reply does neither.
 - A connection is in at most one of `idle_since`, `reading_since` and `lingering_since` of its listener's timers.
 
 Times are steady milliseconds.
@@ -75,6 +77,7 @@
         "__weakref__",
         "_body_flow",
         "_context",
+        "_handler",
         "_has_ended",
         "_is_reading_paused",
         "_listener",
@@ -98,6 +101,7 @@
         self._reader = ClientReader(listener.context.limits, self._reserve_memory)
         self.is_gone = False  # whether the client closed the connection, or its sending side
         self.is_busy = False  # whether a request is being handled
+        self._handler: RequestHandler | None = None  # of that request
         self._queue: deque[tuple[Message, float]] = deque()  # requests, with the moment when each began to come
         self._rejection_status = 0  # of what came and could not be accepted as a request; 0 = none
         self._has_ended = False  # whether the last reply was written
@@ -140,7 +144,6 @@
 
     def eof_received(self) -> bool:
         """Note that the peer sends no more; True keeps the transport open."""
-        # A client that has closed cannot be told from one that only sends no more: its request is still answered.
         self._note_gone()
         return self.is_busy and not self._has_ended
 
@@ -155,10 +158,16 @@
         self.resume_writing()
 
     def _note_gone(self) -> None:
-        """Note that the client is gone, and count it once if it did not wait for its reply."""
-        if self.is_busy and not self.is_gone:
-            self._context.count("client_gone")
+        """Note that the client has left, and end what is being done for it."""
+        if self.is_gone:
+            return
         self.is_gone = True
+        self._queue.clear()
+        self._reader.fail()
+        if self.is_busy and not self._has_ended:
+            self._context.count("client_gone")
+        if self._handler is not None:
+            self._handler.on_client_gone()
 
     def pause_writing(self) -> None:
         """Note that the transport's buffer is full."""
@@ -235,7 +244,8 @@
         """Handle one request and write its reply."""
         context = self._context
         try:
-            reply = await RequestHandler(context, request, received_at, self).run()
+            self._handler = RequestHandler(context, request, received_at, self)
+            reply = await self._handler.run()
         except Exception as error:  # noqa: BLE001  an outer edge: logged, and the process goes on
             self._listener.on_request_failed(error)
             reply = local_reply(502, request)
@@ -253,7 +263,7 @@
         while self._write_resumed is not None:
             await self._write_resumed
         self._release_memory()
-        self.is_busy = False
+        self.is_busy, self._handler = False, None
         self._advance(context.clock())
 
     def _must_close_after(self, request: Message, reply: Reply) -> bool:
@@ -305,7 +315,8 @@
                 while self._write_resumed is not None:
                     await self._write_resumed
         except Broken:
-            self._context.count("truncated_responses")
+            if not self.is_gone:
+                self._context.count("truncated_responses")
             self.abort()
 
     def _finish(self) -> None:
--- a/hallhitch/planes/data/interfaces.py
+++ b/hallhitch/planes/data/interfaces.py
@@ -28,6 +28,7 @@
     CONNECTION_LOST = "connection_lost"  # the connection ended after the request was written: it may have run
     INVALID_RESPONSE = "invalid_response"  # truncated, of another request, not authenticated, no HTTP: it may have run
     TIMED_OUT = "timed_out"  # no response within its time: the request may have run, and may still be running
+    ABANDONED = "abandoned"  # closed by this gateway, as its client had left or broke its body off: it may have run
     CANCELLED = "cancelled"  # withdrawn before anything was written: the request never ran
 
     @property
@@ -39,6 +40,7 @@
             Outcome.CONNECTION_LOST,
             Outcome.INVALID_RESPONSE,
             Outcome.TIMED_OUT,
+            Outcome.ABANDONED,
         )
 
 
--- a/hallhitch/planes/data/outcome_recorder.py
+++ b/hallhitch/planes/data/outcome_recorder.py
@@ -37,6 +37,9 @@
         latency_ms: float,
     ) -> None:
         """Record one outcome; `endpoints` is the service's set, None where the service is gone."""
+        if outcome is Outcome.ABANDONED:
+            _forget_send(attempt)
+            return
         endpoint, route = attempt.endpoint, state.request.route
         jitter = MIN_JITTER + JITTER_RANGE * self._rng.random()
         if outcome not in (Outcome.CANCELLED, Outcome.TIMED_OUT, Outcome.UNREACHABLE):
@@ -67,6 +70,13 @@
         self._slow_start.assume_warming(endpoint.backend.instance, until_ms)
 
 
+def _forget_send(attempt: EndpointAttempt) -> None:
+    """Take back the record of a send that was abandoned by this side, unless its response was overdue already."""
+    if not attempt.is_timed_out:
+        attempt.endpoint.unanswered.forget(attempt.started_at_ms)
+        attempt.endpoint.zone_unanswered.forget(attempt.started_at_ms)
+
+
 def _record_latency(
     now: float, route: Route, attempt: EndpointAttempt, endpoints: EndpointSet, latency_ms: float
 ) -> None:
--- a/hallhitch/planes/data/outlier_detection.py
+++ b/hallhitch/planes/data/outlier_detection.py
@@ -38,6 +38,11 @@
         if len(self.sent_at_ms) < self._max_sends:
             self.sent_at_ms.append(now)
 
+    def forget(self, sent_at_ms: float) -> None:
+        """Forget one send: its response is not waited for any longer."""
+        if sent_at_ms in self.sent_at_ms:
+            self.sent_at_ms.remove(sent_at_ms)
+
     def clear(self) -> None:
         """Forget all sends: something came back, or nothing is in flight."""
         self.sent_at_ms.clear()
--- a/hallhitch/planes/data/request_handler.py
+++ b/hallhitch/planes/data/request_handler.py
@@ -5,6 +5,7 @@
   have run it, and none is in flight.
 - An unsafe request is written to another backend only after every attempt before it ended without having run.
 - The tenant's quota unit is refunded if and only if every attempt has ended and none may have run.
+- Once the client has left, no attempt starts, none stays queued, and those of an idempotent request are abandoned.
 
 `run` is one task a request; attempts call back from the event loop and wake it. Times are steady milliseconds,
 durations milliseconds.
@@ -45,7 +46,7 @@
 class ClientPresence(Protocol):
     """The client, as far as its request needs it."""
 
-    is_gone: bool  # whether it closed its connection, or its sending side
+    is_gone: bool  # whether it closed its connection, or its sending side; `on_client_gone` is called when it does
 
 
 class RequestHandler:
@@ -101,6 +102,8 @@
         if isinstance(admitted, Reply):
             return admitted
         self._info = admitted.info
+        if self._client.is_gone:
+            return self._fallback_reply(502)
         if admitted.tenant is not None and admitted.tenant.rate_per_s > 0:
             rejection = await self._charge_quota(admitted.tenant)
             if rejection is not None:
@@ -272,6 +275,16 @@
         if self._wakeup is not None and not self._wakeup.done():
             self._wakeup.set_result(None)
 
+    # Called by the client connection.
+
+    def on_client_gone(self) -> None:
+        """End what works for a client that has left, also for one that was taking a streamed response."""
+        self._withdraw_attempts()
+        for attempt in list(self._in_flight):
+            if not attempt.request.is_unsafe:
+                attempt.abandon()
+        self._wake()
+
     # Called by the attempts.
 
     def on_streaming_response(self, response: Message, body: Flow) -> None:
@@ -288,7 +301,7 @@
         self._in_flight.remove(attempt)
         self._written_count += attempt.written_at is not None
         context.count(f"attempt_{outcome.value}")
-        if self._client.is_gone and attempt.written_at is not None:
+        if self._client.is_gone and attempt.written_at is not None and outcome is not Outcome.ABANDONED:
             context.count("attempt_ended_after_client_gone")
         self._may_have_run = self._may_have_run or outcome.may_have_run
         if response is not None and not self._is_finished:
--- a/hallhitch/planes/data/upstream_attempt.py
+++ b/hallhitch/planes/data/upstream_attempt.py
@@ -15,10 +15,12 @@
                                            response truncated, not sealed, or no HTTP    INVALID_RESPONSE  yes
                                            connection closed before any response         CONNECTION_LOST   yes
                                            no response until well after the deadline     TIMED_OUT         yes
+                                           abandoned by its owner, or its body broken    ABANDONED         yes
     streaming  head of a long response     body complete                                 that of its head  by outcome
                                            body truncated, or bytes behind it            INVALID_RESPONSE  yes
                                            connection closed by this gateway             CONNECTION_LOST   yes
                                            no byte for a time, well after the deadline   TIMED_OUT         yes
+                                           abandoned by its owner                        ABANDONED         yes
     ended      any of the above            ignored                                       -                 -
 
 `Outcome.may_have_run` is the last column. The request handler reports TIMED_OUT to the load balancer earlier, when the
@@ -28,8 +30,9 @@
 - `AttemptOwner.on_attempt_ended` is called exactly once for each attempt.
 - `written_at` is set if and only if `BackendConnection.carry` took the attempt. It is set before the first byte is
   written: an attempt that has it set may have reached the backend.
-- An attempt that was written is not withdrawn. A backend cannot be told to stop, so that closing its connection would
-  only waste its work; a late response is read and dropped, and the connection stays usable.
+- An attempt that was written is not withdrawn. While its client is there, a late response is read and dropped, and the
+  connection stays usable. Once the client has left, the attempt of an idempotent request is abandoned: closing the
+  connection is how a backend is told to stop. That of an unsafe request goes on, as its effect is wanted all the same.
 
 Times are steady milliseconds, durations milliseconds.
 """
@@ -55,6 +58,13 @@
         """Record the end of an attempt, with its complete response unless that was streamed or there is none."""
 
 
+class AttemptCarrier(Protocol):
+    """The connection that carries an attempt, as far as the attempt needs it."""
+
+    def abandon(self) -> None:
+        """Close the connection, which tells the backend to stop, and end the attempt as ABANDONED."""
+
+
 @dataclass(slots=True, eq=False)
 class UpstreamRequest:
     """What all attempts of one request send."""
@@ -72,6 +82,7 @@
     """One request on its way to one backend."""
 
     __slots__ = (
+        "_carrier",
         "backend",
         "hedge_at",
         "is_ended",
@@ -101,11 +112,22 @@
         self.latency_ms = 0.0  # from its writing to its response, or to the head of a streamed one; 0: unknown
         self.is_overdue = False  # whether `hedge_at` has passed without a response
         self.is_ended = False
+        self._carrier: AttemptCarrier | None = None
+
+    def on_carried(self, now: float, carrier: AttemptCarrier) -> None:
+        """Enter state written: a connection has taken the attempt."""
+        self.written_at, self._carrier = now, carrier
+
+    def abandon(self) -> None:
+        """End an attempt that was written as ABANDONED; without effect on any other."""
+        if self._carrier is not None:
+            self._carrier.abandon()
 
     def end(self, now: float, outcome: Outcome, response: Message | None = None) -> None:
         """Report its end to its owner, unless it has ended already."""
         if not self.is_ended:
             self.is_ended = True
+            self._carrier = None
             since = self.written_at if self.written_at is not None else self.started_at
             self.latency_ms = self.latency_ms or now - since
             self.owner.on_attempt_ended(self, outcome, response)
