A reply to a peer holds a part of all that it lacks, also beside a configuration (DRAIN)

Cause: StateHub.build_update returned as soon as a peer lacked a configuration: with changes more frequent than its round trips a gateway got no endpoint list, no gateways and no lease holders until the changes ended. Beside that, PeerReplica.apply dated the old list by the age that such a reply told: a coordinator took it for fresh, and a true reading of the same moment could be turned down as no newer. Class: starvation by strict priority on one channel. Change: lists in chunks of at most 100 entries beside a configuration, alone only for a peer without any; the reply names the version of the list whose age it tells (field 13; earlier releases are read as before, but date nothing beside a configuration).

--- a/hallhitch/planes/distribution/peer_replica.py
+++ b/hallhitch/planes/distribution/peer_replica.py
@@ -86,8 +86,7 @@
         self._apply_config(update, hub)
         if update.HasField("backends"):
             self.backends.apply(decode_backend_delta(update.backends, received_at))
-        is_list_complete = self.backends.is_complete and self.backends.version.epoch == update.incarnation
-        if update.endpoint_list_age_ms and is_list_complete:
+        if update.endpoint_list_age_ms and self._has_dated_list(update):
             hub.update_backends(written_at - update.endpoint_list_age_ms, self.backends.items.values())
         if update.HasField("gateways"):
             self.gateways.apply(decode_gateway_delta(update.gateways))
@@ -97,6 +96,14 @@
         if with_view:
             self._apply_view(update, hub)
 
+    def _has_dated_list(self, update: StateUpdate) -> bool:
+        """Return whether this replica holds the endpoint list whose age the reply tells, and not an older one."""
+        if not self.backends.is_complete or self.backends.version.epoch != update.incarnation:
+            return False
+        if update.HasField("endpoint_list_version"):
+            return self.backends.version == decode_version(update.endpoint_list_version)
+        return not update.HasField("config")  # a peer of an earlier release left the list out beside a configuration
+
     def _apply_config(self, update: StateUpdate, hub: StateHub) -> None:
         """Apply the configuration; a first one only from a coordinator with a lease, or from a gateway that uses it."""
         if not update.HasField("config"):
--- a/hallhitch/planes/distribution/state_hub.py
+++ b/hallhitch/planes/distribution/state_hub.py
@@ -7,7 +7,9 @@
 - The configuration is replaced only by one of a higher serial, the endpoint list only by one that was read later, the
   lease membership only by a higher version.
 - A backend that was listed as draining stays draining, whichever coordinator reads the list next.
-- A reply holds either a configuration or everything else, so that long lists do not delay a configuration.
+- Every reply holds a part of all that the peer lacks, so that no part keeps another back, however often it changes.
+  Beside a configuration the lists come in short chunks, so that they do not delay it; a peer that has no configuration
+  yet gets that first, and alone.
 """
 
 from __future__ import annotations
@@ -27,11 +29,12 @@
     encode_gateway_delta,
     encode_version,
 )
-from hallhitch.planes.distribution.versioned_map import Version, VersionedMap
+from hallhitch.planes.distribution.versioned_map import CHUNK_ENTRIES, Version, VersionedMap
 from hallhitch.planes.values import Gateway, LeaseMembership
 
 MAX_DRAINED_BACKENDS: Final = 4096  # remembered after they left the list: a page that lags may still show them
 NO_QUORUM_CONTACT: Final = -1.0  # on the wire, in place of the contact's age where there was none
+CHUNK_ENTRIES_BESIDE_CONFIG: Final = 100  # of each list: some 7 kB, 30 ms on a link of 2 Mbit/s
 MAX_HOLD_MS: Final = 1000.0  # bound on how long a peer may have its reply held back
 NEVER: Final = float("-inf")
 MIN_LIST_AGE_MS: Final = 0.1  # on the wire 0 means that no list is known
@@ -170,13 +173,16 @@
 
     def build_update(self, request: StateRequest) -> StateUpdate | None:
         """Return what the peer lacks; None if it is up to date."""
-        update, now_ms = StateUpdate(), self._clock()
-        if self._lacks_config(request):
-            update.config.CopyFrom(self.config)
+        update = StateUpdate()
+        has_config = self._add_config(update, request)
+        is_first_config = has_config and not request.known_versions["config"].number
+        if is_first_config:
             return self.add_status(update)
+        chunk_entries = CHUNK_ENTRIES_BESIDE_CONFIG if has_config else CHUNK_ENTRIES
         parts = (
-            self._add_backends(update, request, now_ms),
-            self._add_gateways(update, request),
+            has_config,
+            self._add_backends(update, request, chunk_entries),
+            self._add_gateways(update, request, chunk_entries),
             self._add_holders(update, request),
         )
         return self.add_status(update) if any(parts) else None
@@ -187,6 +193,7 @@
         update.quorum_contact_age_ms = self.quorum_contact_age_ms()
         if self._knows_backends:
             update.endpoint_list_age_ms = max(MIN_LIST_AGE_MS, self._clock() - self.list_read_at)
+            update.endpoint_list_version.CopyFrom(encode_version(self.backends.version))
         update.coordinators.extend(self.coordinators)
         update.members.extend(self.members)
         if self.lease_membership.version:
@@ -197,26 +204,29 @@
     def _knows_backends(self) -> bool:
         return self.list_read_at > NEVER
 
-    def _lacks_config(self, request: StateRequest) -> bool:
+    def _add_config(self, update: StateUpdate, request: StateRequest) -> bool:
         known_serial = request.known_versions["config"].number
         if self.config.serial <= known_serial:
             return False
-        return known_serial > 0 or self.can_bootstrap_peers()
+        if not known_serial and not self.can_bootstrap_peers():
+            return False
+        update.config.CopyFrom(self.config)
+        return True
 
-    def _add_backends(self, update: StateUpdate, request: StateRequest, now_ms: float) -> bool:
+    def _add_backends(self, update: StateUpdate, request: StateRequest, max_entries: int) -> bool:
         if not self._knows_backends:
             return False
-        delta = self.backends.delta_since(decode_version(request.known_versions["backends"]))
+        delta = self.backends.delta_since(decode_version(request.known_versions["backends"]), max_entries)
         if delta is None:
             return False
-        update.backends.CopyFrom(encode_backend_delta(delta, now_ms))
+        update.backends.CopyFrom(encode_backend_delta(delta, self._clock()))
         return True
 
-    def _add_gateways(self, update: StateUpdate, request: StateRequest) -> bool:
+    def _add_gateways(self, update: StateUpdate, request: StateRequest, max_entries: int) -> bool:
         if not self.shares_gateways and not request.direct_only:
             return False
         gateways = self.direct_gateways if request.direct_only else self.gateways
-        delta = gateways.delta_since(decode_version(request.known_versions["gateways"]))
+        delta = gateways.delta_since(decode_version(request.known_versions["gateways"]), max_entries)
         if delta is None:
             return False
         update.gateways.CopyFrom(encode_gateway_delta(delta))
--- a/hallhitch/planes/distribution/versioned_map.py
+++ b/hallhitch/planes/distribution/versioned_map.py
@@ -106,12 +106,12 @@
             changed |= self.put(key, value)
         return changed
 
-    def delta_since(self, version: Version) -> Delta[ValueT] | None:
+    def delta_since(self, version: Version, chunk_entries: int = CHUNK_ENTRIES) -> Delta[ValueT] | None:
         """Return what a replica of this version lacks, at most one chunk of it; None if it is up to date."""
         if version.epoch == self.epoch and version.number >= self.number:
             return None
         is_snapshot = version.epoch != self.epoch or version.number < self._oldest_base
-        chunk_size = CHUNK_ENTRIES
+        chunk_size = chunk_entries
         if is_snapshot:
             changes = sorted((number, key) for key, (number, _) in self._items.items())
             # The first chunk of a snapshot reaches the oldest base: from below that, no delta can follow.
--- a/tests/system/distribution/test_update_starvation.py
+++ b/tests/system/distribution/test_update_starvation.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from hallhitch.messages.system_pb2 import StateRequest
+from hallhitch.messages.system_pb2 import StateRequest, StateUpdate
 from hallhitch.planes.distribution.peer_replica import PeerReplica
-from hallhitch.planes.distribution.state_hub import StateHub
+from hallhitch.planes.distribution.state_hub import CHUNK_ENTRIES_BESIDE_CONFIG, StateHub
 from hallhitch.planes.distribution.versioned_map import CHUNK_ENTRIES
 from tests.system.distribution.simulated_peers import (
     SimulatedPeers,
@@ -83,3 +83,67 @@
         assert hub.config.serial == 29 and known_count == changed_count
 
     run_in_virtual_time(scenario)
+
+
+def test_no_part_of_the_state_is_kept_back_by_a_configuration_that_keeps_changing() -> None:
+    async def scenario(peers: SimulatedPeers) -> None:
+        hub = peers.add_coordinator(COORDINATOR, serial=1)
+        hub.update_backends(peers.clock(), [make_backend("i-1")])
+        sync = peers.add_gateway("me", [COORDINATOR])
+        sync.start()
+        await asyncio.sleep(3)
+        peers.delay_ms = lambda: 150.0
+        changes = asyncio.ensure_future(change_config(peers))
+        await asyncio.sleep(2)
+        hub.set_gateways({"g1:1": make_gateway("g1")})
+        hub.set_holders({7: "g1:1"})
+        hub.update_backends(peers.clock(), [make_backend("i-1"), make_backend("i-2")])
+        await asyncio.sleep(ROUND_TRIP_LIMIT * 0.3)
+        assert not changes.done()
+        assert len(sync._hub.backends) == 2 and "g1:1" in sync._hub.gateways and sync._hub.holders == {7: "g1:1"}
+        await changes
+
+    run_in_virtual_time(scenario)
+
+
+def test_a_first_configuration_comes_alone_and_a_later_one_beside_short_chunks_of_the_lists() -> None:
+    async def scenario(peers: SimulatedPeers) -> None:
+        source, hub = peers.add_coordinator(COORDINATOR, serial=1), StateHub(9, peers.clock)
+        source.update_backends(0.0, [make_backend(f"i-{n}") for n in range(3 * CHUNK_ENTRIES)])
+        source.set_gateways({f"g{n}:1": make_gateway(f"g{n}") for n in range(3 * CHUNK_ENTRIES)})
+        replica = PeerReplica(COORDINATOR, peers.clock)
+        request = replica.build_request(make_gateway("me"), hub, 0.0, direct_only=False)
+        first = source.build_update(request)
+        request.known_versions["config"].number = 1
+        source.update_config(2, 2, b"", [])
+        later = source.build_update(request)
+        request.known_versions["config"].number = 2
+        lists_only = source.build_update(request)
+        assert first is not None and later is not None and lists_only is not None
+        assert first.HasField("config") and not first.HasField("backends") and not first.HasField("gateways")
+        assert later.config.serial == 2 and not lists_only.HasField("config")
+        assert len(later.backends.entries) == len(later.gateways.entries) == CHUNK_ENTRIES_BESIDE_CONFIG
+        assert len(lists_only.backends.entries) == len(lists_only.gateways.entries) == CHUNK_ENTRIES
+
+    run_in_virtual_time(scenario)
+
+
+def test_a_reply_of_an_earlier_release_dates_no_list_beside_a_configuration() -> None:
+    async def scenario(peers: SimulatedPeers) -> None:
+        source, hub = peers.add_coordinator(COORDINATOR, serial=1), StateHub(9, peers.clock)
+        replica = PeerReplica(COORDINATOR, peers.clock)
+        await asyncio.sleep(1)
+        source.update_backends(peers.clock(), [make_backend("i-1")])
+        for _ in range(2):  # the configuration, then the list
+            pull(source, replica, hub, peers.clock())
+        read_at = hub.list_read_at
+        await asyncio.sleep(1)
+        update = StateUpdate(incarnation=source.incarnation, endpoint_list_age_ms=1.0)
+        update.config.serial = 2
+        replica.apply(update, hub, peers.clock(), with_view=True)
+        assert hub.list_read_at == read_at and hub.config.serial == 2
+        update.ClearField("config")
+        replica.apply(update, hub, peers.clock(), with_view=True)
+        assert hub.list_read_at == peers.clock() - 1.0
+
+    run_in_virtual_time(scenario)
