--- a/hallhitch/planes/distribution/peer_replica.py
+++ b/hallhitch/planes/distribution/peer_replica.py
@@ -123,15 +123,16 @@
         if not is_fresh and self._clock() - hub.view_contact_at <= self.serving_lease_ms:
             return  # the current view is from a peer with a newer quorum contact
         is_new_source = hub.view_source != self.address
-        has_new_gateways = is_new_source or update.HasField("gateways")
-        if has_new_gateways and self.gateways.is_complete:
+        has_holders = self._holders_version.epoch == update.incarnation
+        has_new_holders = has_holders and (is_new_source or update.HasField("holders"))
+        if has_new_holders and (is_fresh or not hub.holders):
+            hub.set_holders(self.holders)
+        if not self.gateways.is_complete or self.gateways.version.epoch != update.incarnation:
+            return  # part of them is missing, or they are those of the peer's last incarnation
+        if is_new_source or update.HasField("gateways"):
             kept = {} if is_fresh else {gateway.address: gateway for gateway in hub.gateways.values()}
             hub.set_gateways({**kept, **self.gateways.items})
             hub.view_source = self.address
-        has_new_holders = is_new_source or update.HasField("holders")
-        may_set_holders = is_fresh or not hub.holders
-        if has_new_holders and may_set_holders:
-            hub.set_holders(self.holders)
         if is_fresh:
             hub.view_contact_at = self.quorum_contact_at
 
--- a/tests/system/distribution/test_state_hub.py
+++ b/tests/system/distribution/test_state_hub.py
@@ -125,3 +125,36 @@
         assert StateHub(3).add_status(StateUpdate()).quorum_contact_age_ms == -1
 
     run_in_virtual_time(scenario)
+
+
+def test_a_coordinator_that_was_restarted_does_not_bring_back_the_view_of_its_last_life() -> None:
+    async def scenario(peers: SimulatedPeers) -> None:
+        hub, replicas = StateHub(9, peers.clock), {name: PeerReplica(name, peers.clock) for name in ("c1:1", "c2:1")}
+
+        def pull_from(name: str) -> None:
+            request = replicas[name].build_request(make_gateway("me"), hub, 0.0, direct_only=False)
+            source = peers.hubs[name]
+            update = source.build_update(request) or source.add_status(StateUpdate())
+            replicas[name].record_reply(update, peers.clock(), 2000.0)
+            replicas[name].apply(update, hub, peers.clock(), with_view=True)
+
+        for name in replicas:
+            source = peers.add_coordinator(name, serial=0)
+            source.set_gateways({"g1:1": make_gateway("g1"), "g2:1": make_gateway("g2")})
+            source.set_holders({1: "g1:1"})
+        pull_from("c1:1")
+        await asyncio.sleep(5)
+        peers.hubs["c2:1"].set_gateways({"g2:1": make_gateway("g2")})
+        peers.hubs["c2:1"].set_holders({1: "g2:1"})
+        pull_from("c2:1")
+        assert hub.gateways.keys() == ["g2:1"] and hub.holders == {1: "g2:1"}
+        restarted = peers.add_coordinator("c1:1", serial=0)
+        restarted.incarnation = restarted.gateways.epoch = 77
+        restarted.shares_gateways = False  # it knows few of them yet
+        await asyncio.sleep(5)
+        dated_at = hub.view_contact_at
+        pull_from("c1:1")
+        assert hub.gateways.keys() == ["g2:1"] and hub.holders == {1: "g2:1"} and hub.view_source == "c2:1"
+        assert hub.view_contact_at == dated_at
+
+    run_in_virtual_time(scenario)
