Directory: other regions fill up an answer only if they may serve all routes of the host

Cause by reading: where fewer than two gateways of a client's region were ready, as while gateways are stopped in turn, all gateways of all regions were named, so that most requests on routes with homes went to regions that are neither home nor the client's. Change: the configuration is compiled with the home regions of each host; others are named only of these, and any only where there is no other gateway at all. Tests: the answer by host and region, home regions of a host.

--- a/benchmarks/distribution_cost.py
+++ b/benchmarks/distribution_cost.py
@@ -11,7 +11,7 @@
 from benchmarks.measuring import BenchmarkError, processor_us, traced_bytes
 from benchmarks.sample_data import sample_backend, sample_gateway
 from hallhitch.messages.system_pb2 import BackendUpdate, Envelope, GatewayUpdate, LeaseHolderUpdate, StateRequest
-from hallhitch.planes.discovery.directory import nearest_gateways
+from hallhitch.planes.discovery.directory import DirectoryQuery, nearest_gateways
 from hallhitch.planes.discovery.endpoint_list import ListedBackend, read_page
 from hallhitch.planes.discovery.gateway_registry import merge_gateways
 from hallhitch.planes.distribution.state_hub import StateHub
@@ -104,12 +104,13 @@
     own, *peers = [
         {gateway.address: gateway for gateway in gateways[first::COORDINATORS]} for first in range(COORDINATORS)
     ]
+    query = DirectoryQuery("shop.example", "region-3", "namaka-3")
     return GatewayCost(
         count,
         entry_bytes=len(update.SerializeToString()) / count,
         merge_ms=processor_us(lambda: versioned.replace(merge_gateways(own, peers))) / 1000,
         ranking_ms=processor_us(lambda: rank_gateways(by_address)) / 1000,
-        directory_ms=processor_us(lambda: nearest_gateways(gateways, "region-3", "namaka-3", {})) / 1000,
+        directory_ms=processor_us(lambda: nearest_gateways(gateways, query)) / 1000,
     )
 
 
--- a/hallhitch/planes/discovery/directory.py
+++ b/hallhitch/planes/discovery/directory.py
@@ -1,12 +1,16 @@
 """The directory: which gateways a client should connect to. Decided without I/O.
 
-Clients get the gateways of their own region that are ready and not leaving, and those of others if these are few.
+Clients get the gateways of their own region that are ready and not leaving, and those of others if these are few. A
+host with routes that only some regions may serve has gateways of other regions named only where these are among them:
+otherwise its requests would cross to a region that is neither their home nor their client's. Only where there is no
+other gateway at all, any is named.
 """
 
 from __future__ import annotations
 
 import json
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Container, Iterable, Mapping
+from dataclasses import dataclass
 from typing import Final
 from urllib.parse import parse_qs, urlsplit
 
@@ -20,32 +24,50 @@
 MIN_TTL_MS: Final = 1000.0
 
 
+@dataclass(frozen=True, slots=True)
+class DirectoryQuery:
+    """What a client asks: where to connect for a host."""
+
+    host: str = ""
+    region: str = ""
+    zone: str = ""
+
+
 def nearest_gateways(
-    gateways: Iterable[Gateway], region: str, zone: str, region_by_zone: Mapping[str, str]
+    gateways: Iterable[Gateway], query: DirectoryQuery, home_regions: Container[str] | None = None
 ) -> list[Gateway]:
-    """Return the gateways for a client in this region or zone, by name, those of its region first.
+    """Return the gateways for a client in this region, by name, those of its region first.
 
-    If they are too many for one reply, those of its zone come first: clients of each zone get a different subset, so
-    that no gateway is left without clients.
+    `home_regions`: the regions that may serve each route of the host; None where all may. If they are too many for one
+    reply, those of the client's zone come first: clients of each zone get a different subset, so that no gateway is
+    left without clients.
     """
-    region = region or region_by_zone.get(zone, "")
     usable = sorted(
         (gateway for gateway in gateways if gateway.serves_clients and gateway.is_available),
         key=lambda gateway: gateway.name,
     )
-    chosen = [gateway for gateway in usable if gateway.region == region]
+    chosen = [gateway for gateway in usable if gateway.region == query.region]
     if len(chosen) < MIN_LOCAL_GATEWAYS:
-        chosen += [gateway for gateway in usable if gateway.region != region]
+        others = [gateway for gateway in usable if gateway.region != query.region]
+        chosen += [gateway for gateway in others if home_regions is None or gateway.region in home_regions]
+        chosen = chosen or others
     if len(chosen) > MAX_ADDRESSES:
-        chosen.sort(key=lambda gateway: gateway.zone != zone)
+        chosen.sort(key=lambda gateway: gateway.zone != query.zone)
     return chosen[:MAX_ADDRESSES]
 
 
 class Directory:
     """Serves the directory's HTTP API."""
 
-    def __init__(self, region_by_zone: Mapping[str, str], max_ttl_ms: float) -> None:
+    def __init__(
+        self,
+        region_by_zone: Mapping[str, str],
+        max_ttl_ms: float,
+        home_regions_of: Callable[[str], Container[str] | None] = lambda host: None,
+    ) -> None:
+        """`home_regions_of`: of a host, the regions that may serve each of its routes; None where all may."""
         self._region_by_zone = region_by_zone
+        self._home_regions_of = home_regions_of
         self._ttl_ms = max(MIN_TTL_MS, max_ttl_ms * TTL_RATIO)
 
     def handle(self, method: str, target: str, gateways: Iterable[Gateway]) -> HttpReply:
@@ -55,11 +77,17 @@
             return HttpReply(404, {}, b'{"errorMessage":"no such call"}')
         if method not in ("GET", "HEAD"):
             return HttpReply(405, {}, b'{"errorMessage":"only GET"}')
-        query = parse_qs(url.query)
-        region, zone = query.get("region", [""])[0], query.get("zone", [""])[0]
-        chosen = nearest_gateways(gateways, region, zone, self._region_by_zone)
+        query = self._parse_query(url.query)
+        chosen = nearest_gateways(gateways, query, self._home_regions_of(query.host))
         if not chosen:
             return HttpReply(503, {"Retry-After": "0.5"}, b'{"errorMessage":"no gateway is known to be ready"}')
         addresses = [gateway.frontend for gateway in chosen]
         body = json.dumps({"addresses": addresses, "ttl": f"{self._ttl_ms:.0f}ms"})
         return HttpReply(200, {"Content-Type": "application/json"}, body.encode())
+
+    def _parse_query(self, text: str) -> DirectoryQuery:
+        """Return the query with the region that its zone lies in where it names none."""
+        fields = {name: values[0] for name, values in parse_qs(text).items()}
+        zone = fields.get("zone", "")
+        region = fields.get("region") or self._region_by_zone.get(zone, "")
+        return DirectoryQuery(fields.get("name", "").lower(), region, zone)
--- a/hallhitch/planes/distribution/config_compiler.py
+++ b/hallhitch/planes/distribution/config_compiler.py
@@ -34,19 +34,31 @@
     """Compile a configuration from `content`, the zlib of its JSON; empty if only zones were evacuated so far."""
     table = json.loads(zlib.decompress(content)) if content else {}
     tenants = {name: _compile_tenant(name, entry) for name, entry in (table.get("tenants") or {}).items()}
+    routes = _compile_routes(table.get("routes") or {})
     return ClusterConfig(
         serial=serial,
         version=version,
-        routes=_compile_routes(table.get("routes") or {}),
+        routes=routes,
         services={name: _compile_service(name, entry) for name, entry in (table.get("services") or {}).items()},
         tenants=tenants,
         tenants_by_api_key={api_key: tenant for tenant in tenants.values() for api_key in tenant.api_keys},
         limits=_compile_limits(table.get("limits") or {}),
         evacuated_zones=frozenset(evacuated_zones),
         max_gateways=max_gateways,
+        home_regions=_find_home_regions(routes),
     )
 
 
+def _find_home_regions(routes: Mapping[str, Iterable[Route]]) -> dict[str, frozenset[str]]:
+    """Return by host the regions that may serve each of its routes, of the hosts that have a restricted one."""
+    home_regions: dict[str, frozenset[str]] = {}
+    for host, host_routes in routes.items():
+        restricted = [route.allowed_regions for route in host_routes if route.allowed_regions]
+        if restricted:
+            home_regions[host] = frozenset.intersection(*restricted)
+    return home_regions
+
+
 def _compile_routes(entries: Mapping[str, Mapping[str, Any]]) -> dict[str, tuple[Route, ...]]:
     """Return the routes by host in lower case, the longest prefix first."""
     by_host: dict[str, list[Route]] = {}
--- a/hallhitch/planes/values.py
+++ b/hallhitch/planes/values.py
@@ -103,6 +103,8 @@
     limits: RequestLimits = field(default_factory=RequestLimits)
     evacuated_zones: frozenset[str] = frozenset()
     max_gateways: int = 0  # upper bound on gateways, committed by the coordinators; 0 = not known yet
+    # By host in lower case: the regions that may serve each of its routes; a host without restricted routes is absent.
+    home_regions: Mapping[str, frozenset[str]] = field(default_factory=dict)
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the host's route with the longest prefix of `path`, which has no query; None if there is none."""
--- a/hallhitch/programs/gateway.py
+++ b/hallhitch/programs/gateway.py
@@ -52,7 +52,9 @@
         self._data = DataPlane(node, load_balancer, self._quota.counter, runtime.clock)
         self._readiness_server = HttpServer("readiness", self._handle_readiness)
         self._metrics_server = MetricsServer(lambda: [*self._hub.metrics(), *self._data.metrics()])
-        self._directory = Directory(node.region_by_zone, node.bounds.max_ttl_ms)
+        self._directory = Directory(
+            node.region_by_zone, node.bounds.max_ttl_ms, lambda host: self._config.home_regions.get(host)
+        )
         self._directory_server = HttpServer("directory", self._handle_resolve)
         self._config = EMPTY_CONFIG
         self._backends_version = self._gateways_version = Version()  # of the maps that the planes were given
--- a/tests/system/discovery/test_directory.py
+++ b/tests/system/discovery/test_directory.py
@@ -1,6 +1,10 @@
 """Which gateways the directory names to a client."""
 
-from hallhitch.planes.discovery.directory import nearest_gateways
+import json
+
+import pytest
+
+from hallhitch.planes.discovery.directory import Directory, DirectoryQuery, nearest_gateways
 from hallhitch.planes.values import Gateway
 
 
@@ -17,8 +21,28 @@
         make_gateway("a3", "a", is_leaving=True),
         make_gateway("a4", "a", is_ready=False),
     ]
-    assert [gateway.name for gateway in nearest_gateways(gateways, "a", "", {})] == ["a1", "a2"]
-    assert [gateway.name for gateway in nearest_gateways(gateways, "b", "", {})] == ["b1", "a1", "a2"]
-    assert [gateway.name for gateway in nearest_gateways(gateways, "", "a-z", {"a-z": "a"})] == ["a1", "a2"]
+    assert [gateway.name for gateway in nearest_gateways(gateways, DirectoryQuery(region="a"))] == ["a1", "a2"]
+    assert [gateway.name for gateway in nearest_gateways(gateways, DirectoryQuery(region="b"))] == ["b1", "a1", "a2"]
     many = [make_gateway(f"m{n}", "m") for n in range(200)]
-    assert len(nearest_gateways(many, "m", "", {})) == 64
+    assert len(nearest_gateways(many, DirectoryQuery(region="m"))) == 64
+
+
+@pytest.mark.parametrize(
+    ("query", "names"),
+    [
+        ("name=any.example&region=a", ["a1", "b1", "c1", "c2"]),  # one of its own: others may take its place
+        ("name=home-c.example&region=a", ["a1", "c1", "c2"]),
+        ("name=HOME-C.example&zone=a-z", ["a1", "c1", "c2"]),
+        ("name=none.example&region=a", ["a1"]),  # its routes share no region
+        ("name=home-c.example&region=c", ["c1", "c2"]),
+        ("name=none.example&region=d", ["a1", "b1", "c1", "c2"]),  # nothing else is there
+        ("region=c", ["c1", "c2"]),
+    ],
+)
+def test_other_regions_are_named_only_if_they_may_serve_all_routes_of_the_host(query: str, names: list[str]) -> None:
+    gateways = [make_gateway(name, name[0]) for name in ("a1", "b1", "c1", "c2")]
+    gateways.append(make_gateway("a2", "a", is_leaving=True))
+    home_regions = {"home-c.example": frozenset("c"), "none.example": frozenset[str]()}
+    directory = Directory({"a-z": "a"}, 5000.0, home_regions.get)
+    reply = directory.handle("GET", f"/hallhitch/resolve?{query}", gateways)
+    assert json.loads(reply.body)["addresses"] == [f"{name}:80" for name in names]
--- a/tests/system/distribution/test_config_compiler.py
+++ b/tests/system/distribution/test_config_compiler.py
@@ -61,3 +61,20 @@
     route = {"host": "h", "routeKind": written, "targetService": "s"}
     compiled = compile_table({"routes": {"r": route}}).find_route("h", "/")
     assert compiled is not None and compiled.kind is kind
+
+
+def test_home_regions_of_a_host_are_those_that_may_serve_each_of_its_routes() -> None:
+    def route(host: str, *regions: str) -> dict[str, object]:
+        return {"host": host, "targetService": "s", "pathPrefix": f"/{'-'.join(regions)}/", "allowedRegions": regions}
+
+    routes = {
+        "r1": route("Shop.example", "a", "b"),
+        "r2": route("shop.example", "b", "c"),
+        "r3": route("shop.example"),
+        "r4": route("split.example", "a"),
+        "r5": route("split.example", "b"),
+        "r6": route("free.example"),
+    }
+    content = zlib.compress(json.dumps({"routes": routes, "services": {"s": {}}}).encode())
+    compiled = compile_config(1, 1, content, [])
+    assert compiled.home_regions == {"shop.example": frozenset("b"), "split.example": frozenset()}
