--- a/hallhitch/planes/discovery/endpoint_list.py
+++ b/hallhitch/planes/discovery/endpoint_list.py
@@ -70,11 +70,17 @@
     try:
         table = json.loads(body)
         backends = tuple(_parse_backend(row, now) for row in _rows(table["instances"]))
-        return Page(backends, table.get("nextPageToken") or None)
+        return Page(backends, _parse_token(table.get("nextPageToken")))
     except (KeyError, TypeError, AttributeError, ValueError) as error:
         raise MalformedPageError(f"malformed page: {type(error).__name__} {error}") from error
 
 
+def _parse_token(value: object) -> str | None:
+    if value is not None and not isinstance(value, str):
+        raise TypeError("nextPageToken is no text")
+    return value or None
+
+
 def _rows(instances: Any) -> Iterable[Mapping[str, Any]]:
     if isinstance(instances, dict):
         names = instances["columnNames"]
--- a/hallhitch/planes/discovery/endpoint_list_reader.py
+++ b/hallhitch/planes/discovery/endpoint_list_reader.py
@@ -1,4 +1,4 @@
-"""Reads the endpoint list from the platform whenever a reading is due."""
+"""Reads the endpoint list from the platform."""
 
 from __future__ import annotations
 
@@ -10,7 +10,6 @@
 from hallhitch.planes.discovery.errors import EndpointListError
 from hallhitch.planes.discovery.platform_client import EndpointListReading, PlatformClient
 
-POLL_INTERVAL_MS: Final = 50.0  # between two looks whether a reading is due
 RETRY_PAUSE_RATIO: Final = 1 / 4  # of the interval between readings, after one that failed
 MAX_INTERVAL_MS: Final = 1000.0  # between readings
 INTERVAL_RATIO: Final = 0.2  # of drainTimeout: the way of a change to the last gateway takes the rest
@@ -22,36 +21,30 @@
 
 
 class EndpointListReader:
-    """Reads the list whenever `is_due` returns True, and hands each reading to `on_reading`."""
+    """Reads the list when asked to, and hands each reading to `on_reading`."""
 
     def __init__(
         self,
         client: PlatformClient,
         interval_ms: float,
-        is_due: Callable[[], bool],
         on_reading: Callable[[EndpointListReading], object],
         clock: Callable[[], float],
     ) -> None:
         self._client = client
         self._interval_ms = interval_ms
-        self._is_due = is_due
         self._on_reading = on_reading
         self._clock = clock
         self._log = RateLimitedLog(ComponentLogger("list"))
 
-    async def run(self) -> None:
-        """Read the list when due, until cancelled."""
-        while True:
-            await asyncio.sleep(POLL_INTERVAL_MS / 1000)
-            if not self._is_due():
-                continue
-            try:
-                reading = await self._client.read()
-            except EndpointListError as error:
-                self._log.warning(self._clock(), "endpoint list not read", reason=error.reason)
-                await asyncio.sleep(self._interval_ms * RETRY_PAUSE_RATIO / 1000)
-            else:
-                self._on_reading(reading)
+    async def read(self) -> None:
+        """Read the list once; pause after a reading that failed."""
+        try:
+            reading = await self._client.read()
+        except EndpointListError as error:
+            self._log.warning(self._clock(), "endpoint list not read", reason=error.reason)
+            await asyncio.sleep(self._interval_ms * RETRY_PAUSE_RATIO / 1000)
+        else:
+            self._on_reading(reading)
 
     def close(self) -> None:
         """Close the connection to the platform."""
--- a/hallhitch/programs/coordinator.py
+++ b/hallhitch/programs/coordinator.py
@@ -15,6 +15,7 @@
 from hallhitch.node.errors import PeerCallError
 from hallhitch.node.http_server import HttpReply, HttpServer
 from hallhitch.node.metrics import MetricsServer
+from hallhitch.node.periodic import run_periodically
 from hallhitch.node.settings import NodeSettings
 from hallhitch.planes.control import state_transitions
 from hallhitch.planes.control.operator_api import OperatorApi
@@ -34,6 +35,7 @@
 from hallhitch.programs.runtime import Runtime
 
 MAINTENANCE_INTERVAL_MS: Final = 100.0  # between looks at which gateways and coordinators are live
+LIST_CHECK_INTERVAL_MS: Final = 50.0  # between looks whether the endpoint list has to be read
 MAX_GATEWAYS_ANNOTATION: Final = "gateways"  # of the cluster state, as stored
 MAX_GATEWAYS_INTERVAL_MS: Final = 1000.0  # between attempts to record it, and the time-out of one
 HANDOVER_RATIO: Final = 0.5  # of gracePeriod, to hand the membership over; the rest is for calls under way
@@ -81,9 +83,7 @@
         if self._node.cloud_api_address is None:
             return None
         client = PlatformClient(self._node.cloud_api_address)
-        return EndpointListReader(
-            client, self._reading_interval_ms, self._is_read_due, self._on_list_reading, self._clock
-        )
+        return EndpointListReader(client, self._reading_interval_ms, self._on_list_reading, self._clock)
 
     # Start and shutdown.
 
@@ -96,8 +96,14 @@
             if name in self._node.listen_addresses:
                 await server.serve(self._node.listen_addresses[name])
         await self._metrics_server.serve(self._node.metrics_address)
-        loops = (self._maintain(), self._read_endpoint_list(), self._record_max_gateways())
-        self._tasks = [asyncio.ensure_future(loop) for loop in loops]
+        self._tasks = [
+            asyncio.ensure_future(run_periodically("coordinator", interval_ms, step, self._clock))
+            for interval_ms, step in (
+                (MAINTENANCE_INTERVAL_MS, self._maintain),
+                (LIST_CHECK_INTERVAL_MS, self._read_endpoint_list),
+                (MAX_GATEWAYS_INTERVAL_MS, self._record_max_gateways),
+            )
+        ]
 
     def apply_settings(self, node: NodeSettings) -> None:
         """Apply the settings that may change at run time: seeds, and those of the control plane."""
@@ -166,21 +172,20 @@
 
     async def _maintain(self) -> None:
         """Keep track of live gateways and coordinators, of quorum contact and of lease holders."""
-        while True:
-            await asyncio.sleep(MAINTENANCE_INTERVAL_MS / 1000)
-            now_ms = self._clock()
-            self._sync.remove_expired_gateways()
-            live_peers = self._sync.live_peers()
-            self._control.set_live_coordinators(live_peers)
-            self._sync.set_live_coordinators(live_peers, {*self._control.members, *self._node.seed_addresses})
-            if self._had_quorum_contact != self._control.has_quorum_contact:
-                self._had_quorum_contact = not self._had_quorum_contact
-                self._hub.notify()  # replies held back may be due, and peers learn at once that contact is lost
-            self._hub.set_holders(self._leases.holders(now_ms))
+        now_ms = self._clock()
+        self._sync.remove_expired_gateways()
+        live_peers = self._sync.live_peers()
+        self._control.set_live_coordinators(live_peers)
+        self._sync.set_live_coordinators(live_peers, {*self._control.members, *self._node.seed_addresses})
+        if self._had_quorum_contact != self._control.has_quorum_contact:
+            self._had_quorum_contact = not self._had_quorum_contact
+            self._hub.notify()  # replies held back may be due, and peers learn at once that contact is lost
+        self._hub.set_holders(self._leases.holders(now_ms))
 
     async def _read_endpoint_list(self) -> None:
-        if self._list_reader is not None:
-            await self._list_reader.run()
+        """Read the endpoint list if that is due."""
+        if self._list_reader is not None and self._is_read_due():
+            await self._list_reader.read()
 
     def _is_read_due(self) -> bool:
         """Return whether this coordinator has to read the list, once a majority has confirmed it."""
@@ -193,17 +198,13 @@
 
     async def _record_max_gateways(self) -> None:
         """Record in the cluster state how many gateways there may be, when more are seen; the first reader does."""
-        while True:
-            await asyncio.sleep(MAX_GATEWAYS_INTERVAL_MS / 1000)
-            recorded = _recorded_max_gateways(self._control.committed_state)
-            max_gateways = gateways_to_record(self._sync.gateway_count(), recorded)
-            if max_gateways is None or self._reader_rank() != 0:
-                continue
-            if not self._control.has_quorum_contact:
-                continue
-            change = state_transitions.annotate(MAX_GATEWAYS_ANNOTATION, str(max_gateways))
-            with contextlib.suppress(PeerCallError, TimeoutError):
-                await self._control.propose(change, MAX_GATEWAYS_INTERVAL_MS)
+        recorded = _recorded_max_gateways(self._control.committed_state)
+        max_gateways = gateways_to_record(self._sync.gateway_count(), recorded)
+        if max_gateways is None or self._reader_rank() != 0 or not self._control.has_quorum_contact:
+            return
+        change = state_transitions.annotate(MAX_GATEWAYS_ANNOTATION, str(max_gateways))
+        with contextlib.suppress(PeerCallError, TimeoutError):
+            await self._control.propose(change, MAX_GATEWAYS_INTERVAL_MS)
 
 
 def _recorded_max_gateways(state: ClusterState) -> int:
--- a/tests/system/discovery/test_endpoint_list.py
+++ b/tests/system/discovery/test_endpoint_list.py
@@ -38,7 +38,15 @@
 
 
 @pytest.mark.parametrize(
-    "body", [b"{", b"[]", b'{"instances":{"columnNames":["a"],"rowValues":[[1,2]]}}', b'{"instances":[{}]}']
+    "body",
+    [
+        b"{",
+        b"[]",
+        b'{"instances":{"columnNames":["a"],"rowValues":[[1,2]]}}',
+        b'{"instances":[{}]}',
+        b'{"instances":[],"nextPageToken":7}',
+        b'{"instances":[],"nextPageToken":["p"]}',
+    ],
 )
 def test_malformed_page_is_an_error(body: bytes) -> None:
     with pytest.raises(MalformedPageError):
--- a/tests/system/discovery/test_platform_client.py
+++ b/tests/system/discovery/test_platform_client.py
@@ -9,7 +9,6 @@
 
 import pytest
 
-from hallhitch.planes.discovery import endpoint_list_reader
 from hallhitch.planes.discovery.endpoint_list_reader import EndpointListReader, reading_interval_ms
 from hallhitch.planes.discovery.errors import EndpointListError
 from hallhitch.planes.discovery.platform_client import EndpointListReading, PlatformClient
@@ -125,7 +124,7 @@
     run_against(PlatformServer({}), scenario)
 
 
-def test_list_is_read_when_due_and_again_after_a_failure(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_reading_is_handed_on_and_one_that_fails_is_not() -> None:
     class FailingOnceClient(PlatformClient):
         attempts = 0
 
@@ -138,18 +137,12 @@
     async def main() -> None:
         client = FailingOnceClient(("127.0.0.1", 1))
         readings: list[EndpointListReading] = []
-        due = [False]
-        reader = EndpointListReader(client, 4.0, lambda: due[0], readings.append, lambda: 0.0)
-        task = asyncio.ensure_future(reader.run())
-        await asyncio.sleep(0.02)
-        assert client.attempts == 0
-        due[0] = True
-        while not readings:
-            await asyncio.sleep(0.001)
-        task.cancel()
+        reader = EndpointListReader(client, 4.0, readings.append, lambda: 0.0)
+        await reader.read()
+        assert client.attempts == 1 and not readings
+        await reader.read()
         assert client.attempts == 2 and readings == [EndpointListReading(7.0, [])]
 
-    monkeypatch.setattr(endpoint_list_reader, "POLL_INTERVAL_MS", 1.0)
     asyncio.run(main())
 
 
