--- a/hallhitch/cli/demo_system.py
+++ b/hallhitch/cli/demo_system.py
@@ -28,6 +28,7 @@
     "control_cut",
     "exchange",
     "hundreds",
+    "departures",
 )
 
 
--- a/hallhitch/lab/emulator/backend_connection.py
+++ b/hallhitch/lab/emulator/backend_connection.py
@@ -179,7 +179,11 @@
         backend = self.backend
         work_ms = self.fleet.draw_work_ms(self.spec) * (COLD_WORK_FACTOR if backend.is_cold else 1.0)
         work_ms *= 1 + self.spec.crowding_ratio * backend.busy_slots / self.spec.slots
-        await asyncio.sleep(max(0.0, min(work_ms, ends_at_ms - now())) / 1000)
+        arrival.planned_end_ms = min(now() + work_ms, ends_at_ms)
+        try:
+            await asyncio.sleep(max(0.0, arrival.planned_end_ms - now()) / 1000)
+        finally:
+            arrival.stopped_at_ms = now()
         if now() >= ends_at_ms:
             arrival.status = 504
             return await self._respond(504, request_id=arrival.id)
--- a/hallhitch/lab/emulator/backend_fleet.py
+++ b/hallhitch/lab/emulator/backend_fleet.py
@@ -58,6 +58,7 @@
         self.connections_opened = 0
         self.health_checks = 0
         self.fault_ratios: dict[ResponseFault, float] = {}  # of executions, by what goes wrong with their responses
+        self.work_factor = 1.0  # by which all requests take longer than usual
         self._port = port
         self._region_numbers = region_numbers or {}
         self._work_stream, self._fault_stream = Streams(seed).of("work"), Streams(seed).of("tricks")
@@ -69,7 +70,7 @@
 
     def draw_work_ms(self, spec: BackendSpec) -> float:
         """Draw how long the next request takes."""
-        return spec.work_ms * self._work_stream.uniform(0.6, 1.4)
+        return spec.work_ms * self.work_factor * self._work_stream.uniform(0.6, 1.4)
 
     def draw_fault(self) -> ResponseFault | None:
         """Draw what goes wrong with the next response."""
--- a/hallhitch/lab/emulator/client.py
+++ b/hallhitch/lab/emulator/client.py
@@ -246,15 +246,18 @@
             timeout_ms = min(timeout_ms, UNREAD_TIMEOUT_MS, timeout_ms / 3)
         encoded = _encode_request(request, attempt)
         try:
-            async with asyncio.timeout(max(0.001, timeout_ms / 1000)):
+            async with asyncio.timeout(max(0.001, min(timeout_ms, request.patience_ms) / 1000)):
                 await self._wait_for_outbound_link(address, self._delay_ms(address))
                 connection.writer.write(encoded)
                 status_line, headers, body = await read_message(connection.reader)
                 await self._wait_for_inbound_link(address, self._delay_ms(address))
         except (OSError, EOFError, ValueError, TimeoutError, asyncio.LimitOverrunError):
             connection.writer.transport.abort()
-            self._failed_addresses.add(address)
             attempt.ended_at_ms = now()
+            if attempt.ended_at_ms - attempt.sent_at_ms >= request.patience_ms:
+                attempt.left_at_ms = attempt.ended_at_ms
+                return AttemptResult(has_left=True)
+            self._failed_addresses.add(address)
             return AttemptResult()
         attempt.ended_at_ms = now()
         attempt.is_complete = True
--- a/hallhitch/lab/emulator/client_request.py
+++ b/hallhitch/lab/emulator/client_request.py
@@ -23,6 +23,7 @@
     is_idempotent: bool = True
     latency_target_ms: float = 500.0
     deadline_ms: float = 2000.0
+    patience_ms: float = float("inf")  # after it the client leaves: it closes its connection and sends nothing again
 
 
 @dataclass(slots=True)
@@ -50,6 +51,7 @@
     status: int = 0  # 0 = the connection closed, or nothing came
     is_unread: bool = False  # the gateway has surely not read the request
     retry_after_ms: float = 0.0
+    has_left: bool = False  # the client has closed its connection, and waits no longer
 
 
 def retry_delay_ms(
@@ -57,7 +59,7 @@
 ) -> float | None:
     """Return how long a client waits before its next attempt; None = there is none."""
     is_conclusive = 200 <= result.status < 300 or result.status in CONCLUSIVE_STATUSES
-    if is_conclusive or remaining_ms <= 0:
+    if is_conclusive or result.has_left or remaining_ms <= 0:
         return None
     is_surely_not_executed = result.status in NOT_EXECUTED_STATUSES or (result.status == 0 and result.is_unread)
     if not request.is_idempotent and not is_surely_not_executed:
--- a/hallhitch/lab/emulator/control_scenarios.py
+++ b/hallhitch/lab/emulator/control_scenarios.py
@@ -24,6 +24,8 @@
 MINORITY_TIMEOUT_MS: Final = 1200.0  # of a coordinator that may have no majority: it gives a call up after 1000
 OVERLAP_S: Final = 1.0  # for which a replaced machine runs on beside its successor
 CHANGE_COUNT: Final = 300
+DRAIN_MARGIN_MS: Final = 1000.0  # beyond the bound, for which a draining backend still runs
+DRAIN_INTERVAL_S: Final = 1.5
 MISSED_CHANGES: Final = 20  # by a coordinator that is away
 
 Injection = Callable[[], Awaitable[None]]
@@ -168,4 +170,16 @@
         await processes.restart(steady, "killed")
 
     description = f"{CHANGE_COUNT} changes; {restarted.name} is restarted, {wiped.name} loses its disk"
-    return [PlannedFault(duration_s * 0.05, description, inject)]
+    return [
+        PlannedFault(duration_s * 0.05, description, inject),
+        PlannedFault(duration_s * 0.05, "backends drain one after the other", lambda: _drain_in_turn(emulator)),
+    ]
+
+
+async def _drain_in_turn(emulator: Emulator) -> None:
+    """Replace half of the backends, one after the other: a new one starts, an old one drains."""
+    fleet, bounds = emulator.backends, emulator.spec.bounds
+    for backend in list(fleet.backends.values())[::2]:
+        await emulator.start_backend(backend.spec.service, 1, 1, is_cold=False)
+        fleet.drain(backend, bounds.drain_timeout_ms + DRAIN_MARGIN_MS)
+        await asyncio.sleep(DRAIN_INTERVAL_S)
--- a/hallhitch/lab/emulator/records.py
+++ b/hallhitch/lab/emulator/records.py
@@ -31,6 +31,7 @@
     deadline_ms: float  # from `sent_at_ms`
     is_probe: bool = False  # sent to learn what is in force: earns nothing
     ended_at_ms: float | None = None
+    left_at_ms: float | None = None  # when its client closed the connection without waiting for the response
     status: int = 0  # 0 = the connection closed, or nothing came
     seal: str = ""
     echoed_id: str = ""  # that the response bore
@@ -56,6 +57,8 @@
     authorization: str  # a header that must not get here
     body_digest: int
     started_at_ms: float | None = None
+    planned_end_ms: float | None = None  # when its execution ends if nobody stops it
+    stopped_at_ms: float | None = None  # when its execution ended
     status: int = 0  # of its response; 0 = none was sent
     seal: str = ""
     response_digest: int = 0
--- a/hallhitch/lab/emulator/rules.py
+++ b/hallhitch/lab/emulator/rules.py
@@ -11,6 +11,7 @@
 from typing import Final
 
 from hallhitch.lab.emulator.config_rules import check_config_versions
+from hallhitch.lab.emulator.departure_rules import check_departures
 from hallhitch.lab.emulator.execution_rules import (
     check_allowed_regions,
     check_duplicate_execution,
@@ -39,6 +40,7 @@
     "ROUTE": check_routes,
     "HOME": check_allowed_regions,
     "DRAIN": check_drain,
+    "GONE": check_departures,
     "EVAC": check_evacuation,
     "FAILBACK": check_cold_load,
     "QUOTA": check_quota,
--- a/hallhitch/lab/emulator/scenarios.py
+++ b/hallhitch/lab/emulator/scenarios.py
@@ -7,9 +7,12 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from typing import Final
 
+from hallhitch.lab.emulator.config_semantics import NON_IDEMPOTENT
 from hallhitch.lab.emulator.control_scenarios import (
+    DRAIN_MARGIN_MS,
     Injection,
     coordinator_partitions,
     coordinator_replacements,
@@ -26,11 +29,15 @@
 RESTART_DELAY_S: Final = 1.0  # after which a killed process is started again
 PAUSE_DURATION_S: Final = 3.0
 COLD_DURATION_MS: Final = 3000.0
-DRAIN_MARGIN_MS: Final = 1000.0  # beyond the bound, for which a draining backend still runs
 INVALID_CONFIG_TIMEOUT_MS: Final = 3000.0
 ADDED_ROUTES: Final = 20
 OVERLOAD_RATE_PER_S: Final = 200
 OVERLOAD_RATIO: Final = 0.3  # of the run
+DEPARTURES_PER_S: Final = 20
+DEPARTURE_RATIO: Final = 0.3  # of the run
+DEPARTURE_WORK_FACTOR: Final = 20.0  # so that requests last well beyond the rule's half second
+PATIENCE_MS: Final = 60.0
+FIRST_DEPARTURE_REQUEST: Final = 20_000  # numbers of requests that no other one has
 FIRST_OVERLOAD_REQUEST: Final = 10_000  # numbers of requests that no other one has
 RESPONSE_FAULT_RATIOS: Final = {
     ResponseFault.LOST: 0.01,
@@ -240,6 +247,27 @@
     return [PlannedFault(duration_s * 0.3, description, inject)]
 
 
+def client_departures(emulator: Emulator, duration_s: float) -> list[PlannedFault]:
+    """Let all backends be slow for a part of the run, and clients leave long before their responses."""
+    spec = emulator.spec
+    kinds = [kind for kind in spec.request_kinds if kind.route_kind != NON_IDEMPOTENT]
+
+    async def inject() -> None:
+        emulator.backends.work_factor = DEPARTURE_WORK_FACTOR
+        tasks = []
+        for number in range(int(duration_s * DEPARTURE_RATIO * DEPARTURES_PER_S)):
+            api_key = spec.api_keys(spec.tenants[number % len(spec.tenants)])[0]
+            request = kinds[number % len(kinds)].make_request(FIRST_DEPARTURE_REQUEST + number, api_key)
+            client = emulator.clients[number % len(emulator.clients)]
+            tasks.append(asyncio.create_task(client.request(replace(request, patience_ms=PATIENCE_MS))))
+            await asyncio.sleep(1 / DEPARTURES_PER_S)
+        await asyncio.gather(*tasks)
+        emulator.backends.work_factor = 1.0
+
+    description = f"backends are {DEPARTURE_WORK_FACTOR:g} times as slow, clients leave after {PATIENCE_MS:g} ms"
+    return [PlannedFault(duration_s * 0.3, description, inject)]
+
+
 def _machines(emulator: Emulator) -> tuple[list[Machine], list[Machine]]:
     """Return coordinators and gateways."""
     return emulator.processes.with_role("coordinator"), emulator.processes.with_role("gateway")
@@ -255,6 +283,7 @@
     "backends": backend_faults,
     "changes": config_changes,
     "press": overload,
+    "departures": client_departures,
     "control_cut": coordinator_partitions,
     "exchange": coordinator_replacements,
     "hundreds": many_config_changes,
--- a/tests/system/emulator/test_emulated_client.py
+++ b/tests/system/emulator/test_emulated_client.py
@@ -49,6 +49,10 @@
     assert retry_delay_ms(request_, result, remaining_ms, BACKOFF_MS) == expected_ms
 
 
+def test_a_client_that_has_left_does_not_come_back() -> None:
+    assert retry_delay_ms(IDEMPOTENT, AttemptResult(has_left=True), 900, BACKOFF_MS) is None
+
+
 def test_client_resolves_and_retries_after_a_rejection() -> None:
     async def body() -> None:
         base_port, reservation = reserve_ports()
--- a/tests/system/emulator/test_rules.py
+++ b/tests/system/emulator/test_rules.py
@@ -73,6 +73,44 @@
     _draining(5000)(builder)
 
 
+def _departed(count: int, stopped_at_ms: float, kind: str = "look", planned_end_ms: float = 2000.0) -> Fill:
+    """Clients leave at 1000; each has a request that a backend has begun, and that ends then."""
+
+    def fill(builder: RecordBuilder) -> None:
+        for _ in range(count):
+            attempt = builder.add_attempt(800, kind, status=0, left_at_ms=1000.0)
+            builder.add_arrival(attempt, planned_end_ms=planned_end_ms, stopped_at_ms=stopped_at_ms)
+
+    return fill
+
+
+def _departed_from_a_failing_gateway(builder: RecordBuilder) -> None:
+    builder.add_fault(900, 1200, "edge-1", "paused")
+    _departed(4, 1900)(builder)
+
+
+def _departed_mostly_stopped(late_count: int) -> Fill:
+    """Four clients leave; the executions for some of them are not stopped in time."""
+
+    def fill(builder: RecordBuilder) -> None:
+        _departed(4 - late_count, 1100)(builder)
+        _departed(late_count, 1900)(builder)
+
+    return fill
+
+
+def _arriving_after_departure(count: int, arrived_at_ms: float) -> Fill:
+    """Requests reach a backend after their clients have left at 1000."""
+
+    def fill(builder: RecordBuilder) -> None:
+        for _ in range(count):
+            builder.add_arrival(
+                builder.add_attempt(800, "stamp", status=0, left_at_ms=1000.0), arrived_at_ms=arrived_at_ms
+            )
+
+    return fill
+
+
 def _evacuated(arrived_at_ms: float, stopped_at_ms: float | None = None) -> Fill:
     """A zone's evacuation is acknowledged at 1000; a request arrives."""
 
@@ -210,6 +248,16 @@
     ("draining, late, 421", _draining(4100, status=421, started_at_ms=None, seal=""), {"MIXED"}),
     ("draining, late, the list was down", _draining_during_list_outage, set()),
     ("draining, late, its gateway was down", _with_fault(_draining(4100)), set()),
+    ("stopped with its client", _departed(4, 1100), set()),
+    ("going on without its client", _departed(4, 1900), {"GONE"}),
+    ("going on without its client, briefly", _departed(4, 1450, planned_end_ms=1450), set()),
+    ("going on without its client, unsafe", _departed(4, 1900, "stamp"), set()),
+    ("going on without its client, out of contact", _departed_from_a_failing_gateway, set()),
+    ("one in four going on without its client", _departed_mostly_stopped(1), set()),
+    ("two in four going on without their clients", _departed_mostly_stopped(2), {"GONE"}),
+    ("a few arrivals after their clients left", _arriving_after_departure(3, 1600), set()),
+    ("many arrivals after their clients left", _arriving_after_departure(4, 1600), {"GONE"}),
+    ("many arrivals as their clients leave", _arriving_after_departure(9, 1400), set()),
     ("evacuated, in time", _evacuated(5990), set()),
     ("evacuated, late", _evacuated(6100), {"EVAC"}),
     ("evacuated, stopped", _evacuated(6100, stopped_at_ms=3000), set()),
