--- a/hallhitch/planes/discovery/directory.py
+++ b/hallhitch/planes/discovery/directory.py
@@ -22,6 +22,9 @@
 MIN_LOCAL_GATEWAYS: Final = 2  # fewer in the client's region, and others are added: one of them may fail
 TTL_RATIO: Final = 0.4  # of the longest TTL that the rules allow: clients keep a reply for up to three times its TTL
 MIN_TTL_MS: Final = 1000.0
+# Of a reply that names gateways of other regions: soon there are more of the client's own, and some clients keep a reply
+# for three times its TTL.
+MAKESHIFT_TTL_MS: Final = 500.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,8 +84,9 @@
         chosen = nearest_gateways(gateways, query, self._home_regions_of(query.host))
         if not chosen:
             return HttpReply(503, {"Retry-After": "0.5"}, b'{"errorMessage":"no gateway is known to be ready"}')
-        addresses = [gateway.frontend for gateway in chosen]
-        body = json.dumps({"addresses": addresses, "ttl": f"{self._ttl_ms:.0f}ms"})
+        is_makeshift = any(gateway.region != query.region for gateway in chosen)
+        ttl_ms = MAKESHIFT_TTL_MS if is_makeshift else self._ttl_ms
+        body = json.dumps({"addresses": [gateway.frontend for gateway in chosen], "ttl": f"{ttl_ms:.0f}ms"})
         return HttpReply(200, {"Content-Type": "application/json"}, body.encode())
 
     def _parse_query(self, text: str) -> DirectoryQuery:
--- a/tests/system/discovery/test_directory.py
+++ b/tests/system/discovery/test_directory.py
@@ -45,4 +45,6 @@
     home_regions = {"home-c.example": frozenset("c"), "none.example": frozenset[str]()}
     directory = Directory({"a-z": "a"}, 5000.0, home_regions.get)
     reply = directory.handle("GET", f"/hallhitch/resolve?{query}", gateways)
-    assert json.loads(reply.body)["addresses"] == [f"{name}:80" for name in names]
+    answer = json.loads(reply.body)
+    assert answer["addresses"] == [f"{name}:80" for name in names]
+    assert answer["ttl"] == ("2000ms" if names in (["a1"], ["c1", "c2"]) else "500ms")  # briefly, with other regions
