--- a/hallhitch/planes/discovery/directory.py
+++ b/hallhitch/planes/discovery/directory.py
@@ -22,8 +22,8 @@
 MIN_LOCAL_GATEWAYS: Final = 2  # fewer in the client's region, and others are added: one of them may fail
 TTL_RATIO: Final = 0.4  # of the longest TTL that the rules allow: clients keep a reply for up to three times its TTL
 MIN_TTL_MS: Final = 1000.0
-# Of a reply that names gateways of other regions: soon there are more of the client's own, and some clients keep a reply
-# for three times its TTL.
+# Of a reply that names gateways of other regions: soon there are more of the client's own, and some clients keep a
+# reply for three times its TTL.
 MAKESHIFT_TTL_MS: Final = 500.0
 
 
