--- a/hallhitch/lab/emulator/client.py
+++ b/hallhitch/lab/emulator/client.py
@@ -6,15 +6,12 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import itertools
-import json
-from collections import Counter
-from collections.abc import Callable, Iterator, Mapping, Sequence
-from dataclasses import dataclass, field
-from typing import Final, NamedTuple
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Final
 
 from hallhitch.lab.emulator.backend_connection import digest_body
+from hallhitch.lab.emulator.client_environment import ClientEnvironment
 from hallhitch.lab.emulator.client_request import (
     NOT_EXECUTED_STATUSES,
     AttemptResult,
@@ -22,32 +19,22 @@
     RequestOutcome,
     retry_delay_ms,
 )
-from hallhitch.lab.emulator.connection_owners import Address
-from hallhitch.lab.emulator.network_paths import CLIENTS, NetworkPaths, region_of
-from hallhitch.lab.emulator.records import ClientAttempt, Records
+from hallhitch.lab.emulator.directory_client import ClientLocation, DirectoryClient
+from hallhitch.lab.emulator.network_paths import CLIENTS, region_of
+from hallhitch.lab.emulator.records import ClientAttempt
 from hallhitch.lab.http_messages import Reader, Writer, read_message
 from hallhitch.lab.streams import Stream
 from hallhitch.messages.addressing import split_address
 from hallhitch.node.clock import now
-from hallhitch.node.durations import parse_duration_ms
 
 MAX_ATTEMPTS: Final = 4
 FIRST_BACKOFF_MS: Final = 20.0  # doubled with each attempt
 NO_GATEWAY_PAUSE_S: Final = 0.05  # before an attempt counts as failed that no gateway is known for
-CONNECT_TIMEOUT_MS: Final = 1000.0  # of a new connection, and of one directory
-MAX_DIRECTORIES: Final = 3  # that are tried for one answer
-MAX_ADDRESSES: Final = 64  # of an answer that are used
+CONNECT_TIMEOUT_MS: Final = 1000.0  # of a new connection
 DEFAULT_IDLE_TIMEOUT_MS: Final = 4000.0  # of a kept connection whose gateway names no time, and at most
 UNREAD_TIMEOUT_MS: Final = 1000.0  # of an idempotent attempt at a gateway that does not read
 
 
-class DirectoryAnswer(NamedTuple):
-    """Addresses of gateways and how long they are valid."""
-
-    addresses: list[str]
-    ttl_ms: float
-
-
 @dataclass(slots=True)
 class _ClientConnection:
     """A connection to a gateway."""
@@ -58,20 +45,6 @@
     usable_until_ms: float = 0.0
 
 
-@dataclass(slots=True)
-class ClientEnvironment:
-    """What all clients of an emulator share. `gateway_names` are those of machines by frontend address."""
-
-    records: Records
-    network: NetworkPaths
-    directories: Mapping[str, Sequence[Address]]  # by region: nearest first
-    gateway_names: Mapping[str, str]
-    max_ttl_ms: float
-    is_reading: Callable[[str], bool] = lambda address: True  # whether the process at an address reads what comes
-    request_ids: Iterator[int] = field(default_factory=lambda: itertools.count(1))
-    counters: Counter[str] = field(default_factory=Counter)
-
-
 class Client:
     """Clients of one zone that share the directory's answer and idle connections.
 
@@ -91,16 +64,12 @@
     ) -> None:
         self.region = region
         self.zone = zone
-        self.addresses: list[str] = []
+        self.directory = DirectoryClient(environment, ClientLocation(region, zone, region_number), ttl_factor)
         self._environment = environment
         self._region_number = region_number
         self._stream = stream
         self._keeps_connections = keeps_connections
-        self._ttl_factor = ttl_factor
-        self._failed_addresses: set[str] = set()
-        self._resolved_until_ms = 0.0
         self._idle: list[_ClientConnection] = []
-        self._resolving = asyncio.Lock()
 
     def close(self) -> None:
         """Close all idle connections."""
@@ -108,47 +77,6 @@
             connection.writer.close()
         self._idle.clear()
 
-    # --- The directory.
-
-    async def resolve(self, host: str) -> list[str]:
-        """Return the addresses of gateways, as known or resolved anew."""
-        async with self._resolving:
-            if now() >= self._resolved_until_ms:
-                for directory in list(self._environment.directories[self.region])[:MAX_DIRECTORIES]:
-                    with contextlib.suppress(OSError, EOFError, ValueError, TimeoutError, KeyError):
-                        async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1000):
-                            answer = await self._query_directory(directory, host)
-                        self._use_answer(answer)
-                        break
-                else:
-                    self._environment.counters["directory failed"] += 1
-        return self.addresses
-
-    async def _query_directory(self, address: Address, host: str) -> DirectoryAnswer:
-        reader, writer = await asyncio.open_connection(*address)
-        try:
-            delay_ms = self._environment.network.delay_ms(self._region_number, region_of(address[0]))
-            await asyncio.sleep(2 * (delay_ms / 1000))
-            writer.write(
-                f"GET /hallhitch/resolve?name={host}&region={self.region}&zone={self.zone} HTTP/1.1\r\n"
-                f"Host: {address[0]}:{address[1]}\r\n\r\n".encode()
-            )
-            status_line, _, body = await read_message(reader)
-            if status_line.split()[1] != "200":
-                raise ValueError(status_line)
-            document = json.loads(body)
-            ttl_ms = min(self._environment.max_ttl_ms, parse_duration_ms(document["ttl"]))
-            return DirectoryAnswer(list(document["addresses"])[:MAX_ADDRESSES], ttl_ms)
-        finally:
-            writer.close()
-
-    def _use_answer(self, answer: DirectoryAnswer) -> None:
-        self.addresses, self._failed_addresses = answer.addresses, set()
-        self._resolved_until_ms = now() + answer.ttl_ms * self._ttl_factor
-        for connection in [idle for idle in self._idle if idle.address not in answer.addresses]:
-            self._idle.remove(connection)
-            connection.writer.close()
-
     # --- One request.
 
     async def request(self, request: ClientRequest) -> RequestOutcome:
@@ -172,8 +100,8 @@
         """Send one attempt; only the first uses an idle connection."""
         connection = self._take_idle_connection() if is_first and self._keeps_connections else None
         if connection is None:
-            addresses = await self.resolve(request.host)
-            usable = [address for address in addresses if address not in self._failed_addresses] or addresses
+            usable = await self.directory.resolve(request.host)
+            self._close_outdated()
             if not usable:
                 await asyncio.sleep(NO_GATEWAY_PAUSE_S)
                 return AttemptResult(is_unread=True)
@@ -182,6 +110,12 @@
                 return AttemptResult(is_unread=True)
         return await self._send_attempt(connection, request, deadline_ms)
 
+    def _close_outdated(self) -> None:
+        """Close the idle connections to gateways that the newest answer of the directory leaves out."""
+        for connection in [idle for idle in self._idle if self.directory.is_outdated(idle.address)]:
+            self._idle.remove(connection)
+            connection.writer.close()
+
     def _take_idle_connection(self) -> _ClientConnection | None:
         while self._idle:
             connection = self._idle.pop()
@@ -199,7 +133,7 @@
                 reader, writer = await asyncio.open_connection(host, port)
                 await asyncio.sleep(2 * self._delay_ms(address) / 1000)  # the handshake's round trip
         except (OSError, TimeoutError):
-            self._failed_addresses.add(address)
+            self.directory.failed_addresses.add(address)
             return None
         return _ClientConnection(address, reader, writer)
 
@@ -257,7 +191,7 @@
             if attempt.ended_at_ms - attempt.sent_at_ms >= request.patience_ms:
                 attempt.left_at_ms = attempt.ended_at_ms
                 return AttemptResult(has_left=True)
-            self._failed_addresses.add(address)
+            self.directory.failed_addresses.add(address)
             return AttemptResult()
         attempt.ended_at_ms = now()
         attempt.is_complete = True
@@ -276,7 +210,7 @@
         timeout = parameters.get("timeout", "")
         idle_timeout_ms = float(timeout) * 1000 if timeout.isdigit() else DEFAULT_IDLE_TIMEOUT_MS
         is_closing = headers.get("connection", "").lower() == "close"
-        is_outdated = bool(self.addresses) and connection.address not in self.addresses
+        is_outdated = self.directory.is_outdated(connection.address)
         if not self._keeps_connections or is_closing or is_outdated:
             connection.writer.close()
         else:
--- a/hallhitch/lab/emulator/emulator.py
+++ b/hallhitch/lab/emulator/emulator.py
@@ -15,7 +15,8 @@
 from typing import Final
 
 from hallhitch.lab.emulator.backend_fleet import BackendFleet
-from hallhitch.lab.emulator.client import Client, ClientEnvironment
+from hallhitch.lab.emulator.client import Client
+from hallhitch.lab.emulator.client_environment import ClientEnvironment
 from hallhitch.lab.emulator.connection_owners import Address, ConnectionOwners
 from hallhitch.lab.emulator.emulated_operator import EmulatedOperator
 from hallhitch.lab.emulator.errors import ConditionTimeout, ProcessExitedError
--- a/tests/system/emulator/test_emulated_client.py
+++ b/tests/system/emulator/test_emulated_client.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from hallhitch.lab.emulator.client import Client, ClientEnvironment
+from hallhitch.lab.emulator.client import Client
+from hallhitch.lab.emulator.client_environment import ClientEnvironment
 from hallhitch.lab.emulator.client_request import AttemptResult, ClientRequest, retry_delay_ms
 from hallhitch.lab.emulator.network_paths import NetworkPaths
 from hallhitch.lab.emulator.ports import reserve_ports
