--- a/hallhitch/planes/discovery/directory.py
+++ b/hallhitch/planes/discovery/directory.py
@@ -24,7 +24,7 @@
 MIN_TTL_MS: Final = 1000.0
 # Of a reply that names gateways of other regions: soon there are more of the client's own, and some clients keep a
 # reply for three times its TTL.
-MAKESHIFT_TTL_MS: Final = 500.0
+OTHER_REGIONS_TTL_MS: Final = 500.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,8 +84,8 @@
         chosen = nearest_gateways(gateways, query, self._home_regions_of(query.host))
         if not chosen:
             return HttpReply(503, {"Retry-After": "0.5"}, b'{"errorMessage":"no gateway is known to be ready"}')
-        is_makeshift = any(gateway.region != query.region for gateway in chosen)
-        ttl_ms = MAKESHIFT_TTL_MS if is_makeshift else self._ttl_ms
+        names_other_regions = any(gateway.region != query.region for gateway in chosen)
+        ttl_ms = OTHER_REGIONS_TTL_MS if names_other_regions else self._ttl_ms
         body = json.dumps({"addresses": [gateway.frontend for gateway in chosen], "ttl": f"{ttl_ms:.0f}ms"})
         return HttpReply(200, {"Content-Type": "application/json"}, body.encode())
 
