--- a/tests/system/node/test_metrics.py
+++ b/tests/system/node/test_metrics.py
@@ -7,6 +7,7 @@
 import pytest
 
 from hallhitch.node.metrics import Metric, MetricKind, MetricsServer, gauge, render_metrics
+from tests.stand_ins import free_port
 
 METRICS = [
     gauge("config_serial", "Serial in force.", 12),
@@ -37,20 +38,12 @@
     return reply
 
 
-async def find_free_port() -> int:
-    """Return a port of this machine that nobody listens at."""
-    server = await asyncio.start_server(lambda reader, writer: None, "127.0.0.1", 0)
-    port = int(server.sockets[0].getsockname()[1])
-    server.close()
-    return port
-
-
 @pytest.mark.parametrize(("path", "status"), [("/metrics", b"200"), ("/metrics?x=1", b"200"), ("/", b"404")])
 def test_metrics_are_read_when_they_are_asked_for(path: str, status: bytes) -> None:
     async def scenario() -> None:
         values = [1.0]
         server = MetricsServer(lambda: [gauge("value", "A value.", values[0])])
-        port = await find_free_port()
+        port = free_port()
         await server.serve(("127.0.0.1", port))
         values[0] = 2.0
         reply = await fetch(port, path)
