Metrics and a log event of how late an endpoint list is replaced

The incident's hypotheses could not be told apart: a process told the age of its list only at the moment of the question. Now each process counts the ages that its lists reached, coordinators their reads, gateways their pulls by result and the time from the choice of a backend to the write; a list replaced after half of drainTimeout is logged.

--- a/hallhitch/node/metrics.py
+++ b/hallhitch/node/metrics.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from bisect import bisect_left
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from enum import Enum
+from itertools import accumulate
 from typing import Final
 
 from hallhitch.node.http_server import HttpReply, HttpServer
@@ -18,6 +20,7 @@
 METRICS_PATH: Final = "/metrics"
 CONTENT_TYPE: Final = "text/plain; version=0.0.4; charset=utf-8"
 PREFIX: Final = "hallhitch_"
+INFINITE_BOUND: Final = "+Inf"
 
 
 class MetricKind(Enum):
@@ -25,6 +28,7 @@
 
     COUNTER = "counter"
     GAUGE = "gauge"
+    HISTOGRAM = "histogram"
 
 
 @dataclass(frozen=True, slots=True)
@@ -36,6 +40,27 @@
     description: str
     samples: Mapping[str, float]
     label: str = ""
+    sum: float = 0.0  # of a histogram's values
+
+
+class Histogram:
+    """Counts observed values by buckets with these upper bounds, in ascending order; the last bucket is unbounded."""
+
+    def __init__(self, bounds: Sequence[float]) -> None:
+        self._bounds = tuple(bounds)
+        self._counts = [0] * (len(self._bounds) + 1)
+        self._sum = 0.0
+
+    def observe(self, value: float) -> None:
+        """Count one value."""
+        self._counts[bisect_left(self._bounds, value)] += 1
+        self._sum += value
+
+    def metric(self, name: str, description: str) -> Metric:
+        """Return the counts as a metric, each bucket including all lower ones."""
+        bounds = [f"{bound:g}" for bound in self._bounds]
+        samples = dict(zip([*bounds, INFINITE_BOUND], map(float, accumulate(self._counts)), strict=True))
+        return Metric(name, MetricKind.HISTOGRAM, description, samples, "le", self._sum)
 
 
 def gauge(name: str, description: str, value: float) -> Metric:
@@ -50,12 +75,20 @@
         name = PREFIX + metric.name
         lines.append(f"# HELP {name} {metric.description}")
         lines.append(f"# TYPE {name} {metric.kind.value}")
+        if metric.kind is MetricKind.HISTOGRAM:
+            lines += _histogram_lines(name, metric)
+            continue
         for label_value, value in sorted(metric.samples.items()):
             labels = f'{{{metric.label}="{label_value}"}}' if metric.label else ""
             lines.append(f"{name}{labels} {value:g}")
     return "\n".join([*lines, ""]).encode()
 
 
+def _histogram_lines(name: str, metric: Metric) -> list[str]:
+    buckets = [f'{name}_bucket{{le="{bound}"}} {count:g}' for bound, count in metric.samples.items()]
+    return [*buckets, f"{name}_sum {metric.sum:g}", f"{name}_count {metric.samples[INFINITE_BOUND]:g}"]
+
+
 class MetricsServer:
     """Serves the metrics of a process at METRICS_PATH."""
 
--- a/hallhitch/planes/data/context.py
+++ b/hallhitch/planes/data/context.py
@@ -4,12 +4,15 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Final
 
+from hallhitch.node.metrics import Histogram
 from hallhitch.planes.data.connection_pools import ConnectionPools
 from hallhitch.planes.data.interfaces import LoadBalancingPolicy, QuotaCounter
 from hallhitch.planes.values import ClusterConfig, RequestLimits
 
+ATTEMPT_WAIT_BUCKETS_MS: Final = (1.0, 5.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1000.0)
+
 
 @dataclass(slots=True)
 class DataPlaneContext:
@@ -23,6 +26,7 @@
     config: ClusterConfig | None = None  # None until the first one is received
     is_draining: bool = False
     default_limits: RequestLimits = field(default_factory=RequestLimits)
+    attempt_waits: Histogram = field(default_factory=lambda: Histogram(ATTEMPT_WAIT_BUCKETS_MS))
 
     @property
     def limits(self) -> RequestLimits:
--- a/hallhitch/planes/data/plane.py
+++ b/hallhitch/planes/data/plane.py
@@ -96,6 +96,7 @@
         return [
             Metric("events_total", MetricKind.COUNTER, "Events of the data plane.", events, "event"),
             Metric("connections", MetricKind.GAUGE, "Connections that are open.", connections, "peer"),
+            self.context.attempt_waits.metric("attempt_wait_ms", "From the choice of a backend to the write."),
         ]
 
     # Shutdown.
--- a/hallhitch/planes/data/request_handler.py
+++ b/hallhitch/planes/data/request_handler.py
@@ -305,7 +305,9 @@
         """Record the end of an attempt and report it to the load balancer, even after the reply was sent."""
         context = self._context
         self._in_flight.remove(attempt)
-        self._written_count += attempt.written_at is not None
+        if attempt.written_at is not None:
+            self._written_count += 1
+            context.attempt_waits.observe(attempt.written_at - attempt.started_at)
         context.count(f"attempt_{outcome.value}")
         if self._client.is_disconnected and attempt.written_at is not None and outcome is not Outcome.ABANDONED:
             context.count("attempt_ended_after_client_gone")
--- a/hallhitch/planes/discovery/endpoint_list_reader.py
+++ b/hallhitch/planes/discovery/endpoint_list_reader.py
@@ -7,6 +7,7 @@
 from typing import Final
 
 from hallhitch.node.logs import ComponentLogger, RateLimitedLog
+from hallhitch.node.metrics import Histogram, Metric, MetricKind
 from hallhitch.planes.discovery.errors import EndpointListError
 from hallhitch.planes.discovery.platform_client import EndpointListReading, PlatformClient
 
@@ -14,6 +15,8 @@
 MAX_INTERVAL_MS: Final = 1000.0  # between two reads
 INTERVAL_RATIO: Final = 0.2  # of drainTimeout; the rest is for propagating a change to the last gateway
 
+READ_BUCKETS_MS: Final = (5.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1000.0, 2000.0)
+
 
 def reading_interval_ms(drain_timeout_ms: float) -> float:
     """Return the read interval with which all gateways know of a draining backend before its drain time-out."""
@@ -35,17 +38,31 @@
         self._on_reading = on_reading
         self._clock = clock
         self._log = RateLimitedLog(ComponentLogger("list"))
+        self._durations = Histogram(READ_BUCKETS_MS)
+        self._read_counts = {"complete": 0, "failed": 0}
 
     async def read(self) -> None:
         """Read the list once; after a failure, log it and pause."""
+        started_at = self._clock()
         try:
             reading = await self._client.read()
         except EndpointListError as error:
+            self._read_counts["failed"] += 1
             self._log.warning(self._clock(), "endpoint list not read", reason=error.reason)
             await asyncio.sleep(self._interval_ms * RETRY_PAUSE_RATIO / 1000)
         else:
+            self._read_counts["complete"] += 1
+            self._durations.observe(self._clock() - started_at)
             self._on_reading(reading)
 
+    def metrics(self) -> list[Metric]:
+        """Return how many reads were complete or failed, and how long the complete ones took."""
+        reads = {result: float(count) for result, count in self._read_counts.items()}
+        return [
+            Metric("endpoint_list_reads_total", MetricKind.COUNTER, "Reads of the endpoint list.", reads, "result"),
+            self._durations.metric("endpoint_list_read_ms", "Duration of the complete reads."),
+        ]
+
     def close(self) -> None:
         """Close the connection to the platform."""
         self._client.close()
--- a/hallhitch/planes/distribution/gateway_sync.py
+++ b/hallhitch/planes/distribution/gateway_sync.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import Final
@@ -20,6 +21,7 @@
 from hallhitch.messages.system_pb2 import Envelope, StateUpdate
 from hallhitch.node.errors import PeerCallError
 from hallhitch.node.logs import ComponentLogger
+from hallhitch.node.metrics import Metric, MetricKind
 from hallhitch.planes.distribution.peer_order import rendezvous_order
 from hallhitch.planes.distribution.peer_replica import HOLD_MS, PeerReplica
 from hallhitch.planes.distribution.ports import SyncContext
@@ -66,6 +68,7 @@
         self._replicas: dict[str, PeerReplica] = {}
         self._pending: dict[str, _PendingRequest] = {}  # by address
         self._awaited_address = ""  # address of the peer whose reply `_run` waits for
+        self._pull_counts: Counter[str] = Counter()  # of pulls from coordinators, by result
         self.is_startup_complete = False  # True once a majority of the seeds has replied or STARTUP_WAIT_MS have passed
 
     def start(self) -> None:
@@ -93,6 +96,11 @@
         if self._awaited_address in self._pending:
             self._pending[self._awaited_address].task.cancel()
 
+    def metrics(self) -> list[Metric]:
+        """Return the pulls from coordinators, by result."""
+        pulls = {result: float(count) for result, count in self._pull_counts.items()}
+        return [Metric("state_pulls_total", MetricKind.COUNTER, "Pulls from coordinators, by result.", pulls, "result")]
+
     async def _run(self) -> None:
         await self._pull_from_seeds()
         self.is_startup_complete = True
@@ -204,9 +212,9 @@
         self._awaited_address = replica.address
         request = self._request(replica, hold_ms, updates_view=True)
         await asyncio.wait({request}, timeout=(hold_ms + self._reply_timeout_ms(replica)) / 1000)
-        if not request.done():
-            return False
-        return request.cancelled() or request.result()
+        has_reply = request.done() and (request.cancelled() or request.result())
+        self._pull_counts["reply" if has_reply else "failed" if request.done() else "overdue"] += 1
+        return has_reply
 
     def _request(self, replica: PeerReplica, hold_ms: float, *, updates_view: bool) -> asyncio.Task[bool]:
         """Return the request to this peer that is in flight; send one if there is none."""
--- a/hallhitch/planes/distribution/peer_replica.py
+++ b/hallhitch/planes/distribution/peer_replica.py
@@ -89,7 +89,9 @@
         if update.HasField("backends"):
             self.backends.apply(decode_backend_delta(update.backends, received_at))
         if update.endpoint_list_age_ms and self._has_list_of_reported_age(update):
-            hub.update_backends(written_at - update.endpoint_list_age_ms, self.backends.items.values())
+            is_applied = hub.update_backends(written_at - update.endpoint_list_age_ms, self.backends.items.values())
+            if update.HasField("backends") and not is_applied:
+                hub.list_freshness.on_dismissed()
         if update.HasField("gateways"):
             self.gateways.apply(decode_gateway_delta(update.gateways))
         if update.HasField("holders"):
--- a/hallhitch/planes/distribution/state_hub.py
+++ b/hallhitch/planes/distribution/state_hub.py
@@ -23,6 +23,7 @@
 from hallhitch.node.clock import now
 from hallhitch.node.metrics import Metric, MetricKind, gauge
 from hallhitch.planes.discovery.endpoint_list import ListedBackend, reconcile_list
+from hallhitch.planes.distribution.list_freshness import ListFreshness
 from hallhitch.planes.distribution.state_messages import (
     decode_version,
     encode_backend_delta,
@@ -64,6 +65,7 @@
         self.can_bootstrap_peers: Callable[[], bool] = lambda: True  # whether to send a first configuration
         self.on_change: list[Callable[[], None]] = []
         self.reply_counts: Counter[str] = Counter()  # by content
+        self.list_freshness = ListFreshness()
         self._waiters: set[asyncio.Future[None]] = set()
 
     def metrics(self) -> list[Metric]:
@@ -78,6 +80,7 @@
             gauge("endpoint_list_version", "Changes of the endpoint list that were applied.", self.backends.number),
             Metric("backends", MetricKind.GAUGE, "Backends in the endpoint list.", backends, "state"),
             Metric("state_replies_total", MetricKind.COUNTER, "Replies to peers, by content.", replies, "content"),
+            *self.list_freshness.metrics(),
         ]
 
     # Updates of the state.
@@ -116,6 +119,9 @@
         """Replace the endpoint list if the given one was read later; return whether it was."""
         if read_at <= self.list_read_at:
             return False
+        if self._has_endpoint_list:
+            now_ms = self._clock()
+            self.list_freshness.on_replaced(now_ms, now_ms - self.list_read_at)
         self.list_read_at = read_at
         known = {backend.instance: backend for backend in self.backends.values()}
         reconciled = reconcile_list(known, backends, self._drained)
--- a/hallhitch/programs/coordinator.py
+++ b/hallhitch/programs/coordinator.py
@@ -14,7 +14,7 @@
 from hallhitch.messages.system_pb2 import ClusterState, Envelope
 from hallhitch.node.errors import PeerCallError
 from hallhitch.node.http_server import HttpReply, HttpServer
-from hallhitch.node.metrics import MetricsServer
+from hallhitch.node.metrics import Metric, MetricsServer, gauge
 from hallhitch.node.periodic import run_periodically
 from hallhitch.node.settings import NodeSettings
 from hallhitch.planes.control import state_transitions
@@ -26,6 +26,7 @@
 from hallhitch.planes.discovery.gateway_registry import max_gateways_to_record
 from hallhitch.planes.discovery.platform_client import EndpointListReading, PlatformClient
 from hallhitch.planes.distribution.coordinator_sync import CoordinatorSync
+from hallhitch.planes.distribution.list_freshness import OUTDATED_DRAIN_TIMEOUT_RATIO
 from hallhitch.planes.distribution.ports import SyncContext
 from hallhitch.planes.distribution.state_hub import NEVER, StateHub
 from hallhitch.planes.quota.lease import CLOCK_MARGIN_MS, LEASE_DURATION_MS
@@ -54,6 +55,7 @@
         self._had_quorum_contact = False
         self._links = runtime.connect(node.cluster_name, node.internal_address, self._incarnation, self._handle)
         self._hub = StateHub(self._incarnation, self._clock)
+        self._hub.list_freshness.outdated_after_ms = node.bounds.drain_timeout_ms * OUTDATED_DRAIN_TIMEOUT_RATIO
         self._sync = CoordinatorSync(SyncContext(self._links, self._hub, self._own_entry, self._clock, node.bounds))
         self._control = ControlPlane(
             node,
@@ -72,7 +74,7 @@
         self._leases = LeaseCoordinator(self._clock, runtime.random.getrandbits(INCARNATION_BITS))
         self._operator_api = OperatorApi(node, self._control, self._clock)
         self._operator_server = HttpServer("operator", self._operator_api.handle, MAX_OPERATOR_BODY_BYTES)
-        self._metrics_server = MetricsServer(self._hub.metrics)
+        self._metrics_server = MetricsServer(self._metrics)
         self._directory = Directory(node.region_by_zone, node.bounds.max_ttl_ms)
         self._directory_server = HttpServer("directory", self._handle_resolve)
         self._reading_interval_ms = reading_interval_ms(node.bounds.drain_timeout_ms)
@@ -156,6 +158,11 @@
         gateways = self._hub.gateways if self._control.has_quorum_contact else self._hub.direct_gateways
         return self._directory.handle(method, target, gateways.values())
 
+    def _metrics(self) -> list[Metric]:
+        list_reads = self._list_reader.metrics() if self._list_reader is not None else []
+        rank = gauge("endpoint_list_reader_rank", "Rank in the order of readers; 0 reads first.", self._reader_rank())
+        return [*self._hub.metrics(), *list_reads, rank]
+
     # Callbacks of the planes.
 
     def _on_commit(self, state: ClusterState) -> None:
--- a/tests/system/node/test_metrics.py
+++ b/tests/system/node/test_metrics.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from hallhitch.node.metrics import Metric, MetricKind, MetricsServer, gauge, render_metrics
+from hallhitch.node.metrics import Histogram, Metric, MetricKind, MetricsServer, gauge, render_metrics
 from tests.stand_ins import free_port
 
 METRICS = [
@@ -29,6 +29,20 @@
     assert render_metrics([]) == b""
 
 
+def test_histogram_counts_each_value_in_all_buckets_up_to_its_bound() -> None:
+    histogram = Histogram((10.0, 100.0))
+    for value in (10.0, 10.5, 1000.0):
+        histogram.observe(value)
+    assert render_metrics([histogram.metric("age_ms", "Ages.")]).splitlines()[1:] == [
+        b"# TYPE hallhitch_age_ms histogram",
+        b'hallhitch_age_ms_bucket{le="10"} 1',
+        b'hallhitch_age_ms_bucket{le="100"} 2',
+        b'hallhitch_age_ms_bucket{le="+Inf"} 3',
+        b"hallhitch_age_ms_sum 1020.5",
+        b"hallhitch_age_ms_count 3",
+    ]
+
+
 async def fetch(port: int, path: str) -> bytes:
     """Return the reply to a request for a path."""
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
