--- a/hallhitch/planes/distribution/state_hub.py
+++ b/hallhitch/planes/distribution/state_hub.py
@@ -119,14 +119,13 @@
         """Replace the endpoint list if the given one was read later; return whether it was."""
         if read_at <= self.list_read_at:
             return False
-        if self._has_endpoint_list:
-            now_ms = self._clock()
-            self.list_freshness.on_replaced(now_ms, now_ms - self.list_read_at)
-        self.list_read_at = read_at
+        previous_read_at, self.list_read_at = self.list_read_at, read_at
         known = {backend.instance: backend for backend in self.backends.values()}
         reconciled = reconcile_list(known, backends, self._drained)
         self._record_draining(reconciled.values())
         if self.backends.replace(reconciled):
+            if previous_read_at > NEVER:
+                self.list_freshness.on_changed(self._clock(), previous_read_at, read_at)
             self.notify()
         return True
 
--- a/hallhitch/programs/coordinator.py
+++ b/hallhitch/programs/coordinator.py
@@ -26,7 +26,7 @@
 from hallhitch.planes.discovery.gateway_registry import max_gateways_to_record
 from hallhitch.planes.discovery.platform_client import EndpointListReading, PlatformClient
 from hallhitch.planes.distribution.coordinator_sync import CoordinatorSync
-from hallhitch.planes.distribution.list_freshness import OUTDATED_DRAIN_TIMEOUT_RATIO
+from hallhitch.planes.distribution.list_freshness import LATE_DRAIN_TIMEOUT_RATIO
 from hallhitch.planes.distribution.ports import SyncContext
 from hallhitch.planes.distribution.state_hub import NEVER, StateHub
 from hallhitch.planes.quota.lease import CLOCK_MARGIN_MS, LEASE_DURATION_MS
@@ -55,7 +55,7 @@
         self._had_quorum_contact = False
         self._links = runtime.connect(node.cluster_name, node.internal_address, self._incarnation, self._handle)
         self._hub = StateHub(self._incarnation, self._clock)
-        self._hub.list_freshness.outdated_after_ms = node.bounds.drain_timeout_ms * OUTDATED_DRAIN_TIMEOUT_RATIO
+        self._hub.list_freshness.late_after_ms = node.bounds.drain_timeout_ms * LATE_DRAIN_TIMEOUT_RATIO
         self._sync = CoordinatorSync(SyncContext(self._links, self._hub, self._own_entry, self._clock, node.bounds))
         self._control = ControlPlane(
             node,
--- a/hallhitch/programs/gateway.py
+++ b/hallhitch/programs/gateway.py
@@ -21,7 +21,7 @@
 from hallhitch.planes.discovery.directory import Directory
 from hallhitch.planes.distribution.config_compiler import EMPTY_CONFIG, compile_config
 from hallhitch.planes.distribution.gateway_sync import GatewaySync
-from hallhitch.planes.distribution.list_freshness import OUTDATED_DRAIN_TIMEOUT_RATIO
+from hallhitch.planes.distribution.list_freshness import LATE_DRAIN_TIMEOUT_RATIO
 from hallhitch.planes.distribution.ports import SyncContext
 from hallhitch.planes.distribution.state_hub import StateHub
 from hallhitch.planes.distribution.versioned_map import Version
@@ -48,7 +48,7 @@
         self._is_ready = self._is_leaving = False
         self._links = runtime.connect(node.cluster_name, node.internal_address, self._incarnation, self._handle)
         self._hub = StateHub(self._incarnation, runtime.clock)
-        self._hub.list_freshness.outdated_after_ms = node.bounds.drain_timeout_ms * OUTDATED_DRAIN_TIMEOUT_RATIO
+        self._hub.list_freshness.late_after_ms = node.bounds.drain_timeout_ms * LATE_DRAIN_TIMEOUT_RATIO
         context = SyncContext(self._links, self._hub, self._own_entry, runtime.clock, node.bounds)
         self._sync = GatewaySync(context, node.seed_addresses)
         self._quota = QuotaPlane(node, self._links, runtime.clock)
