Simulation: the platform's endpoint list, and the invariant that drains are known in time

The simulation had no platform, so no drawn schedule met a drain; the emulator's check excuses drains during and after faults of the core, the operators' rule does not.

--- a/hallhitch/lab/simulation/invariants.py
+++ b/hallhitch/lab/simulation/invariants.py
@@ -166,6 +166,25 @@
                 )
 
 
+def check_drain_propagation(history: OperationHistory) -> Iterator[Violation]:
+    """A gateway in contact knows of a drain within the bound after the list showed it.
+
+    The bound also runs during faults; it binds a gateway as soon as that is in contact.
+    """
+    for observation in history.drain_observations:
+        lifetime = history.gateway_lifetimes[observation.process]
+        due_at_s = max(observation.listed_at_s + history.drain_bound_s, lifetime.begin_s + history.contact_window_s)
+        for fault in sorted(history.fault_intervals, key=lambda fault: fault.begin_s):
+            if fault.overlaps(due_at_s, due_at_s):
+                due_at_s = fault.end_s
+        if observation.observed_at_s > due_at_s:
+            yield Violation(
+                Invariant.DRAIN_PROPAGATION,
+                f"{observation.process} learned at {observation.observed_at_s:.3f} that {observation.instance} is "
+                f"draining, listed at {observation.listed_at_s:.3f}",
+            )
+
+
 def check_availability(history: OperationHistory) -> Iterator[Violation]:
     """While a majority runs, a write is acknowledged within the bound."""
     writes = history.operations_of(
@@ -271,6 +290,7 @@
     check_monotonic_reads,
     check_bounded_staleness,
     check_propagation_time,
+    check_drain_propagation,
     check_availability,
     check_members_hold_state,
     check_evacuation_order,
--- a/hallhitch/lab/simulation/machine.py
+++ b/hallhitch/lab/simulation/machine.py
@@ -9,7 +9,7 @@
 from collections.abc import Awaitable
 from typing import TYPE_CHECKING, ClassVar, Final
 
-from hallhitch.lab.simulation.operation_history import Interval, Observation
+from hallhitch.lab.simulation.operation_history import DrainObservation, Interval, Observation
 from hallhitch.lab.simulation.process_loop import ProcessLoop
 from hallhitch.lab.simulation.simulated_disk import DiskThread, SimulatedDisk
 from hallhitch.messages.system_pb2 import Envelope
@@ -217,9 +217,30 @@
         program = self.program = GatewayFollower(node, Runtime(clock=loop.now_ms, random=rng, run_blocking=thread.run))
         history = self.simulation.history
         self._record_observations(program.hub, history.gateway_observations)
+        self._record_drains(program.hub)
         history.gateway_lifetimes[self.process_name] = Interval(self.simulation.network.now_s, float("inf"))
         await program.start()
 
+    def _record_drains(self, hub: StateHub) -> None:
+        """Record when the process learns of each drain that the platform has listed."""
+        simulation, process = self.simulation, self.process_name
+        pending = {drain.instance: drain for drain in simulation.platform.drains}
+
+        def on_change() -> None:
+            now_s = simulation.network.now_s
+            if not len(hub.backends):
+                return
+            for drain in list(pending.values()):
+                backend = hub.backends.get(drain.instance)
+                if drain.listed_at_s > now_s or (backend is not None and not backend.is_draining):
+                    continue
+                del pending[drain.instance]
+                simulation.history.drain_observations.append(
+                    DrainObservation(process, drain.instance, drain.listed_at_s, now_s)
+                )
+
+        hub.on_change.append(on_change)
+
     def _release_program(self) -> None:
         self.program = None
 
--- a/hallhitch/lab/simulation/schedule.py
+++ b/hallhitch/lab/simulation/schedule.py
@@ -18,6 +18,7 @@
     PartitionDirection,
     PartitionScope,
 )
+from hallhitch.lab.simulation.simulated_platform import Drain
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +35,8 @@
     catch_up_s: float = 5.0  # replaces `catch_up_ms` of the node settings
     response_loss_ratio: float = 0.1  # share of the responses to operators that are lost
     operation_rate_factor: float = 1.0
+    drains: tuple[Drain, ...] = ()  # of the endpoint list; without any, coordinators read no list
+    drain_timeout_s: float = 5.0  # replaces `drain_timeout_ms` of the node settings
 
     def __str__(self) -> str:
         summary = (
