Endpoint list: readers take over within a fraction of the drain time-out

Seen: a request reached a backend after its drain time-out. Ranks of readers waited 0.24 of drainTimeout each, as a coordinator learned of an unchanged list only with its next poll; a page waited a second whatever drainTimeout is; a reused connection that was dropped silently cost that second and a pause. With two of five coordinators lost the sum passed drainTimeout. Now coordinators learn of each read at once, a rank waits 0.08 of drainTimeout and the duration of a read, later ranks than the fourth no longer; a page waits 0.15 of drainTimeout and is requested again on a new connection.

--- a/hallhitch/planes/discovery/endpoint_list.py
+++ b/hallhitch/planes/discovery/endpoint_list.py
@@ -24,7 +24,12 @@
 # Difference within which two end times of a slow start count as equal. The list contains the remaining duration, so the
 # computed end varies from one read to the next.
 SLOW_START_TOLERANCE_MS: Final = 400.0
-READER_STAGGER_RATIO: Final = 1.2  # of the read interval: how much longer each rank waits than the one before
+# How much longer each rank waits than the one before, as a ratio of the read interval. Coordinators learn of each read
+# at once, so this covers the read itself and a round trip between regions.
+READER_STAGGER_RATIO: Final = 0.4
+MAX_STAGGERED_RANK: Final = (
+    3  # all later ranks wait as long: the wait stays bounded, however many coordinators there are
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,6 +146,12 @@
     return order.index(address)
 
 
-def is_read_due(list_age_ms: float, rank: int, interval_ms: float) -> bool:
-    """Return whether a coordinator of this rank has to read the list, given the age of the latest one it knows."""
-    return list_age_ms >= interval_ms * (1 + READER_STAGGER_RATIO * rank)
+def is_read_due(list_age_ms: float, rank: int, interval_ms: float, read_duration_ms: float = 0.0) -> bool:
+    """Return whether a coordinator of this rank has to read the list, given the age of the latest one it knows.
+
+    All ranks but the first also wait for the time that a read takes, so that a long list is not read twice.
+    """
+    if rank == 0:
+        return list_age_ms >= interval_ms
+    stagger = READER_STAGGER_RATIO * min(rank, MAX_STAGGERED_RANK)
+    return list_age_ms >= interval_ms * (1 + stagger) + read_duration_ms
--- a/hallhitch/planes/discovery/endpoint_list_reader.py
+++ b/hallhitch/planes/discovery/endpoint_list_reader.py
@@ -11,6 +11,9 @@
 from hallhitch.planes.discovery.errors import EndpointListError
 from hallhitch.planes.discovery.platform_client import EndpointListReading, PlatformClient
 
+PAGE_TIMEOUT_RATIO: Final = 0.15  # of drainTimeout; a page that takes longer leaves no time for another reader
+MIN_PAGE_TIMEOUT_MS: Final = 250.0  # a connection and a page across regions
+MAX_PAGE_TIMEOUT_MS: Final = 1000.0
 RETRY_PAUSE_RATIO: Final = 1 / 4  # of the read interval: pause after a failed read
 MAX_INTERVAL_MS: Final = 1000.0  # between two reads
 INTERVAL_RATIO: Final = 0.2  # of drainTimeout; the rest is for propagating a change to the last gateway
@@ -23,6 +26,11 @@
     return min(MAX_INTERVAL_MS, drain_timeout_ms * INTERVAL_RATIO)
 
 
+def page_timeout_ms(drain_timeout_ms: float) -> float:
+    """Return how long to wait for a page of the list."""
+    return min(MAX_PAGE_TIMEOUT_MS, max(MIN_PAGE_TIMEOUT_MS, drain_timeout_ms * PAGE_TIMEOUT_RATIO))
+
+
 class EndpointListReader:
     """Reads the list on request and passes each complete list to `on_reading`."""
 
@@ -40,6 +48,7 @@
         self._log = RateLimitedLog(ComponentLogger("list"))
         self._durations = Histogram(READ_BUCKETS_MS)
         self._read_counts = {"complete": 0, "failed": 0}
+        self.read_duration_ms = 0.0  # of the latest complete read
 
     async def read(self) -> None:
         """Read the list once; after a failure, log it and pause."""
@@ -52,7 +61,8 @@
             await asyncio.sleep(self._interval_ms * RETRY_PAUSE_RATIO / 1000)
         else:
             self._read_counts["complete"] += 1
-            self._durations.observe(self._clock() - started_at)
+            self.read_duration_ms = self._clock() - started_at
+            self._durations.observe(self.read_duration_ms)
             self._on_reading(reading)
 
     def metrics(self) -> list[Metric]:
--- a/hallhitch/planes/discovery/platform_client.py
+++ b/hallhitch/planes/discovery/platform_client.py
@@ -12,7 +12,6 @@
 from hallhitch.planes.discovery.endpoint_list import ListedBackend, parse_page
 from hallhitch.planes.discovery.errors import EndpointListError
 
-PAGE_TIMEOUT_S: Final = 1.0  # per page; after a time-out the list is read from its first page again
 MAX_PAGES: Final = 2000  # per list; ends a read if the platform repeats page tokens
 READ_BYTES: Final = 65536  # maximum per read from the connection
 
@@ -33,10 +32,14 @@
 
 
 class PlatformClient:
-    """Reads the endpoint list from the platform at one address."""
+    """Reads the endpoint list from the platform at one address.
 
-    def __init__(self, address: tuple[str, int]) -> None:
+    After a page that does not arrive in time the list is read from its first page again.
+    """
+
+    def __init__(self, address: tuple[str, int], page_timeout_ms: float) -> None:
         self._address = address
+        self._page_timeout_ms = page_timeout_ms
         self._connection: _Connection | None = None
         self.request_count = 0
 
@@ -65,22 +68,20 @@
         is_reused = self._connection is not None
         try:
             return await self._request(target)
-        except TimeoutError:
-            raise EndpointListError("no response before the time-out") from None
         except (OSError, Malformed) as error:
             if not is_reused:
-                raise EndpointListError(str(error)) from error
+                raise EndpointListError(_reason(error)) from error
         except ValueError as error:  # a host name that cannot be encoded
             raise EndpointListError(str(error)) from error
-        # The platform may have closed the idle connection: retry once over a new one.
+        # The platform may have closed the idle connection, or the network may have dropped it: retry over a new one.
         try:
             return await self._request(target)
         except (OSError, Malformed, ValueError) as error:
-            raise EndpointListError(str(error)) from error
+            raise EndpointListError(_reason(error)) from error
 
     async def _request(self, target: str) -> bytes:
         try:
-            async with asyncio.timeout(PAGE_TIMEOUT_S):
+            async with asyncio.timeout(self._page_timeout_ms / 1000):
                 return await self._exchange(target)
         except (OSError, Malformed):
             self.close()
@@ -104,6 +105,10 @@
         return body
 
 
+def _reason(error: Exception) -> str:
+    return "no response before the time-out" if isinstance(error, TimeoutError) else str(error)
+
+
 async def _read_response(connection: _Connection) -> Message:
     """Read the head of the response, and also its body if that is short."""
     while True:
--- a/hallhitch/planes/distribution/peer_replica.py
+++ b/hallhitch/planes/distribution/peer_replica.py
@@ -55,6 +55,8 @@
     def build_request(self, own: Gateway, hub: StateHub, max_wait_ms: float, *, direct_only: bool) -> StateRequest:
         """Build the request for the part of the peer's state that this process lacks."""
         request = StateRequest(requester=encode_gateway(own), max_wait_ms=max_wait_ms, direct_only=direct_only)
+        if direct_only:
+            request.endpoint_list_age_ms = hub.endpoint_list_age_ms
         request.known_versions["config"].number = hub.config.serial
         for name, version in (
             ("backends", self.backends.version),
--- a/hallhitch/planes/distribution/state_hub.py
+++ b/hallhitch/planes/distribution/state_hub.py
@@ -7,6 +7,7 @@
 - The configuration is replaced only by one with a higher serial, the endpoint list only by one that was read later, and
   the lease membership only by one with a higher version.
 - A backend that was listed as draining stays draining, whichever coordinator reads the list next.
+- A coordinator learns of each read of the list by another one at once, also if the list has not changed.
 - Every reply contains a portion of each part of the state that the peer lacks, so that frequent changes of one part
   never delay another. In a reply with a configuration the lists are sent in short chunks, so that they do not delay the
   configuration. A peer that has no configuration yet receives the configuration first, without anything else.
@@ -39,6 +40,9 @@
 MAX_HOLD_MS: Final = 1000.0  # the longest time for which a peer may request that its reply be held back
 NEVER: Final = float("-inf")
 MIN_LIST_AGE_MS: Final = 0.1  # on the wire 0 means that no list is known
+# Difference between the ages of two endpoint lists above which they come from different reads: more than the error of
+# an age on the wire, which is the time that its message takes.
+DIFFERENT_READ_MS: Final = 250.0
 
 
 class StateHub:
@@ -67,6 +71,7 @@
         self.reply_counts: Counter[str] = Counter()  # by content
         self.list_freshness = ListFreshness()
         self._waiters: set[asyncio.Future[None]] = set()
+        self._coordinator_waiters: set[asyncio.Future[None]] = set()  # those of `_waiters` that hold back coordinators
 
     def metrics(self) -> list[Metric]:
         """Return the metrics of the versions and the age of the state, and of the replies to peers."""
@@ -87,10 +92,7 @@
 
     def notify(self) -> None:
         """Wake the replies that are held back and call the listeners."""
-        for waiter in self._waiters:
-            if not waiter.done():
-                waiter.set_result(None)
-        self._waiters.clear()
+        _wake(self._waiters)
         for listener in self.on_change:
             listener()
 
@@ -127,6 +129,8 @@
             if previous_read_at > NEVER:
                 self.list_freshness.on_changed(self._clock(), previous_read_at, read_at)
             self.notify()
+        else:
+            _wake(self._coordinator_waiters)
         return True
 
     def _record_draining(self, backends: Iterable[ListedBackend]) -> None:
@@ -160,17 +164,25 @@
         deadline = received_at + min(request.max_wait_ms, MAX_HOLD_MS)
         while (update := self.build_update(request)) is None:
             remaining_ms = deadline - self._clock()
-            if remaining_ms <= 0:
+            if remaining_ms <= 0 or self._has_later_read(request, received_at):
                 update = self.add_status(StateUpdate())
                 break
-            await self._wait_for_change(remaining_ms)
+            await self._wait_for_change(remaining_ms, is_coordinator=request.direct_only)
         self.reply_counts[_content_of(update)] += 1
         update.held_back_ms = self._clock() - received_at
         return Envelope(state_update=update)
 
-    async def _wait_for_change(self, timeout_ms: float) -> None:
+    def _has_later_read(self, request: StateRequest, received_at: float) -> bool:
+        """Return whether this process knows a later read of the list than the coordinator that sent the request."""
+        if not request.direct_only or not request.endpoint_list_age_ms or not self._has_endpoint_list:
+            return False
+        return self.list_read_at - (received_at - request.endpoint_list_age_ms) > DIFFERENT_READ_MS
+
+    async def _wait_for_change(self, timeout_ms: float, *, is_coordinator: bool) -> None:
         waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._waiters.add(waiter)
+        if is_coordinator:
+            self._coordinator_waiters.add(waiter)
         try:
             async with asyncio.timeout(timeout_ms / 1000):
                 await waiter
@@ -178,6 +190,7 @@
             pass
         finally:
             self._waiters.discard(waiter)
+            self._coordinator_waiters.discard(waiter)
 
     def build_update(self, request: StateRequest) -> StateUpdate | None:
         """Return the state that the peer lacks; None if it is up to date."""
@@ -200,7 +213,7 @@
         update.incarnation = self.incarnation
         update.quorum_contact_age_ms = self.quorum_contact_age_ms()
         if self._has_endpoint_list:
-            update.endpoint_list_age_ms = max(MIN_LIST_AGE_MS, self._clock() - self.list_read_at)
+            update.endpoint_list_age_ms = self.endpoint_list_age_ms
             update.endpoint_list_version.CopyFrom(encode_version(self.backends.version))
         update.coordinators.extend(self.coordinators)
         update.members.extend(self.members)
@@ -208,6 +221,11 @@
             update.lease_membership.CopyFrom(self.lease_membership.to_message())
         return update
 
+    @property
+    def endpoint_list_age_ms(self) -> float:
+        """The time since the endpoint list in force was read, as on the wire: 0 if none is known."""
+        return max(MIN_LIST_AGE_MS, self._clock() - self.list_read_at) if self._has_endpoint_list else 0.0
+
     @property
     def _has_endpoint_list(self) -> bool:
         return self.list_read_at > NEVER
@@ -248,6 +266,12 @@
         return True
 
 
+def _wake(waiters: Iterable[asyncio.Future[None]]) -> None:
+    for waiter in waiters:
+        if not waiter.done():
+            waiter.set_result(None)
+
+
 def _content_of(update: StateUpdate) -> str:
     """Return the names of the parts of the state in a reply, as the label under which it is counted."""
     parts = [name for name in ("config", "backends", "gateways", "holders") if update.HasField(name)]
--- a/hallhitch/programs/coordinator.py
+++ b/hallhitch/programs/coordinator.py
@@ -22,7 +22,11 @@
 from hallhitch.planes.control.plane import ControlPlane, ReplicaEnvironment
 from hallhitch.planes.discovery.directory import Directory
 from hallhitch.planes.discovery.endpoint_list import is_read_due, reader_rank
-from hallhitch.planes.discovery.endpoint_list_reader import EndpointListReader, reading_interval_ms
+from hallhitch.planes.discovery.endpoint_list_reader import (
+    EndpointListReader,
+    page_timeout_ms,
+    reading_interval_ms,
+)
 from hallhitch.planes.discovery.gateway_registry import max_gateways_to_record
 from hallhitch.planes.discovery.platform_client import EndpointListReading, PlatformClient
 from hallhitch.planes.distribution.coordinator_sync import CoordinatorSync
@@ -84,7 +88,7 @@
     def _build_list_reader(self) -> EndpointListReader | None:
         if self._node.cloud_api_address is None:
             return None
-        client = PlatformClient(self._node.cloud_api_address)
+        client = PlatformClient(self._node.cloud_api_address, page_timeout_ms(self._node.bounds.drain_timeout_ms))
         return EndpointListReader(client, self._reading_interval_ms, self._on_list_reading, self._clock)
 
     # Start and shutdown.
@@ -191,14 +195,17 @@
 
     async def _read_endpoint_list(self) -> None:
         """Read the endpoint list if a reading is due."""
-        if self._list_reader is not None and self._is_read_due():
-            await self._list_reader.read()
+        reader = self._list_reader
+        if reader is not None and self._is_read_due(reader.read_duration_ms):
+            await reader.read()
 
-    def _is_read_due(self) -> bool:
+    def _is_read_due(self, read_duration_ms: float) -> bool:
         """Return whether this coordinator has to read the list; it does not before a majority has confirmed it."""
         is_confirmed = self._control.lease.confirmed_at_ms > NEVER
         list_age_ms = self._clock() - self._hub.list_read_at
-        return is_confirmed and is_read_due(list_age_ms, self._reader_rank(), self._reading_interval_ms)
+        return is_confirmed and is_read_due(
+            list_age_ms, self._reader_rank(), self._reading_interval_ms, read_duration_ms
+        )
 
     def _reader_rank(self) -> int:
         return reader_rank(self._node.internal_address, self._sync.live_peers())
--- a/tests/system/distribution/test_state_hub.py
+++ b/tests/system/distribution/test_state_hub.py
@@ -5,13 +5,15 @@
 import asyncio
 import random
 
+import pytest
+
 from hallhitch.messages.system_pb2 import Envelope, StateRequest, StateUpdate
 from hallhitch.node.clock import now
 from hallhitch.node.errors import RequestTimeout
 from hallhitch.planes.distribution.gateway_sync import GatewaySync
 from hallhitch.planes.distribution.peer_replica import PeerReplica
 from hallhitch.planes.distribution.ports import SyncContext
-from hallhitch.planes.distribution.state_hub import StateHub
+from hallhitch.planes.distribution.state_hub import MIN_LIST_AGE_MS, StateHub
 from hallhitch.planes.values import LeaseMembership
 from tests.system.distribution.simulated_peers import (
     SimulatedPeers,
@@ -159,3 +161,33 @@
         assert hub.view_contact_at == contact_at
 
     run_in_virtual_time(scenario)
+
+
+# Guards against the failure that a coordinator learns late of a read, and has to wait long before it reads itself.
+def test_coordinator_learns_at_once_of_a_read_of_an_unchanged_list_and_a_gateway_does_not() -> None:
+    async def scenario(peers: SimulatedPeers) -> None:
+        reader, hub = StateHub(1, peers.clock), StateHub(2, peers.clock)
+        await asyncio.sleep(1)
+        reader.update_backends(peers.clock(), [make_backend("a")])
+        replica = PeerReplica("c1:1", peers.clock)
+
+        async def pull_from_reader(*, direct_only: bool) -> float:
+            """Pull once with a hold of 500 ms, apply the reply, and return for how long it was held back."""
+            requested_at = peers.clock()
+            request = replica.build_request(make_gateway("me"), hub, 500.0, direct_only=direct_only)
+            update = (await reader.respond(request)).state_update
+            replica.apply(update, hub, requested_at, updates_view=False)
+            return peers.clock() - requested_at
+
+        assert await pull_from_reader(direct_only=True) == 0.0
+        assert hub.list_read_at == pytest.approx(reader.list_read_at, abs=2 * MIN_LIST_AGE_MS)
+        held_ms = []
+        for direct_only in (True, False):
+            peers.loop.call_later(0.3, lambda: reader.update_backends(peers.clock(), [make_backend("a")]))
+            held_ms.append(await pull_from_reader(direct_only=direct_only))
+        assert held_ms == [pytest.approx(300.0), pytest.approx(500.0)]
+        peers.loop.suspend(1)  # a read between two polls
+        reader.update_backends(peers.clock(), [make_backend("a")])
+        assert await pull_from_reader(direct_only=True) == pytest.approx(0.0)
+
+    run_in_virtual_time(scenario)
