Emulator: DRAIN also runs during faults and binds a gateway once it is in contact

The check excused every drain with a fault of the core up to contactWindow before it; the operators' rule excuses only requests sent while their gateway is not in contact.

--- a/hallhitch/lab/emulator/load_rules.py
+++ b/hallhitch/lab/emulator/load_rules.py
@@ -33,7 +33,8 @@
 def check_drain(records: Records, bounds: CheckBounds) -> list[Violation]:
     """DRAIN: no request reaches a backend later than the drain timeout after the list shows it as draining or gone.
 
-    Outages of the list do not count toward the timeout.
+    Outages of the list do not count toward the timeout. It also runs during faults of machines, and binds a gateway as
+    soon as that is in contact.
     """
     attempts = attempts_by_id(records)
     contact = ContactHistory(tuple(records.fault_intervals), bounds.contact_window_ms)
@@ -54,7 +55,7 @@
         )
         is_late = arrival.arrived_at_ms - draining_since_ms - outage_ms > bounds.drain_timeout_ms
         machines = (arrival.sender, attempts[arrival.id].gateway)
-        if is_late and contact.is_in_contact(machines, draining_since_ms, arrival.arrived_at_ms):
+        if is_late and contact.is_in_contact(machines, attempts[arrival.id].sent_at_ms, arrival.arrived_at_ms):
             after_ms = arrival.arrived_at_ms - draining_since_ms
             detail = (
                 f"{arrival.id} reached {arrival.instance} {after_ms:.0f} ms after it was listed as draining or gone"
