Emulator: a drawn scenario of overlapping signals, restarts, kills, drains and changes

Soaks played one kind of fault at a time, and clients left a gateway as soon as the directory dropped it. Now the seed draws faults that overlap, clients may use open connections until a process is gone, and the number of gateways is an option.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,10 @@
 # Tests that fail for a real fault that is not mended yet, each with its cause and issue; only these are passed over.
 KNOWN_RED = $(shell cut -d'|' -f1 KNOWN-RED.txt)
 
-.PHONY: build test soak lint run demo demo-gateway demo-control demo-fleet messages clean
+# Seeds that `soak-overlaps` plays, a minute each.
+OVERLAP_SEEDS ?= 50
+
+.PHONY: build test soak soak-overlaps lint run demo demo-gateway demo-control demo-fleet messages clean
 
 build: $(VENV)/done
 
@@ -25,6 +28,11 @@
 		tests/administration/test_fuzz.py
 	HALLHITCH_SIMULATION_SEEDS=$(SIMULATION_SEEDS) $(PY) -m pytest -n 4 tests/system/simulation/test_simulation.py
 
+# Signals, restarts, kills, drains and changes that overlap, by real processes under the operators' bounds.
+soak-overlaps: build
+	for seed in $$(seq $(OVERLAP_SEEDS)); do \
+		$(VENV)/bin/hallhitch demo --day overlaps --seconds 50 --seed $$seed --stay-connected || exit 1; done
+
 lint: build
 	$(VENV)/bin/ruff check hallhitch tests benchmarks
 	$(VENV)/bin/ruff format --check hallhitch tests benchmarks
--- a/hallhitch/cli/demo_system.py
+++ b/hallhitch/cli/demo_system.py
@@ -12,10 +12,12 @@
 if TYPE_CHECKING:
     from hallhitch.lab.emulator.client_request import RequestOutcome
     from hallhitch.lab.emulator.emulator import Emulator
+    from hallhitch.lab.emulator.spec import EmulatorSpec
     from hallhitch.lab.emulator.traffic import PlannedFault
 
 DEFAULT_DURATION_S: Final = 20.0
 DEFAULT_SCENARIO: Final = "kills"
+MAX_RELAYED_GATEWAYS_PER_ZONE: Final = 3  # a relay's address has room for 25 machines in all
 SCENARIO_NAMES: Final = (  # repeated here, so that the command line does not import the emulator
     "kills",
     "herd",
@@ -29,6 +31,7 @@
     "exchange",
     "hundreds",
     "departures",
+    "overlaps",
 )
 
 
@@ -45,22 +48,35 @@
     help="Factor of the usual load of 110 requests per second.",
 )
 @click.option("--seed", type=int, default=1, show_default=True)
+@click.option(
+    "--gateways", type=click.IntRange(1, 90), default=3, show_default=True, help="Gateways in each of the three zones."
+)
+@click.option("--stay-connected", is_flag=True, help="Clients use open connections until a gateway closes them.")
 @click.option(
     "--to",
     type=click.Path(path_type=Path),
     help="Directory that keeps the settings, logs and disks; a temporary one by default.",
 )
-def demo(day: str, seconds: float, load: float, seed: int, to: Path | None) -> None:
-    """Run three regions, nine gateways and three coordinators through a scenario of faults.
+def demo(  # noqa: PLR0913  one parameter for each option
+    day: str, seconds: float, load: float, seed: int, gateways: int, stay_connected: bool, to: Path | None
+) -> None:
+    """Run three regions with gateways and three coordinators through a scenario of faults.
+
+    Links between processes have delays unless there are more than nine gateways.
 
     Exit code 1 if a rule was violated or a process exited unexpectedly.
     """
     import uvloop
 
-    uvloop.run(_run_scenario(day, seconds, load, seed, to))
+    from hallhitch.lab.emulator.spec import EmulatorSpec
+
+    spec = EmulatorSpec(seed=seed, gateways_per_zone=gateways, clients_stay_connected=stay_connected)
+    uvloop.run(_run_scenario(day, seconds, load, spec, to))
 
 
-async def _run_scenario(name: str, duration_s: float, load_factor: float, seed: int, directory: Path | None) -> None:
+async def _run_scenario(
+    name: str, duration_s: float, load_factor: float, spec: EmulatorSpec, directory: Path | None
+) -> None:
     from hallhitch.lab.emulator.emulator import Emulator
     from hallhitch.lab.emulator.report import (
         TABLE_HEADER,
@@ -71,13 +87,12 @@
     )
     from hallhitch.lab.emulator.rules import check_records
     from hallhitch.lab.emulator.scenarios import SCENARIOS
-    from hallhitch.lab.emulator.spec import EmulatorSpec
     from hallhitch.lab.emulator.traffic import Traffic, plan_requests
 
     if directory is not None:
         directory.mkdir(parents=True, exist_ok=True)
-    spec = EmulatorSpec(seed=seed)
-    async with Emulator(spec, directory, is_relayed=True) as emulator:
+    is_relayed = spec.gateways_per_zone <= MAX_RELAYED_GATEWAYS_PER_ZONE
+    async with Emulator(spec, directory, is_relayed) as emulator:
         await _wait_for_start(emulator, duration_s)
         emulator.spawn(emulator.watch_readiness())
         faults = SCENARIOS[name](emulator, duration_s)
--- a/hallhitch/lab/emulator/client.py
+++ b/hallhitch/lab/emulator/client.py
@@ -49,7 +49,8 @@
     """A group of clients of one zone that share the directory's answer and a pool of idle connections.
 
     If `keeps_connections` is False, each attempt opens a new connection; `ttl_factor` multiplies the time for which the
-    directory's answer is used.
+    directory's answer is used. If `stays_connected` is True, open connections are used until the gateway closes them,
+    whatever the directory's newest answer contains.
     """
 
     def __init__(  # noqa: PLR0913  settings, some with defaults
@@ -61,6 +62,7 @@
         stream: Stream,
         keeps_connections: bool = True,
         ttl_factor: float = 1.0,
+        stays_connected: bool = False,
     ) -> None:
         self.region = region
         self.zone = zone
@@ -69,6 +71,7 @@
         self._region_number = region_number
         self._stream = stream
         self._keeps_connections = keeps_connections
+        self._stays_connected = stays_connected
         self._idle: list[_ClientConnection] = []
 
     def close(self) -> None:
@@ -112,10 +115,13 @@
 
     def _close_outdated(self) -> None:
         """Close idle connections to gateways that the directory's newest answer no longer contains."""
-        for connection in [idle for idle in self._idle if self.directory.is_outdated(idle.address)]:
+        for connection in [idle for idle in self._idle if self._is_outdated(idle)]:
             self._idle.remove(connection)
             connection.writer.close()
 
+    def _is_outdated(self, connection: _ClientConnection) -> bool:
+        return not self._stays_connected and self.directory.is_outdated(connection.address)
+
     def _take_idle_connection(self) -> _ClientConnection | None:
         while self._idle:
             connection = self._idle.pop()
@@ -210,8 +216,7 @@
         timeout = parameters.get("timeout", "")
         idle_timeout_ms = float(timeout) * 1000 if timeout.isdigit() else DEFAULT_IDLE_TIMEOUT_MS
         is_closing = headers.get("connection", "").lower() == "close"
-        is_outdated = self.directory.is_outdated(connection.address)
-        if not self._keeps_connections or is_closing or is_outdated:
+        if not self._keeps_connections or is_closing or self._is_outdated(connection):
             connection.writer.close()
         else:
             connection.usable_until_ms = now() + min(idle_timeout_ms, DEFAULT_IDLE_TIMEOUT_MS)
--- a/hallhitch/lab/emulator/emulator.py
+++ b/hallhitch/lab/emulator/emulator.py
@@ -133,6 +133,7 @@
                 streams.of(f"client {region} {zone} {number}"),
                 keeps_connections=number != CLIENT_WITHOUT_KEEP_ALIVE,
                 ttl_factor=LONG_TTL_FACTOR if number == CLIENT_WITH_LONG_TTL else 1.0,
+                stays_connected=spec.clients_stay_connected,
             )
             for region, zone in spec.zone_numbers()
             for number in range(CLIENTS_PER_ZONE)
--- /dev/null
+++ b/hallhitch/lab/emulator/overlapping_scenario.py
@@ -0,0 +1,137 @@
+"""A scenario drawn by the seed: signals, restarts and kills in series that overlap, under constant drains and changes.
+
+Clients that ignore the directory for their open connections (`EmulatorSpec.clients_stay_connected`) use a gateway until
+its process is gone. At most one coordinator is down at a time, except while all are killed at once, so nothing that was
+acknowledged may be lost. Times are in seconds.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from collections.abc import Awaitable, Callable
+from typing import Final
+
+from hallhitch.lab.emulator.control_scenarios import DRAIN_MARGIN_MS, ConfigSequence
+from hallhitch.lab.emulator.emulator import Emulator
+from hallhitch.lab.emulator.node_file import Machine
+from hallhitch.lab.emulator.traffic import PlannedFault
+from hallhitch.lab.streams import Stream, Streams
+from hallhitch.node.clock import now
+
+STABLE_RATIO: Final = 0.15  # of the run at its start, without faults
+FAULTS_END_RATIO: Final = 0.85  # of the run; the rest shows whether it recovers
+MEAN_PAUSE_S: Final = 1.0  # between two faults
+DOWN_S: Final = (0.2, 1.0, 3.0)  # drawn time for which a process is down or paused
+CONFIG_INTERVAL_S: Final = 0.3
+DRAIN_INTERVAL_S: Final = 0.8
+SIGNALS_IN_SERIES: Final = 3
+SIGNAL_INTERVAL_S: Final = 0.05
+
+
+def overlapping_faults(emulator: Emulator, duration_s: float) -> list[PlannedFault]:
+    """Change configurations and drain backends all the time, and inject drawn faults, which may overlap."""
+    faults = _OverlappingFaults(emulator)
+    planned = [
+        PlannedFault(0.0, "configurations are written continuously", lambda: faults.write_configs(duration_s)),
+        PlannedFault(0.0, "backends are replaced continuously", lambda: faults.replace_backends(duration_s)),
+    ]
+    at_s = STABLE_RATIO * duration_s
+    while at_s < FAULTS_END_RATIO * duration_s:
+        description, inject = faults.draw()
+        planned.append(PlannedFault(at_s, description, inject))
+        at_s += faults.stream.exponential(MEAN_PAUSE_S)
+    return planned
+
+
+class _OverlappingFaults:
+    """Draws faults. A fault is skipped if its machine, or any coordinator, already has one."""
+
+    def __init__(self, emulator: Emulator) -> None:
+        self.stream: Stream = Streams(emulator.spec.seed).of("overlapping faults")
+        self._emulator = emulator
+        self._processes = emulator.processes
+        self._faulty: set[str] = set()  # names of machines, of all coordinators while one of them has a fault
+
+    def draw(self) -> tuple[str, Callable[[], Awaitable[None]]]:
+        """Draw a fault and return its description and its injection."""
+        gateways = self._processes.with_role("gateway")
+        coordinators = self._processes.with_role("coordinator")
+        gateway = gateways[self.stream.index(len(gateways))]
+        coordinator = coordinators[self.stream.index(len(coordinators))]
+        down_s = DOWN_S[self.stream.index(len(DOWN_S))]
+        choices: list[tuple[str, list[Machine], Callable[[Machine, float], Awaitable[None]]]] = [
+            (f"{gateway.name} gets SIGTERM and restarts", [gateway], self._terminate),
+            (f"{gateway.name} gets signals in series and restarts", [gateway], self._signal_in_series),
+            (f"{gateway.name} is killed for {down_s:g} s", [gateway], self._kill),
+            (f"{gateway.name} is paused for {down_s:g} s", [gateway], self._pause),
+            (f"{gateway.name} gets SIGHUP with other seeds", [gateway], self._reload),
+            (f"{coordinator.name} gets SIGTERM and restarts", [coordinator], self._terminate),
+            (f"{coordinator.name} is killed for {down_s:g} s", [coordinator], self._kill),
+            (f"{coordinator.name} is paused for {down_s:g} s", [coordinator], self._pause),
+            (f"all coordinators are killed for {down_s:g} s", coordinators, self._kill),
+        ]
+        description, machines, inject = choices[self.stream.index(len(choices))]
+
+        async def inject_if_possible() -> None:
+            names = {machine.name for machine in machines}
+            if coordinator in machines:
+                names |= {machine.name for machine in coordinators}
+            if names & self._faulty:
+                return
+            self._faulty |= names
+            try:
+                await asyncio.gather(*(inject(machine, down_s) for machine in machines))
+            finally:
+                self._faulty -= names
+
+        return description, inject_if_possible
+
+    async def _terminate(self, machine: Machine, down_s: float) -> None:
+        await self._processes.terminate(machine)
+        await self._processes.restart(machine, "left")
+
+    async def _signal_in_series(self, machine: Machine, down_s: float) -> None:
+        """Send SIGHUP, then SIGTERM several times while the process shuts down."""
+        self._processes.reload_seeds(machine, self._processes.seed_addresses())
+        termination = asyncio.ensure_future(self._processes.terminate(machine))
+        for signal_number in (signal.SIGHUP, signal.SIGTERM) * SIGNALS_IN_SERIES:
+            await asyncio.sleep(SIGNAL_INTERVAL_S)
+            self._processes.send_signal(machine, signal_number)
+        await termination
+        await self._processes.restart(machine, "left")
+
+    async def _kill(self, machine: Machine, down_s: float) -> None:
+        await self._processes.kill(machine)
+        await asyncio.sleep(down_s)
+        await self._processes.restart(machine, "killed")
+
+    async def _pause(self, machine: Machine, down_s: float) -> None:
+        self._processes.pause(machine)
+        await asyncio.sleep(down_s)
+        self._processes.resume(machine)
+
+    async def _reload(self, machine: Machine, down_s: float) -> None:
+        seeds = self._processes.seed_addresses()
+        self._processes.reload_seeds(machine, seeds[1:])
+        await asyncio.sleep(down_s)
+        self._processes.reload_seeds(machine, seeds)
+
+    async def write_configs(self, duration_s: float) -> None:
+        """Write configurations one after another."""
+        configs, ends_at_ms = ConfigSequence(self._emulator), now() + duration_s * 1000
+        while now() < ends_at_ms:
+            await self._emulator.operator.replace_config(configs.next())
+            await asyncio.sleep(CONFIG_INTERVAL_S)
+
+    async def replace_backends(self, duration_s: float) -> None:
+        """Replace backends one at a time: start a new one, then drain the oldest."""
+        fleet, spec = self._emulator.backends, self._emulator.spec
+        zones = spec.zone_numbers()
+        ends_at_ms = now() + duration_s * 1000
+        while now() < ends_at_ms:
+            oldest = next(backend for backend in fleet.backends.values() if not backend.is_draining)
+            region, zone = zones[self.stream.index(len(zones))]
+            await self._emulator.start_backend(oldest.spec.service, region, zone, is_cold=False)
+            fleet.drain(oldest, spec.bounds.drain_timeout_ms + DRAIN_MARGIN_MS)
+            await asyncio.sleep(DRAIN_INTERVAL_S)
--- a/hallhitch/lab/emulator/process_rig.py
+++ b/hallhitch/lab/emulator/process_rig.py
@@ -268,11 +268,15 @@
             machine.process.send_signal(signal.SIGCONT)
             self._record_recovery(machine, "paused")
 
+    def send_signal(self, machine: Machine, signal_number: signal.Signals) -> None:
+        """Send a signal to a process if it is running."""
+        if machine.process is not None and machine.is_running:
+            machine.process.send_signal(signal_number)
+
     def reload_seeds(self, machine: Machine, seeds: Sequence[str]) -> None:
         """Write new seeds into a machine's settings file and make the process reload it."""
         self.write_node_file(machine, False, seeds)
-        if machine.process is not None and machine.is_running:
-            machine.process.send_signal(signal.SIGHUP)
+        self.send_signal(machine, signal.SIGHUP)
 
     async def close(self) -> None:
         """Kill all processes and wait until they have exited."""
--- a/hallhitch/lab/emulator/scenarios.py
+++ b/hallhitch/lab/emulator/scenarios.py
@@ -21,6 +21,7 @@
 from hallhitch.lab.emulator.emulator import Emulator
 from hallhitch.lab.emulator.node_file import Machine
 from hallhitch.lab.emulator.operator_config import config_document, move_route
+from hallhitch.lab.emulator.overlapping_scenario import overlapping_faults
 from hallhitch.lab.emulator.platform_api import PlatformState
 from hallhitch.lab.emulator.response_fault import ResponseFault
 from hallhitch.lab.emulator.spec import RequestKind
@@ -293,4 +294,5 @@
     "control_cut": coordinator_partitions,
     "exchange": coordinator_replacements,
     "hundreds": many_config_changes,
+    "overlaps": overlapping_faults,
 }
--- a/hallhitch/lab/emulator/spec.py
+++ b/hallhitch/lab/emulator/spec.py
@@ -95,6 +95,7 @@
     list_rate_per_s: float = 47.0
     list_lag_ms: float = 500.0
     bounds: CheckBounds = CheckBounds()  # noqa: RUF009  frozen, so sharing it is safe
+    clients_stay_connected: bool = False  # open connections are used until the gateway closes them
     seed: int = 1
 
     def region_name(self, number: int) -> str:
