--- a/tests/system/distribution/test_gateway_sync.py
+++ b/tests/system/distribution/test_gateway_sync.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 
 import pytest
 
 from hallhitch.messages.system_pb2 import StateRequest, StateUpdate
+from hallhitch.planes.distribution.list_freshness import LATE_DRAIN_TIMEOUT_RATIO
 from hallhitch.planes.distribution.peer_replica import PeerReplica
 from hallhitch.planes.distribution.state_hub import StateHub
 from hallhitch.planes.distribution.versioned_map import CHUNK_ENTRIES
@@ -184,3 +186,34 @@
         assert sizes == {0, count} and "i-0" not in sync._hub.backends and f"i-{count}" in sync._hub.backends
 
     run_in_virtual_time(scenario)
+
+
+# Guards against the failure that requests to dead addresses keep a gateway from a coordinator that replies.
+@pytest.mark.parametrize("dead_count", range(5))
+def test_gateway_learns_of_a_drain_in_time_when_its_coordinator_falls_silent_beside_dead_addresses(
+    dead_count: int,
+) -> None:
+    dead, live = [f"dead{number}:1" for number in range(dead_count)], ["c1:1", "c2:1"]
+
+    async def lose_followed_coordinator(peers: SimulatedPeers, name: str) -> None:
+        for address in live:
+            hub = peers.add_coordinator(address, serial=1)
+            hub.update_backends(peers.clock(), [make_backend("i-1")])
+            hub.coordinators = hub.members = tuple(live)
+        peers.delay_ms = lambda: 35.0
+        own_address = f"{name}:1"
+        peers.cut_links = {(own_address, address) for address in dead}
+        sync = peers.add_gateway(name, [*dead, *live])
+        sync.start()
+        await asyncio.sleep(12)
+        followed = sync._awaited_address
+        peers.cut_links |= {(own_address, followed), (followed, own_address)}
+        listed_at = peers.clock()
+        for address in live:
+            peers.hubs[address].update_backends(listed_at, [make_backend("i-1", is_draining=True)])
+        while not any(backend.is_draining for backend in sync._hub.backends.values()):
+            await asyncio.sleep(0.01)
+        assert peers.clock() - listed_at <= LATE_DRAIN_TIMEOUT_RATIO * BOUNDS.drain_timeout_ms
+
+    for number in range(12):  # names with different orders of preference
+        run_in_virtual_time(partial(lose_followed_coordinator, name=f"g{number}"))
