Gateway sync: silent coordinators are asked last and take no place of one that replies

A gateway that lost its coordinator asked the others in a fixed order, and each dead address, as of a replaced seed, cost a reply time-out; three requests in flight, dead addresses included, kept it from the next for 0.6 of configApply more. Now coordinators that reply come first, silent ones last and the longest not asked first of them, and only requests to peers that have replied lately count against the three, whose purpose is to spare a slow link.

--- a/hallhitch/planes/distribution/gateway_sync.py
+++ b/hallhitch/planes/distribution/gateway_sync.py
@@ -6,6 +6,8 @@
 Invariants:
 - At most one request to a peer is in flight. If its reply is late, the next coordinator is tried in parallel, and the
   late reply is still applied. So a slow link does not cause state to be fetched twice.
+- A silent peer never delays a request to one that replies: silent ones are asked last, and requests in flight to peers
+  that have not replied for a contact window do not count as parallel ones, as they occupy no link.
 - The first configuration comes from a coordinator with a valid serving lease, or is the newest of those that several
   gateways use. After that the serial only increases, whichever peer replies.
 """
@@ -25,6 +27,7 @@
 from hallhitch.planes.distribution.peer_order import rendezvous_order
 from hallhitch.planes.distribution.peer_replica import HOLD_MS, PeerReplica
 from hallhitch.planes.distribution.ports import SyncContext
+from hallhitch.planes.distribution.state_hub import NEVER
 from hallhitch.planes.values import LeaseMembership
 
 STARTUP_WAIT_MS: Final = 800.0  # after the start of the process, for the replies of the seeds
@@ -87,9 +90,18 @@
         self._seeds = tuple(seeds)
 
     def coordinators(self) -> list[str]:
-        """Return the addresses of all known coordinators, in order of preference."""
+        """Return the addresses of all known coordinators, in order of preference.
+
+        Those that have not replied, or are silent now, come last, and first the one that was asked longest ago.
+        """
         known = {*self._seeds, *self._hub.coordinators, *self._hub.members}
-        return rendezvous_order(self._own_entry().name, known)
+        return sorted(rendezvous_order(self._own_entry().name, known), key=self._responsiveness)
+
+    def _responsiveness(self, address: str) -> tuple[bool, float]:
+        """Return the sort key of a coordinator: equal for all that reply, so that these keep their order."""
+        replica = self._replica(address)
+        is_responsive = replica.replied_at > NEVER and not replica.is_silent
+        return not is_responsive, NEVER if is_responsive else replica.requested_at
 
     def publish_self(self) -> None:
         """Send this gateway's changed entry now instead of with the next request, by cancelling the awaited request."""
@@ -195,9 +207,13 @@
         return replica
 
     def _parallel_requests(self) -> int:
-        """Return how many requests are in flight and not overdue."""
+        """Return how many requests to peers that have replied lately are in flight and not overdue."""
         overdue_since = self._clock() - HOLD_MS - OVERDUE_RATIO * self._bounds.config_apply_ms
-        return sum(pending.sent_at > overdue_since for pending in self._pending.values())
+        replied_since = self._clock() - self._bounds.contact_window_ms
+        return sum(
+            pending.sent_at > overdue_since and self._replicas[address].replied_at > replied_since
+            for address, pending in self._pending.items()
+        )
 
     def _reply_timeout_ms(self, replica: PeerReplica) -> float:
         return replica.reply_timeout_ms(REPLY_TIMEOUT_RATIO * self._bounds.config_apply_ms)
@@ -213,6 +229,7 @@
         request = self._request(replica, hold_ms, updates_view=True)
         await asyncio.wait({request}, timeout=(hold_ms + self._reply_timeout_ms(replica)) / 1000)
         has_reply = request.done() and (request.cancelled() or request.result())
+        replica.is_silent = not has_reply
         self._pull_counts["reply" if has_reply else "failed" if request.done() else "overdue"] += 1
         return has_reply
 
@@ -221,6 +238,7 @@
         pending = self._pending.get(replica.address)
         if pending is not None:
             return pending.task
+        replica.requested_at = self._clock()
         task = asyncio.ensure_future(self._send_request(replica, hold_ms, updates_view=updates_view))
         self._pending[replica.address] = _PendingRequest(self._clock(), task)
         task.add_done_callback(lambda done: self._on_request_done(replica.address, done))
--- a/hallhitch/planes/distribution/peer_replica.py
+++ b/hallhitch/planes/distribution/peer_replica.py
@@ -42,6 +42,8 @@
         self._is_coordinator = is_coordinator
         self.created_at = clock()
         self.replied_at = NEVER
+        self.requested_at = NEVER  # when the latest request was made
+        self.is_silent = False  # whether the latest request that was waited for got no timely reply
         self.incarnation = 0
         self.quorum_contact_at = NEVER  # a majority has confirmed this peer at this time or later
         self.is_lease_expired = True  # whether the peer's serving lease had expired at its last reply
@@ -77,6 +79,7 @@
         received_at = self._clock()
         written_at = _earliest_written_at(update, requested_at, received_at)
         self.replied_at, self.incarnation = received_at, update.incarnation
+        self.is_silent = False
         self.round_trip.observe(max(1.0, received_at - written_at))
         self.serving_lease_ms = serving_lease_ms
         self.is_lease_expired = not 0 <= update.quorum_contact_age_ms <= serving_lease_ms
