--- a/hallhitch/cli/demo_system.py
+++ b/hallhitch/cli/demo_system.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from pathlib import Path
 from typing import TYPE_CHECKING, Final
 
@@ -13,7 +14,7 @@
     from hallhitch.lab.emulator.client_request import RequestOutcome
     from hallhitch.lab.emulator.emulator import Emulator
     from hallhitch.lab.emulator.spec import EmulatorSpec
-    from hallhitch.lab.emulator.traffic import PlannedFault
+    from hallhitch.lab.emulator.traffic import PlannedFault, Traffic
 
 DEFAULT_DURATION_S: Final = 20.0
 DEFAULT_SCENARIO: Final = "kills"
@@ -78,14 +79,6 @@
     name: str, duration_s: float, load_factor: float, spec: EmulatorSpec, directory: Path | None
 ) -> None:
     from hallhitch.lab.emulator.emulator import Emulator
-    from hallhitch.lab.emulator.report import (
-        TABLE_HEADER,
-        describe_acknowledgements,
-        describe_violations,
-        outcome_table,
-        percentile,
-    )
-    from hallhitch.lab.emulator.rules import check_records
     from hallhitch.lab.emulator.scenarios import SCENARIOS
     from hallhitch.lab.emulator.traffic import Traffic, plan_requests
 
@@ -101,6 +94,14 @@
         await traffic.run(faults, lambda second, outcomes: _print_second(second, outcomes, faults))
         await emulator.operator.read_config()
         unexpected_exits = emulator.processes.describe_unexpected_exits()
+    _print_summary(emulator, traffic)
+    _check_run(emulator, unexpected_exits)
+
+
+def _print_summary(emulator: Emulator, traffic: Traffic) -> None:
+    """Print the outcomes by kind and region, the calls of the system, and the operator's operations."""
+    from hallhitch.lab.emulator.report import TABLE_HEADER, describe_acknowledgements, outcome_table, percentile
+
     click.echo()
     print_table(TABLE_HEADER, outcome_table(traffic.outcomes))
     click.echo(
@@ -113,7 +114,18 @@
     click.echo(
         f"{describe_acknowledgements(records.operations)}; configuration read back {len(records.config_reads)} times\n"
     )
-    violations_by_rule = check_records(records, spec.bounds)
+
+
+def _check_run(emulator: Emulator, unexpected_exits: Sequence[str]) -> None:
+    """Print whether each rule held and which processes exited unexpectedly.
+
+    Raises:
+        CommandError: A rule was violated, or a process exited unexpectedly.
+    """
+    from hallhitch.lab.emulator.report import describe_violations
+    from hallhitch.lab.emulator.rules import check_records
+
+    violations_by_rule = check_records(emulator.records, emulator.spec.bounds)
     for line in describe_violations(violations_by_rule):
         click.echo(line)
     for line in unexpected_exits:
