--- a/hallhitch/planes/discovery/endpoint_list.py
+++ b/hallhitch/planes/discovery/endpoint_list.py
@@ -27,9 +27,8 @@
 # How much longer each rank waits than the one before, as a ratio of the read interval. Coordinators learn of each read
 # at once, so this covers the read itself and a round trip between regions.
 READER_STAGGER_RATIO: Final = 0.4
-MAX_STAGGERED_RANK: Final = (
-    3  # all later ranks wait as long: the wait stays bounded, however many coordinators there are
-)
+# Later ranks wait no longer than this one, so that the wait is bounded for any number of coordinators.
+MAX_STAGGERED_RANK: Final = 3
 
 
 @dataclass(frozen=True, slots=True)
