Simulation: a drain that a gateway never learns of violates the invariant too

Found by reading the change once more: the check judged only drains that were learned, so one that never reached a gateway passed. Now each listed drain is due at each gateway that runs and is in contact by then.

--- a/hallhitch/lab/simulation/invariants.py
+++ b/hallhitch/lab/simulation/invariants.py
@@ -171,18 +171,21 @@
 
     The bound also runs during faults; it binds a gateway as soon as that is in contact.
     """
-    for observation in history.drain_observations:
-        lifetime = history.gateway_lifetimes[observation.process]
-        due_at_s = max(observation.listed_at_s + history.drain_bound_s, lifetime.begin_s + history.contact_window_s)
-        for fault in sorted(history.fault_intervals, key=lambda fault: fault.begin_s):
-            if fault.overlaps(due_at_s, due_at_s):
-                due_at_s = fault.end_s
-        if observation.observed_at_s > due_at_s:
-            yield Violation(
-                Invariant.DRAIN_PROPAGATION,
-                f"{observation.process} learned at {observation.observed_at_s:.3f} that {observation.instance} is "
-                f"draining, listed at {observation.listed_at_s:.3f}",
-            )
+    faults = sorted(history.fault_intervals, key=lambda fault: fault.begin_s)
+    observed_at_s = {(seen.process, seen.instance): seen.observed_at_s for seen in history.drain_observations}
+    for process, lifetime in history.gateway_lifetimes.items():
+        ends_at_s = min(lifetime.end_s, history.converged_by_s)
+        for instance, listed_at_s in history.drains_listed_at_s.items():
+            due_at_s = max(listed_at_s + history.drain_bound_s, lifetime.begin_s + history.contact_window_s)
+            for fault in faults:
+                if fault.overlaps(due_at_s, due_at_s):
+                    due_at_s = fault.end_s
+            learned_at_s = observed_at_s.get((process, instance), float("inf"))
+            if min(learned_at_s, ends_at_s) > due_at_s:
+                yield Violation(
+                    Invariant.DRAIN_PROPAGATION,
+                    f"{process} learned at {learned_at_s:.3f} that {instance} is draining, listed at {listed_at_s:.3f}",
+                )
 
 
 def check_availability(history: OperationHistory) -> Iterator[Violation]:
--- a/hallhitch/lab/simulation/operation_history.py
+++ b/hallhitch/lab/simulation/operation_history.py
@@ -142,6 +142,7 @@
     operations: list[Operation] = field(default_factory=list)
     gateway_observations: list[Observation] = field(default_factory=list)
     coordinator_observations: list[Observation] = field(default_factory=list)
+    drains_listed_at_s: dict[str, float] = field(default_factory=dict)  # by instance
     drain_observations: list[DrainObservation] = field(default_factory=list)
     member_additions: list[MemberAddition] = field(default_factory=list)  # excluding the initial members
     gateway_lifetimes: dict[str, Interval] = field(default_factory=dict)  # by process
--- a/hallhitch/lab/simulation/simulation.py
+++ b/hallhitch/lab/simulation/simulation.py
@@ -72,6 +72,7 @@
             acknowledgement_bound_s=bounds.ack_timeout_ms / 1000,
             contact_window_s=bounds.contact_window_ms / 1000,
             drain_bound_s=schedule.drain_timeout_s,
+            drains_listed_at_s={drain.instance: drain.listed_at_s for drain in schedule.drains},
         )
         self.unhandled_errors: list[str] = []  # of processes that have ended already
         initial_hosts = [f"10.0.0.{number}" for number in range(1, schedule.initial_coordinators + 1)]
--- a/tests/system/simulation/test_invariants.py
+++ b/tests/system/simulation/test_invariants.py
@@ -33,6 +33,7 @@
         elif isinstance(event, MemberAddition):
             result.member_additions.append(event)
         elif isinstance(event, DrainObservation):
+            result.drains_listed_at_s[event.instance] = event.listed_at_s
             result.drain_observations.append(event)
         else:
             result.gateway_observations.append(event)
@@ -111,6 +112,12 @@
 }
 
 
+def test_checker_finds_a_drain_that_a_gateway_never_learns_of() -> None:
+    result = history()
+    result.drains_listed_at_s["b"] = 6.0
+    assert violated_invariants(find_violations(result)) == {Invariant.DRAIN_PROPAGATION}
+
+
 @pytest.mark.parametrize("invariant", VIOLATING_HISTORIES)
 def test_checker_finds_violation_of_each_invariant(invariant: Invariant) -> None:
     assert invariant in violated_invariants(find_violations(VIOLATING_HISTORIES[invariant]))
