--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -492,7 +492,7 @@
     record.say(f"with{'' if has_trouble else 'out'} the disruption")
     try:
         held = asyncio.run(asyncio.wait_for(case(record, has_trouble), seconds))  # type: ignore[operator]
-    except (CannotRun, TimeoutError, OSError) as error:
+    except Exception as error:  # whatever went wrong here says nothing of the rule
         record.say(f"cannot run: {type(error).__name__}: {error}")
         sys.exit(2)
     record.say("the rule held" if held else "THE RULE WAS BROKEN")
