Gateway: a log event says how a drain ended, and the shutdown uses the program's clock

Cause: after SIGTERM a gateway logged "shutting down" and "stopped" alone. Requests that were taken too late, a process that exits too early and a listener that closes too late could not be told apart.

Change: "gateway: drain ended" with its duration, the open connections and the requests that are cut, as a WARNING if there are any. `shut_down` reads the clock of its runtime, so that it can be played in virtual time.

--- a/hallhitch/programs/gateway.py
+++ b/hallhitch/programs/gateway.py
@@ -11,7 +11,6 @@
 from typing import Final
 
 from hallhitch.messages.system_pb2 import Envelope
-from hallhitch.node.clock import now
 from hallhitch.node.http_server import HttpReply, HttpServer
 from hallhitch.node.logs import ComponentLogger
 from hallhitch.node.metrics import MetricsServer
@@ -43,6 +42,7 @@
     def __init__(self, node: NodeSettings, runtime: Runtime | None = None) -> None:
         runtime = runtime or Runtime()
         self._node = node
+        self._clock = runtime.clock
         self._log = ComponentLogger("gateway")
         self._incarnation = runtime.draw_incarnation()
         self._is_ready = self._is_leaving = False
@@ -85,7 +85,7 @@
 
     async def shut_down(self) -> None:
         """Leave the directory, release the quota leases, close the listener, and wait for the pending requests."""
-        started_at, grace_period_ms = now(), self._node.bounds.grace_period_ms
+        started_at, grace_period_ms = self._clock(), self._node.bounds.grace_period_ms
         self._is_leaving = True
         self._sync.publish_self()
         self._data.start_draining()
@@ -93,10 +93,22 @@
         await asyncio.sleep(grace_period_ms * LISTENER_CLOSE_RATIO / 1000)
         self._data.close_listener()
         await self._data.wait_drained(started_at + grace_period_ms * DRAIN_DEADLINE_RATIO)
+        self._log_end_of_drain(self._clock() - started_at)
         await self._metrics_server.close()
         self._sync.stop()
         self._links.close()
 
+    def _log_end_of_drain(self, duration_ms: float) -> None:
+        """Log how the drain ended; requests that are still in flight are cut when the process exits."""
+        listener = self._data.listener
+        log = self._log.warning if listener.request_tasks else self._log.info
+        log(
+            "drain ended",
+            duration_ms=f"{duration_ms:.0f}",
+            connections=len(listener.connections),
+            requests_cut=len(listener.request_tasks),
+        )
+
     # Calls from other processes and from clients.
 
     def _own_entry(self) -> Gateway:
