Gateway: a leaving gateway takes only requests that it can finish, and answers every one

Cause: the time that is left to a leaving gateway was not compared with the time that a request may take. A request was accepted for as long as its connection was open (until half of gracePeriod, and 1.2 s more where a connection was new), whatever its deadline; at the drain deadline the process exited with whatever it held.

Change: from SIGTERM on a request is sent to a backend only if its deadline is no later than the drain deadline; any other gets 503 at once, before it may run. A request that was taken before gets its reply by the drain deadline: 503 if it never ran, otherwise 504. The process exits at 0.95 of gracePeriod, so that the last replies are received.

This works as a request's handler replies by the request's deadline in any case: whatever is taken has its reply before the process ends, however long its backend works, and whatever is not taken has not run.

--- a/hallhitch/planes/data/client_connection.py
+++ b/hallhitch/planes/data/client_connection.py
@@ -193,6 +193,11 @@
             self._rejection_status = 408
             self._start_next_or_wait(self._context.clock())
 
+    def on_draining(self) -> None:
+        """Tell the request that is being handled that the gateway drains."""
+        if self._handler is not None:
+            self._handler.on_draining()
+
     def abort(self) -> None:
         """Close the connection immediately, discarding unsent bytes."""
         self._transport.abort()
--- a/hallhitch/planes/data/http_listener.py
+++ b/hallhitch/planes/data/http_listener.py
@@ -148,9 +148,15 @@
 
     # Shutdown.
 
-    def start_draining(self) -> None:
-        """Close each connection after its next reply, so that its client connects to another gateway."""
-        self.context.is_draining = True
+    def start_draining(self, drain_deadline: float) -> None:
+        """Close each connection after its next reply, so that its client connects to another gateway.
+
+        Every request gets its reply by `drain_deadline`: one whose own deadline is later is rejected unless it was
+        admitted before.
+        """
+        self.context.drain_deadline = drain_deadline
+        for connection in self.connections:
+            connection.on_draining()
 
     def close_listener(self) -> None:
         """Stop accepting connections; idle ones are closed after IDLE_TIMEOUT_WHEN_CLOSED_MS."""
--- a/hallhitch/planes/data/plane.py
+++ b/hallhitch/planes/data/plane.py
@@ -101,9 +101,9 @@
 
     # Shutdown.
 
-    def start_draining(self) -> None:
-        """Close each client connection after its next reply."""
-        self.listener.start_draining()
+    def start_draining(self, drain_deadline: float) -> None:
+        """Close each client connection after its next reply, and reply to every request by `drain_deadline`."""
+        self.listener.start_draining(drain_deadline)
 
     def close_listener(self) -> None:
         """Accept no new client connections."""
--- a/hallhitch/planes/data/request_handler.py
+++ b/hallhitch/planes/data/request_handler.py
@@ -5,6 +5,9 @@
   none of the ended attempts may have run.
 - A non-idempotent request is written to another backend only after all earlier attempts ended without having run.
 - The tenant's quota unit is refunded if and only if every attempt has ended and none may have run.
+- A draining gateway sends a request to a backend only if the request was admitted before, or has its deadline no later
+  than the drain deadline. It rejects any other request, whose client can still reach another gateway.
+- A request gets its reply before its deadline and no later than the drain deadline of the gateway.
 - After the client has disconnected, no attempt starts, queued attempts are cancelled, and attempts of an idempotent
   request are abandoned.
 
@@ -28,6 +31,7 @@
 
 # Retry-After for a request that found no backend with capacity before its deadline; capacity may be free again soon.
 NO_CAPACITY_RETRY_AFTER_MS: Final = 100.0
+DRAINING_RETRY_AFTER_MS: Final = 0.0  # other gateways are available at once
 # The reply is sent this long before the deadline, so that it arrives while the client still waits: a ratio of the
 # request's time, up to a maximum.
 REPLY_MARGIN_MAX_MS: Final = 20.0
@@ -68,8 +72,8 @@
         "_next_decision_at",
         "_quota_decision",
         "_received_at",
-        "_reply_deadline",
         "_request",
+        "_request_reply_deadline",
         "_upstream_request",
         "_wakeup",
         "_winning_response",
@@ -93,7 +97,7 @@
         self._winning_response: Message | None = None
         self._error_response: Message | None = None  # a backend's complete 5xx, used if no attempt succeeds
         self._is_finished = False
-        self._reply_deadline = 0.0
+        self._request_reply_deadline = 0.0  # shortly before the request's deadline
         self._next_decision_at = 0.0  # the load balancer is asked then, or earlier if an attempt ends
         self._attempts_changed = False  # whether an attempt ended or timed out since the last decision
         self._wakeup: asyncio.Future[None] | None = None
@@ -107,6 +111,9 @@
         self._info = admitted.info
         if self._client.is_disconnected:
             return self._fallback_reply(502)
+        if self._info.deadline_ms > context.drain_deadline:
+            context.count("rejected_while_draining")
+            return local_reply(503, self._request, DRAINING_RETRY_AFTER_MS)
         if admitted.tenant is not None and admitted.tenant.rate_per_s > 0:
             rejection = await self._charge_quota(admitted.tenant)
             if rejection is not None:
@@ -164,7 +171,7 @@
         clock, client, info = self._context.clock, self._client, self._info
         is_non_idempotent = self._upstream_request.is_non_idempotent
         margin_ms = min(REPLY_MARGIN_MAX_MS, REPLY_MARGIN_RATIO * (info.deadline_ms - self._received_at))
-        self._reply_deadline = info.deadline_ms - margin_ms
+        self._request_reply_deadline = info.deadline_ms - margin_ms
         while True:
             now = clock()
             if self._winning_response is not None:
@@ -253,6 +260,10 @@
 
     # Waiting.
 
+    @property
+    def _reply_deadline(self) -> float:
+        return min(self._request_reply_deadline, self._context.drain_deadline)
+
     def _next_event_at(self) -> float:
         hedges = (attempt.hedge_at for attempt in self._in_flight if not attempt.is_overdue)
         return min([self._reply_deadline, self._next_decision_at, *hedges])
@@ -283,6 +294,10 @@
 
     # Called by the client connection.
 
+    def on_draining(self) -> None:
+        """Make the drain deadline effective for a request that is already waiting."""
+        self._wake()
+
     def on_client_disconnected(self) -> None:
         """Stop the work for a disconnected client, including one that was receiving a streamed response."""
         self._cancel_queued_attempts()
--- a/hallhitch/programs/gateway.py
+++ b/hallhitch/programs/gateway.py
@@ -33,7 +33,9 @@
 # Share of gracePeriod after which a leaving gateway closes its listener: clients still use addresses that they resolved
 # before.
 LISTENER_CLOSE_RATIO: Final = 0.5
-DRAIN_DEADLINE_RATIO: Final = 0.9  # share of gracePeriod after which a leaving gateway stops waiting for requests
+DRAIN_DEADLINE_RATIO: Final = 0.9  # share of gracePeriod after which a leaving gateway has answered every request
+# Share of gracePeriod after which a leaving gateway exits; until then clients may receive the last replies.
+EXIT_RATIO: Final = 0.95
 
 
 class GatewayProgram:
@@ -84,15 +86,15 @@
         self._sync.set_seeds(node.seed_addresses)
 
     async def shut_down(self) -> None:
-        """Leave the directory, release the quota leases, close the listener, and wait for the pending requests."""
+        """Leave the directory, release the quota leases, close the listener, and answer the pending requests."""
         started_at, grace_period_ms = self._clock(), self._node.bounds.grace_period_ms
         self._is_leaving = True
         self._sync.publish_self()
-        self._data.start_draining()
+        self._data.start_draining(started_at + grace_period_ms * DRAIN_DEADLINE_RATIO)
         await self._quota.release_all()
         await asyncio.sleep(grace_period_ms * LISTENER_CLOSE_RATIO / 1000)
         self._data.close_listener()
-        await self._data.wait_drained(started_at + grace_period_ms * DRAIN_DEADLINE_RATIO)
+        await self._data.wait_drained(started_at + grace_period_ms * EXIT_RATIO)
         self._log_end_of_drain(self._clock() - started_at)
         await self._metrics_server.close()
         self._sync.stop()
--- a/tests/system/data/stub_policies.py
+++ b/tests/system/data/stub_policies.py
@@ -69,6 +69,14 @@
         state.is_finished = True
 
 
+class NeverAvailablePolicy(EachBackendOncePolicy):
+    """Keeps every request waiting for capacity."""
+
+    def next_action(self, now: float, state: UntriedBackends) -> Action:
+        """Make the request wait."""
+        return Enqueue(LONG_WAIT_MS)
+
+
 class StubQuotaCounter:
     """A quota counter that returns a fixed decision and records refunds."""
 
--- a/tests/system/data/test_client_requests.py
+++ b/tests/system/data/test_client_requests.py
@@ -183,7 +183,7 @@
     client, idle = await harness.connect_client(), await harness.connect_client()
     client.write(encode_request())
     await backend.request_received.wait()
-    harness.plane.start_draining()
+    harness.plane.start_draining(harness.plane.context.clock() + 5000)
     harness.plane.close_listener()
     harness.plane.listener.enforce_timeouts(harness.plane.context.clock() + 2000)
     backend.may_respond.set()
