Gateway: the release of quota leases neither delays nor ends the drain

Seen by callers: with coordinators that do not reply, a leaving gateway accepts new connections for up to 1.4 s longer than half of gracePeriod, and any unexpected error of the release ended the process at once, with all its requests.

Change: the release has until the listener closes, which is counted from SIGTERM; a time-out or an error is logged.

--- a/hallhitch/programs/gateway.py
+++ b/hallhitch/programs/gateway.py
@@ -91,8 +91,9 @@
         self._is_leaving = True
         self._sync.publish_self()
         self._data.start_draining(started_at + grace_period_ms * DRAIN_DEADLINE_RATIO)
-        await self._quota.release_all()
-        await asyncio.sleep(grace_period_ms * LISTENER_CLOSE_RATIO / 1000)
+        listener_closes_at = started_at + grace_period_ms * LISTENER_CLOSE_RATIO
+        await self._release_quota(listener_closes_at)
+        await asyncio.sleep(max(0.0, listener_closes_at - self._clock()) / 1000)
         self._data.close_listener()
         await self._data.wait_drained(started_at + grace_period_ms * EXIT_RATIO)
         self._log_end_of_drain(self._clock() - started_at)
@@ -100,6 +101,16 @@
         self._sync.stop()
         self._links.close()
 
+    async def _release_quota(self, until: float) -> None:
+        """Release the quota leases. If that fails or takes longer, the drain goes on, and the leases expire."""
+        try:
+            async with asyncio.timeout(max(0.0, until - self._clock()) / 1000):
+                await self._quota.release_all()
+        except TimeoutError:
+            self._log.warning("quota leases not released in time")
+        except Exception as error:  # noqa: BLE001  top-level handler: logs the error, and the shutdown continues
+            self._log.exception("quota release failed", error)
+
     def _log_end_of_drain(self, duration_ms: float) -> None:
         """Log how the drain ended; requests that are still in flight are cut when the process exits."""
         listener = self._data.listener
--- a/tests/system/data/test_graceful_shutdown.py
+++ b/tests/system/data/test_graceful_shutdown.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from hallhitch.programs.gateway import DRAIN_DEADLINE_RATIO
+from hallhitch.programs.gateway import DRAIN_DEADLINE_RATIO, LISTENER_CLOSE_RATIO
 from tests.system.data.gateway_shutdown import SentRequest, ShutdownScene, run_shutdown
 from tests.system.data.scripted_peers import Peer, encode_request
 
@@ -23,6 +23,8 @@
 PIPELINED_COUNT: Final = 4
 GRACE_PERIOD_MS: Final = 6000.0
 SHORT_GRACE_PERIOD_MS: Final = 3000.0  # shorter than the time-out of the route
+LISTENER_CLOSES_AT_MS: Final = LISTENER_CLOSE_RATIO * GRACE_PERIOD_MS
+RELEASE_S: Final = 1.4  # until the quota plane gives up if no coordinator replies
 SHORT_DEADLINE_MS: Final = 2800.0  # so that the last request that has time is sent while idle connections stay open
 
 SendRequests = Callable[[ShutdownScene], Awaitable[list[asyncio.Task[object]]]]
@@ -127,5 +129,27 @@
     run_shutdown(scenario, GRACE_PERIOD_MS)
 
 
+# Guards against a drain that starts late or not at all because the quota leases are not released.
+@pytest.mark.parametrize("error", [None, ValueError("unexpected")])
+def test_listener_closes_in_time_whatever_becomes_of_the_quota_leases(error: Exception | None) -> None:
+    async def release_all() -> None:
+        await asyncio.sleep(RELEASE_S)
+        if error is not None:
+            raise error
+
+    async def scenario(scene: ShutdownScene) -> None:
+        scene.program._quota.release_all = release_all  # type: ignore[method-assign]
+        peer = await scene.connect_kept()
+        shutdown = await scene.terminate()
+        answered = asyncio.create_task(scene.exchange(peer, 0.0))
+        for at_ms, is_open in ((LISTENER_CLOSES_AT_MS - 10, True), (LISTENER_CLOSES_AT_MS + 10, False)):
+            await scene.sleep_until(at_ms)
+            assert (await scene.connect() is not None) is is_open
+        await asyncio.gather(shutdown, answered)
+        assert scene.requests[0].status == 200
+
+    run_shutdown(scenario, GRACE_PERIOD_MS)
+
+
 def _lost(scene: ShutdownScene) -> list[SentRequest]:
     return [request for request in scene.requests if request.is_lost(scene.grace_period_ms)]
