Gateway: a leaving gateway waits for requests whose clients have reset their connections

Seen by backends: a non-idempotent request was told to stop by the close of its connection, as its gateway exited before the drain deadline. The design says that such a request runs to its end, with or without its client.

Cause: the drain waited for client connections alone. A client that resets its connection leaves none, while its request goes on: the process exited once the listener was closed, at half of gracePeriod, and cut the attempt. Found by looking for other ways in which a leaving gateway cuts what it has taken.

Change: the drain is over when no connection is open and no request is handled.

--- a/hallhitch/planes/data/http_listener.py
+++ b/hallhitch/planes/data/http_listener.py
@@ -48,7 +48,7 @@
         self._address = address
         self._request_error_log = RateLimitedLog(ComponentLogger("frontend"))
         self._server: asyncio.Server | None = None
-        self._all_connections_closed = asyncio.Event()  # set when the last connection closes
+        self._is_drained = asyncio.Event()  # set when the last connection or request task ends
         self._is_closed = False
 
     async def start(self) -> None:
@@ -88,7 +88,11 @@
         self.context.count("requests")
         task = asyncio.get_running_loop().create_task(connection.handle_request(request, received_at))
         self.request_tasks.add(task)
-        task.add_done_callback(self.request_tasks.discard)
+        task.add_done_callback(self._on_request_done)
+
+    def _on_request_done(self, task: asyncio.Task[None]) -> None:
+        self.request_tasks.discard(task)
+        self._check_drained()
 
     def on_request_failed(self, error: Exception) -> None:
         """Log an unexpected exception that ended a request, rate-limited."""
@@ -98,8 +102,7 @@
         """Remove a closed connection and its timers."""
         self.connections.discard(connection)
         self.timers.remove(connection)
-        if not self.connections:
-            self._all_connections_closed.set()
+        self._check_drained()
 
     # Time-outs.
 
@@ -165,14 +168,22 @@
             self._server.close()
 
     async def wait_drained(self, until: float) -> bool:
-        """Wait until all connections are closed or `until` has passed; return whether all are closed."""
-        while self.connections and self.context.clock() < until:
-            self._all_connections_closed.clear()
-            try:
-                await asyncio.wait_for(self._all_connections_closed.wait(), (until - self.context.clock()) / 1000)
-            except TimeoutError:
-                break
-        return not self.connections
+        """Wait until all connections are closed and all requests are done, or `until` has passed; return whether so.
+
+        A non-idempotent request whose client has disconnected has no connection any more, but still runs.
+        """
+        self._is_drained.clear()
+        self._check_drained()
+        try:
+            async with asyncio.timeout(max(0.0, until - self.context.clock()) / 1000):
+                await self._is_drained.wait()
+        except TimeoutError:
+            pass
+        return not self.connections and not self.request_tasks
+
+    def _check_drained(self) -> None:
+        if not self.connections and not self.request_tasks:
+            self._is_drained.set()
 
     def close(self) -> None:
         """Close the listener and all connections immediately."""
--- a/hallhitch/planes/data/plane.py
+++ b/hallhitch/planes/data/plane.py
@@ -110,7 +110,10 @@
         self.listener.close_listener()
 
     async def wait_drained(self, until: float) -> bool:
-        """Wait until all client connections are closed or `until` (monotonic ms) has passed; return whether all are."""
+        """Wait until all client connections are closed and all requests are done, or `until` (monotonic ms) has passed.
+
+        Return whether they are.
+        """
         return await self.listener.wait_drained(until)
 
     def close(self) -> None:
--- a/tests/system/data/gateway_shutdown.py
+++ b/tests/system/data/gateway_shutdown.py
@@ -79,6 +79,7 @@
         self.requests: list[SentRequest] = []
         self.arrived: set[str] = set()
         self.at_work: set[str] = set()
+        self.completed: set[str] = set()  # requests whose connection stayed open until the backend was done
         self._loop = loop
         self._terminated_at_ms = 0.0
         node = replace(make_node_settings(), bounds=RuleBounds(grace_period_ms=grace_period_ms))
@@ -109,6 +110,11 @@
         while not self._data.listener.request_tasks:
             await asyncio.sleep(0)
 
+    async def wait_until_at_work(self) -> None:
+        """Wait until the backend works on a request."""
+        while not self.at_work:
+            await asyncio.sleep(0)
+
     async def terminate(self) -> asyncio.Task[None]:
         """Begin the shutdown, as SIGTERM does; the process exits when the returned task is done."""
         self._terminated_at_ms = self._loop.clock()
@@ -143,6 +149,8 @@
                 self.at_work.add(request_id)
                 await asyncio.sleep(self.work_ms / 1000)
                 self.at_work.discard(request_id)
+                if not reader.at_eof():
+                    self.completed.add(request_id)
                 peer.respond(200, b"done")
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             writer.close()
--- a/tests/system/data/test_graceful_shutdown.py
+++ b/tests/system/data/test_graceful_shutdown.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from typing import Final
 
@@ -25,6 +27,7 @@
 SHORT_GRACE_PERIOD_MS: Final = 3000.0  # shorter than the time-out of the route
 LISTENER_CLOSES_AT_MS: Final = LISTENER_CLOSE_RATIO * GRACE_PERIOD_MS
 RELEASE_S: Final = 1.4  # until the quota plane gives up if no coordinator replies
+RESET_ON_CLOSE: Final = struct.pack("ii", 1, 0)  # SO_LINGER with a time of zero
 SHORT_DEADLINE_MS: Final = 2800.0  # so that the last request that has time is sent while idle connections stay open
 
 SendRequests = Callable[[ShutdownScene], Awaitable[list[asyncio.Task[object]]]]
@@ -151,5 +154,21 @@
     run_shutdown(scenario, GRACE_PERIOD_MS)
 
 
+# Guards against the loss of a non-idempotent request whose client has left: its backend was told to stop by the exit.
+def test_request_of_a_departed_client_runs_to_its_end_before_the_gateway_exits() -> None:
+    async def scenario(scene: ShutdownScene) -> None:
+        peer = await scene.connect_kept()
+        sending = asyncio.create_task(scene.exchange(peer, 0.0))
+        await scene.wait_until_at_work()
+        shutdown = await scene.terminate()
+        peer.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        peer.reset()
+        await asyncio.gather(shutdown, sending)
+        assert scene.requests[0].id in scene.completed
+        assert scene.since_sigterm_ms() < DRAIN_DEADLINE_RATIO * GRACE_PERIOD_MS
+
+    run_shutdown(scenario, GRACE_PERIOD_MS, work_ms=LISTENER_CLOSES_AT_MS + 500)
+
+
 def _lost(scene: ShutdownScene) -> list[SentRequest]:
     return [request for request in scene.requests if request.is_lost(scene.grace_period_ms)]
