Emulator: the rule LOST around SIGTERM, and long requests to gateways that shut down

Cause: the emulator did not judge LOST at all, its requests worked for some 40 ms, and its clients used a connection to a leaving gateway by chance.

--- a/hallhitch/lab/emulator/backend_connection.py
+++ b/hallhitch/lab/emulator/backend_connection.py
@@ -40,6 +40,7 @@
         self._reader = RequestReader()
         self._waiting = deque[Message]()
         self._task: asyncio.Task[None] | None = None
+        self._executing: BackendArrival | None = None
         self._idle_timer: asyncio.TimerHandle | None = None
         self._transport: asyncio.Transport | None = None
         self._sender = ""  # name of the process that opened the connection
@@ -84,7 +85,9 @@
         return None
 
     def abort(self) -> None:
-        """Reset the connection."""
+        """Reset the connection; a request that is being executed is broken off."""
+        if self._executing is not None:
+            self._executing.is_broken_off = True
         if self._transport is not None:
             self._transport.abort()
 
@@ -180,10 +183,12 @@
         work_ms = self.fleet.draw_work_ms(self.spec) * (COLD_WORK_FACTOR if backend.is_cold else 1.0)
         work_ms *= 1 + self.spec.contention_ratio * backend.busy_slots / self.spec.slots
         arrival.planned_end_ms = min(now() + work_ms, ends_at_ms)
+        self._executing = arrival
         try:
             await asyncio.sleep(max(0.0, arrival.planned_end_ms - now()) / 1000)
         finally:
             arrival.stopped_at_ms = now()
+            self._executing = None
         if now() >= ends_at_ms:
             arrival.status = 504
             return await self._respond(504, request_id=arrival.id)
--- a/hallhitch/lab/emulator/client.py
+++ b/hallhitch/lab/emulator/client.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from typing import Final
 
@@ -222,6 +222,20 @@
             connection.usable_until_ms = now() + min(idle_timeout_ms, DEFAULT_IDLE_TIMEOUT_MS)
             self._idle.append(connection)
 
+    async def use_one_connection(self, address: str, planned: Sequence[tuple[float, ClientRequest]]) -> None:
+        """Open a connection to a gateway and send attempts on it, each after a pause in s, until it closes."""
+        connection = await self._open_connection(address)
+        if connection is None:
+            return
+        for pause_s, request in planned:
+            await asyncio.sleep(pause_s)
+            if connection.reader.at_eof() or connection.writer.is_closing():
+                break
+            await self._send_attempt(connection, request, now() + request.deadline_ms)
+        if connection in self._idle:
+            self._idle.remove(connection)
+        connection.writer.close()
+
     async def probe(self, address: str, request: ClientRequest) -> int:
         """Send one attempt to a gateway and return its status, or 0 if there was no response."""
         connection = await self._open_connection(address)
--- a/hallhitch/lab/emulator/emulator.py
+++ b/hallhitch/lab/emulator/emulator.py
@@ -148,6 +148,10 @@
     def _operator_addresses(self, machines: Sequence[Machine]) -> list[Address]:
         return [(machine.host, self.base_port + OPERATOR_OFFSET) for machine in machines]
 
+    def region_number(self, region: str) -> int:
+        """Return the number of a region, given its name."""
+        return self._region_numbers[region]
+
     def operator_for(self, machines: Sequence[Machine]) -> EmulatedOperator:
         """Return another operator that knows only these coordinators."""
         return EmulatedOperator(self.records, lambda: self._operator_addresses(machines), next(self._operator_streams))
--- a/hallhitch/lab/emulator/overlapping_scenario.py
+++ b/hallhitch/lab/emulator/overlapping_scenario.py
@@ -1,20 +1,22 @@
 """A scenario drawn by the seed: signals, restarts and kills in series that overlap, under constant drains and changes.
 
 Clients that ignore the directory for their open connections (`EmulatorSpec.clients_stay_connected`) use a gateway until
-its process is gone. At most one coordinator is down at a time, except while all are killed at once, so nothing that was
-acknowledged may be lost. Times are in seconds.
+its process is gone; `shutdown_traffic` sends long requests on connections to each gateway that gets SIGTERM. At most
+one coordinator is down at a time, except while all are killed at once, so nothing that was acknowledged may be lost.
+Times are in seconds.
 """
 
 from __future__ import annotations
 
 import asyncio
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from typing import Final
 
 from hallhitch.lab.emulator.control_scenarios import DRAIN_MARGIN_MS, ConfigSequence
 from hallhitch.lab.emulator.emulator import Emulator
 from hallhitch.lab.emulator.node_file import Machine
+from hallhitch.lab.emulator.shutdown_traffic import CONNECT_S, PlannedUse, ShutdownTraffic
 from hallhitch.lab.emulator.traffic import PlannedFault
 from hallhitch.lab.streams import Stream, Streams
 from hallhitch.node.clock import now
@@ -51,6 +53,7 @@
         self.stream: Stream = Streams(emulator.spec.seed).of("overlapping faults")
         self._emulator = emulator
         self._processes = emulator.processes
+        self._shutdown_traffic = ShutdownTraffic(emulator, self.stream)
         self._faulty: set[str] = set()  # names of machines, of all coordinators while one of them has a fault
 
     def draw(self) -> tuple[str, Callable[[], Awaitable[None]]]:
@@ -60,9 +63,19 @@
         gateway = gateways[self.stream.index(len(gateways))]
         coordinator = coordinators[self.stream.index(len(coordinators))]
         down_s = DOWN_S[self.stream.index(len(DOWN_S))]
+        zone_gateways = [machine for machine in gateways if machine.zone == gateway.zone]
+        uses = {machine.name: self._shutdown_traffic.draw() for machine in zone_gateways}
+
+        async def shut_down(machine: Machine, down_s: float) -> None:
+            await self._shut_down(machine, uses[machine.name], self._terminate)
+
+        async def shut_down_by_series(machine: Machine, down_s: float) -> None:
+            await self._shut_down(machine, uses[machine.name], self._signal_in_series)
+
         choices: list[tuple[str, list[Machine], Callable[[Machine, float], Awaitable[None]]]] = [
-            (f"{gateway.name} gets SIGTERM and restarts", [gateway], self._terminate),
-            (f"{gateway.name} gets signals in series and restarts", [gateway], self._signal_in_series),
+            (f"{gateway.name} gets SIGTERM and restarts", [gateway], shut_down),
+            (f"all gateways of {gateway.zone} get SIGTERM and restart", zone_gateways, shut_down),
+            (f"{gateway.name} gets signals in series and restarts", [gateway], shut_down_by_series),
             (f"{gateway.name} is killed for {down_s:g} s", [gateway], self._kill),
             (f"{gateway.name} is paused for {down_s:g} s", [gateway], self._pause),
             (f"{gateway.name} gets SIGHUP with other seeds", [gateway], self._reload),
@@ -87,6 +100,17 @@
 
         return description, inject_if_possible
 
+    async def _shut_down(
+        self, gateway: Machine, uses: Sequence[PlannedUse], inject: Callable[[Machine, float], Awaitable[None]]
+    ) -> None:
+        """Shut a gateway down while clients use their connections to it until its process is gone."""
+
+        async def inject_when_connected() -> None:
+            await asyncio.sleep(CONNECT_S)
+            await inject(gateway, 0.0)
+
+        await asyncio.gather(self._shutdown_traffic.run(gateway, uses), inject_when_connected())
+
     async def _terminate(self, machine: Machine, down_s: float) -> None:
         await self._processes.terminate(machine)
         await self._processes.restart(machine, "left")
--- a/hallhitch/lab/emulator/process_rig.py
+++ b/hallhitch/lab/emulator/process_rig.py
@@ -20,7 +20,7 @@
 from hallhitch.lab.emulator.connection_owners import Address
 from hallhitch.lab.emulator.node_file import Machine, listen_addresses, node_file_text
 from hallhitch.lab.emulator.ports import INTERNAL_OFFSET
-from hallhitch.lab.emulator.records import FaultInterval, Records
+from hallhitch.lab.emulator.records import FaultInterval, Records, Termination
 from hallhitch.lab.emulator.spec import EmulatorSpec
 from hallhitch.node.clock import now
 
@@ -233,6 +233,8 @@
         if process is None or process.returncode is not None:
             return 0
         machine.is_end_requested, machine.down_since_ms = True, now()
+        if signal_number == signal.SIGTERM:
+            self._records.terminations.append(Termination(machine.down_since_ms, machine.name))
         process.send_signal(signal_number)
         timeout_ms = self.spec.grace_period_ms if timeout_ms is None else timeout_ms
         try:
--- a/hallhitch/lab/emulator/record_index.py
+++ b/hallhitch/lab/emulator/record_index.py
@@ -18,6 +18,14 @@
     return {attempt.id: attempt for attempt in records.attempts}
 
 
+def arrivals_by_id(records: Records) -> dict[str, list[BackendArrival]]:
+    """Return all arrivals at backends, by request id."""
+    arrivals: dict[str, list[BackendArrival]] = defaultdict(list)
+    for arrival in records.arrivals:
+        arrivals[arrival.id].append(arrival)
+    return arrivals
+
+
 def executions_by_id(records: Records) -> dict[str, list[BackendArrival]]:
     """Return the arrivals that a backend began to execute, by request id."""
     executions: dict[str, list[BackendArrival]] = defaultdict(list)
--- a/hallhitch/lab/emulator/records.py
+++ b/hallhitch/lab/emulator/records.py
@@ -114,6 +114,14 @@
     fault: str
 
 
+@dataclass(frozen=True, slots=True)
+class Termination:
+    """The moment at which a machine's process got SIGTERM."""
+
+    at_ms: float
+    machine: str
+
+
 @dataclass(slots=True)
 class Records:
     """All records of one run."""
@@ -125,6 +133,7 @@
     listing_changes: list[ListingChange] = field(default_factory=list)
     cold_periods: list[ColdPeriod] = field(default_factory=list)
     fault_intervals: list[FaultInterval] = field(default_factory=list)
+    terminations: list[Termination] = field(default_factory=list)
     process_starts: list[tuple[float, str]] = field(default_factory=list)  # (time in ms, machine name)
     arrival_numbers: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
 
@@ -146,6 +155,8 @@
     quota_slack: float = 20.0
     cold_overshoot_ratio: float = 1.5
     cold_slack: float = 5.0
+    grace_period_ms: float = 6000.0
+    loss_slack_ms: float = 200.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/hallhitch/lab/emulator/rules.py
+++ b/hallhitch/lab/emulator/rules.py
@@ -28,6 +28,7 @@
     check_retry_budget,
 )
 from hallhitch.lab.emulator.records import CheckBounds, Records, Violation
+from hallhitch.lab.emulator.shutdown_rules import check_shutdown_losses
 
 Rule = Callable[[Records, CheckBounds], list[Violation]]
 
@@ -40,6 +41,7 @@
     "ROUTE": check_routes,
     "HOME": check_allowed_regions,
     "DRAIN": check_drain,
+    "LOST": check_shutdown_losses,
     "GONE": check_departures,
     "EVAC": check_evacuation,
     "FAILBACK": check_cold_load,
--- a/tests/system/emulator/test_rules.py
+++ b/tests/system/emulator/test_rules.py
@@ -4,7 +4,7 @@
 
 import copy
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Final
 
 import pytest
 
@@ -15,10 +15,13 @@
     ConfigRead,
     ListingChange,
     OperatorOperation,
+    Termination,
 )
 from hallhitch.lab.emulator.spec import EmulatorSpec, RequestKind
 from tests.system.emulator.record_builder import API_KEY, FIRST_CONFIG, RecordBuilder, accepted_config
 
+LONG_DEADLINE_MS: Final = 4000.0  # of the requests around a SIGTERM
+
 Fill = Callable[[RecordBuilder], object]
 
 
@@ -111,6 +114,40 @@
     return fill
 
 
+def _terminated(
+    sent_after_ms: float, ended_after_ms: float, status: int = 0, works: bool = True, **arrival_changes: Any
+) -> Fill:
+    """A gateway gets SIGTERM at 1000 ms; a request ends without a seal while a backend works on it, or had it."""
+
+    def fill(builder: RecordBuilder) -> None:
+        builder.records.terminations.append(Termination(1000.0, "edge-1"))
+        ended_at_ms = 1000 + ended_after_ms
+        attempt = builder.add_attempt(
+            1000 + sent_after_ms, "stamp", status=status, seal="", is_complete=bool(status), ended_at_ms=ended_at_ms
+        )
+        attempt.deadline_ms = LONG_DEADLINE_MS
+        planned_end_ms = ended_at_ms + 500 if works else ended_at_ms - 10
+        builder.add_arrival(attempt, planned_end_ms=planned_end_ms, status=0, seal="", **arrival_changes)
+
+    return fill
+
+
+def _terminated_before_backend(ended_after_ms: float) -> Fill:
+    """A gateway gets SIGTERM; a request that reaches no backend ends without a response."""
+
+    def fill(builder: RecordBuilder) -> None:
+        builder.records.terminations.append(Termination(1000.0, "edge-1"))
+        attempt = builder.add_attempt(1100, status=0, seal="", is_complete=False, ended_at_ms=1100 + ended_after_ms)
+        attempt.deadline_ms = LONG_DEADLINE_MS
+
+    return fill
+
+
+def _terminated_and_left(builder: RecordBuilder) -> None:
+    _terminated(3100, 5400)(builder)
+    builder.records.attempts[0].left_at_ms = builder.records.attempts[0].ended_at_ms
+
+
 def _evacuated(arrived_at_ms: float, stopped_at_ms: float | None = None) -> Fill:
     """The evacuation of a zone is acknowledged at 1000 ms; a request arrives."""
 
@@ -258,6 +295,20 @@
     ("a few arrivals after their clients disconnected", _arriving_after_departure(3, 1600), set()),
     ("many arrivals after their clients disconnected", _arriving_after_departure(4, 1600), {"GONE"}),
     ("many arrivals while their clients disconnect", _arriving_after_departure(9, 1400), set()),
+    ("cut at work, sent late after SIGTERM", _terminated(3001, 5400), {"LOST"}),
+    ("cut at work in the last sixth, sent in time", _terminated(3000, 5000), set()),
+    ("cut at work before the last sixth", _terminated(1500, 4990), {"LOST"}),
+    ("cut at work at its deadline", _terminated(3100, 3100 + LONG_DEADLINE_MS - 100), set()),
+    ("cut at work before its deadline", _terminated(3100, 3100 + LONG_DEADLINE_MS - 110), {"LOST"}),
+    ("replaced by the gateway at work", _terminated(3100, 5400, status=502), {"LOST"}),
+    ("cut after its backend had ended", _terminated(100, 3000, works=False), {"LOST"}),
+    ("failed after its backend had ended", _terminated(100, 3000, status=502, works=False), set()),
+    ("broken off by its backend", _terminated(100, 3000, works=False, is_broken_off=True), set()),
+    ("cut long after the grace period", _terminated(6900, 7010), set()),
+    ("cut at work when its client left", _terminated_and_left, set()),
+    ("cut at work at a gateway that is paused", _with_fault(_terminated(3100, 5400)), set()),
+    ("unread, closed at once", _terminated_before_backend(200), set()),
+    ("closed without a backend", _terminated_before_backend(210), {"LOST"}),
     ("evacuated, in time", _evacuated(5990), set()),
     ("evacuated, late", _evacuated(6100), {"EVAC"}),
     ("evacuated, stopped", _evacuated(6100, stopped_at_ms=3000), set()),
