Configuration compiler: below the planes that use it

Cause: coordinators are to compile what they acknowledge, and planes/control may not import planes/distribution.

Change: the module moves to hallhitch/planes/config_compiler.py; nothing else changes.

--- a/benchmarks/config_cost.py
+++ b/benchmarks/config_cost.py
@@ -18,11 +18,11 @@
 from hallhitch.messages.system_pb2 import ClusterState, Envelope
 from hallhitch.node.errors import RequestTimeout
 from hallhitch.node.settings import NodeSettings
+from hallhitch.planes.config_compiler import compile_config
 from hallhitch.planes.control import config_validation, state_transitions
 from hallhitch.planes.control.errors import ConfigTooLargeError
 from hallhitch.planes.control.operator_api import CONFIG_COMPRESSION_LEVEL
 from hallhitch.planes.control.plane import ControlPlane
-from hallhitch.planes.distribution.config_compiler import compile_config
 
 TRACED_BELOW_BYTES: Final = 1e7  # from here on tracing takes too long, and the kernel's figure is exact enough
 VALIDATION_SAMPLE_S: Final = 0.05  # one validation of the largest configuration takes seconds
--- a/benchmarks/simulated_gateways.py
+++ b/benchmarks/simulated_gateways.py
@@ -33,7 +33,7 @@
 from hallhitch.node.clock import now
 from hallhitch.node.settings import NodeSettings
 from hallhitch.node.settings_file import read_settings
-from hallhitch.planes.distribution.config_compiler import EMPTY_CONFIG, compile_config
+from hallhitch.planes.config_compiler import EMPTY_CONFIG, compile_config
 from hallhitch.planes.distribution.gateway_sync import GatewaySync
 from hallhitch.planes.distribution.ports import SyncContext
 from hallhitch.planes.distribution.state_hub import StateHub
--- a/hallhitch/programs/gateway.py
+++ b/hallhitch/programs/gateway.py
@@ -15,10 +15,10 @@
 from hallhitch.node.logs import ComponentLogger
 from hallhitch.node.metrics import MetricsServer
 from hallhitch.node.settings import NodeSettings
+from hallhitch.planes.config_compiler import EMPTY_CONFIG, compile_config
 from hallhitch.planes.data.load_balancer import LoadBalancer, LoadBalancerSettings
 from hallhitch.planes.data.plane import DataPlane
 from hallhitch.planes.discovery.directory import Directory
-from hallhitch.planes.distribution.config_compiler import EMPTY_CONFIG, compile_config
 from hallhitch.planes.distribution.gateway_sync import GatewaySync
 from hallhitch.planes.distribution.list_freshness import LATE_DRAIN_TIMEOUT_RATIO
 from hallhitch.planes.distribution.ports import SyncContext
--- a/tests/system/distribution/test_config_compiler.py
+++ b/tests/system/distribution/test_config_compiler.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from hallhitch.planes.distribution.config_compiler import compile_config
+from hallhitch.planes.config_compiler import compile_config
 from hallhitch.planes.values import ClusterConfig, RequestKind
 
 CONFIG_DOCUMENT = {
