Gateway: a part of the state that cannot be applied keeps no other part from being applied

Cause: the parts were applied one after the other without a boundary, the configuration first. Its exception left all others out, at each change, and nothing was retried, as the serial was taken as known.

Change: StateApplication applies each part apart. A part counts as applied once that has succeeded; a failure is logged once for each version, counted in hallhitch_state_apply_failures_total{part}, and the next version is tried again. Evacuations that come with a configuration which cannot be applied are applied to the one in force. The compiler names the entry that it cannot read.

--- a/hallhitch/planes/config_compiler.py
+++ b/hallhitch/planes/config_compiler.py
@@ -1,15 +1,17 @@
-"""Compiles a stored cluster configuration into the lookup tables that each request uses.
+"""Compiles a cluster configuration into the lookup tables that each request uses.
 
-Compilation runs once for each change. The configuration was validated before it was committed (planes/control), by this
-release or by a newer one. So nothing is rejected here: a value that this release does not know is treated as absent.
+A gateway compiles each configuration that it receives, and a coordinator each one that it is about to acknowledge, so
+that what is acknowledged can be applied. A configuration that a newer release acknowledged may contain values that this
+release does not know: a kind of route or a duration that it does not know is treated as absent.
 """
 
 from __future__ import annotations
 
 import json
 import zlib
-from collections.abc import Iterable, Mapping
-from typing import Any, Final
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import replace
+from typing import Any, Final, TypeVar
 
 from hallhitch.node.durations import parse_duration_ms
 from hallhitch.planes.values import (
@@ -22,33 +24,84 @@
     WeightedService,
 )
 
+EntryT = TypeVar("EntryT")
+
+# What the conversion of a value of the wrong type or size raises.
+CONVERSION_ERRORS: Final = (TypeError, ValueError, KeyError, AttributeError, OverflowError)
 EMPTY_CONFIG: Final = ClusterConfig(serial=0, version=-1, routes={}, services={}, tenants={}, tenants_by_api_key={})
 DEFAULT_TIMEOUT_MS: Final = 30_000.0  # for a route without `timeout`
 DEFAULT_TARGET_SHARE: Final = 1 / 4  # of the timeout, for a route without `targetLatency`
 DEFAULT_HEALTH_PATH: Final = "/health"
 
 
+class UnreadableConfigError(ValueError):
+    """A configuration cannot be compiled; `path` names the entry."""
+
+    def __init__(self, path: str, error: BaseException) -> None:
+        super().__init__(f"{path}: {type(error).__name__}: {error}")
+        self.path = path
+        self.reason = f"{type(error).__name__}: {error}"
+
+
 def compile_config(
     serial: int, version: int, content: bytes, evacuated_zones: Iterable[str], max_gateways: int = 0
 ) -> ClusterConfig:
-    """Compile a configuration from `content`, its zlib-compressed JSON; empty if only zones were evacuated so far."""
-    document = json.loads(zlib.decompress(content)) if content else {}
-    tenants = {name: _compile_tenant(name, entry) for name, entry in (document.get("tenants") or {}).items()}
-    routes = _compile_routes(document.get("routes") or {})
-    return ClusterConfig(
+    """Compile a configuration from `content`, its zlib-compressed JSON; empty if only zones were evacuated so far.
+
+    Raises:
+        UnreadableConfigError: an entry cannot be compiled, or the content is no compressed JSON object.
+    """
+    try:
+        document = json.loads(zlib.decompress(content)) if content else {}
+    except (ValueError, RecursionError, zlib.error) as error:
+        raise UnreadableConfigError("content", error) from None
+    config = compile_document(document)
+    return replace(
+        config,
         serial=serial,
         version=version,
+        evacuated_zones=frozenset(evacuated_zones),
+        max_gateways=max_gateways,
+    )
+
+
+def compile_document(document: Mapping[str, Any]) -> ClusterConfig:
+    """Compile the document of a configuration, without what is stored beside it.
+
+    Raises:
+        UnreadableConfigError: an entry cannot be compiled.
+    """
+    tenants = _compile_section(document, "tenants", _compile_tenant)
+    routes = _index_routes(_compile_section(document, "routes", _compile_route).values())
+    try:
+        limits = _compile_limits(document.get("limits") or {})
+    except CONVERSION_ERRORS as error:
+        raise UnreadableConfigError("limits", error) from None
+    return replace(
+        EMPTY_CONFIG,
         routes=routes,
-        services={name: _compile_service(name, entry) for name, entry in (document.get("services") or {}).items()},
+        services=_compile_section(document, "services", _compile_service),
         tenants=tenants,
         tenants_by_api_key={api_key: tenant for tenant in tenants.values() for api_key in tenant.api_keys},
-        limits=_compile_limits(document.get("limits") or {}),
-        evacuated_zones=frozenset(evacuated_zones),
-        max_gateways=max_gateways,
+        limits=limits,
         home_regions=_find_home_regions(routes),
     )
 
 
+def _compile_section(
+    document: Mapping[str, Any], section: str, compile_entry: Callable[[str, Mapping[str, Any]], EntryT]
+) -> dict[str, EntryT]:
+    """Compile the entries of a section, by name."""
+    path, compiled = section, dict[str, EntryT]()
+    try:
+        for name, entry in (document.get(section) or {}).items():
+            path = f"{section}.{name}"
+            compiled[name] = compile_entry(name, entry)
+    except CONVERSION_ERRORS as error:
+        raise UnreadableConfigError(path, error) from None
+    return compiled
+
+
 def _find_home_regions(routes: Mapping[str, Iterable[Route]]) -> dict[str, frozenset[str]]:
     """Return, for each host that has a route restricted to regions, the regions that may serve all of its routes."""
     home_regions: dict[str, frozenset[str]] = {}
@@ -59,15 +112,14 @@
     return home_regions
 
 
-def _compile_routes(entries: Mapping[str, Mapping[str, Any]]) -> dict[str, tuple[Route, ...]]:
+def _index_routes(routes: Iterable[Route]) -> dict[str, tuple[Route, ...]]:
     """Return the routes by host (in lower case), longest prefix first."""
     by_host: dict[str, list[Route]] = {}
-    for name, entry in entries.items():
-        route = _compile_route(name, entry)
+    for route in routes:
         by_host.setdefault(route.host, []).append(route)
     return {
-        host: tuple(sorted(routes, key=lambda route: (-len(route.prefix), route.prefix)))
-        for host, routes in by_host.items()
+        host: tuple(sorted(host_routes, key=lambda route: (-len(route.prefix), route.prefix)))
+        for host, host_routes in by_host.items()
     }
 
 
--- a/hallhitch/programs/gateway.py
+++ b/hallhitch/programs/gateway.py
@@ -8,6 +8,7 @@
 import asyncio
 import random
 from collections.abc import Awaitable
+from dataclasses import replace
 from typing import Final
 
 from hallhitch.messages.system_pb2 import Envelope
@@ -25,9 +26,10 @@
 from hallhitch.planes.distribution.state_hub import StateHub
 from hallhitch.planes.distribution.versioned_map import Version
 from hallhitch.planes.quota.plane import QuotaPlane
-from hallhitch.planes.values import Gateway
+from hallhitch.planes.values import ClusterConfig, Gateway
 from hallhitch.programs.running import main
 from hallhitch.programs.runtime import Runtime
+from hallhitch.programs.state_application import StateApplication, StatePart
 
 READINESS_PATH: Final = "/hallhitch/readiness"
 # Share of gracePeriod after which a leaving gateway closes its listener: clients still use addresses that they resolved
@@ -47,7 +49,7 @@
         self._clock = runtime.clock
         self._log = ComponentLogger("gateway")
         self._incarnation = runtime.draw_incarnation()
-        self._is_ready = self._is_leaving = False
+        self._is_ready = self._is_leaving = self._has_backends = False
         self._links = runtime.connect(node.cluster_name, node.internal_address, self._incarnation, self._handle)
         self._hub = StateHub(self._incarnation, runtime.clock)
         self._hub.list_freshness.late_after_ms = node.bounds.drain_timeout_ms * LATE_DRAIN_TIMEOUT_RATIO
@@ -58,14 +60,25 @@
         self._data = DataPlane(node, load_balancer, self._quota.counter, runtime.clock)
         self._readiness_server = HttpServer("readiness", self._handle_readiness)
         self._metrics_server = MetricsServer(
-            lambda: [*self._hub.metrics(), *self._sync.metrics(), *self._data.metrics()]
+            lambda: [*self._hub.metrics(), *self._state.metrics(), *self._sync.metrics(), *self._data.metrics()]
         )
         self._directory = Directory(
             node.region_by_zone, node.bounds.max_ttl_ms, lambda host: self._config.home_regions.get(host)
         )
         self._directory_server = HttpServer("directory", self._handle_resolve)
         self._config = EMPTY_CONFIG
-        self._backends_version = self._gateways_version = Version()  # of the maps last applied to the planes
+        hub = self._hub
+        self._state = StateApplication(
+            [
+                StatePart("config", lambda: hub.config.serial, self._apply_config, applied_version=0),
+                StatePart("evacuations", lambda: hub.config.serial, self._apply_evacuations, applied_version=0),
+                StatePart("backends", lambda: hub.backends.version, self._apply_backends, Version()),
+                StatePart("gateways", lambda: hub.gateways.version, self._apply_gateways, Version()),
+                StatePart("lease membership", object, lambda: self._quota.set_membership(hub.lease_membership)),
+                StatePart("lease holders", object, lambda: self._quota.set_holders(hub.holders)),
+            ],
+            self._log,
+        )
 
     # Start and shutdown.
 
@@ -157,11 +170,7 @@
     # Distribution of received state to the planes.
 
     def _on_state_change(self) -> None:
-        self._apply_config()
-        self._apply_backends()
-        self._apply_gateways()
-        self._quota.set_membership(self._hub.lease_membership)
-        self._quota.set_holders(self._hub.holders)
+        self._state.apply_changes()
         if self._has_required_state and not self._is_ready:
             self._is_ready = True
             self._log.info("gateway ready", config_version=self._config.version, backends=len(self._hub.backends))
@@ -170,32 +179,43 @@
     @property
     def _has_required_state(self) -> bool:
         has_config = self._config.version >= 0
-        has_backends = self._backends_version.number > 0
-        return has_config and has_backends and self._sync.is_startup_complete
+        return has_config and self._has_backends and self._sync.is_startup_complete
 
     def _apply_config(self) -> None:
         config = self._hub.config
-        if config.serial <= self._config.serial:
+        self._set_config(
+            compile_config(
+                config.serial, config.config_version, config.config, config.evacuated_zones, config.max_gateways
+            )
+        )
+
+    def _apply_evacuations(self) -> None:
+        """Apply the evacuations that came with a configuration which cannot be applied to the one in force."""
+        received = self._hub.config
+        if self._config.serial == received.serial or self._config.version < 0:
             return
-        self._config = compile_config(
-            config.serial, config.config_version, config.config, config.evacuated_zones, config.max_gateways
+        self._set_config(
+            replace(
+                self._config,
+                serial=received.serial,
+                evacuated_zones=frozenset(received.evacuated_zones),
+                max_gateways=received.max_gateways,
+            )
         )
-        self._quota.set_config(self._config)
-        self._data.set_config(self._config)
+
+    def _set_config(self, config: ClusterConfig) -> None:
+        self._quota.set_config(config)
+        self._data.set_config(config)
+        self._config = config
 
     def _apply_backends(self) -> None:
-        if self._hub.backends.version == self._backends_version:
-            return
-        self._backends_version = self._hub.backends.version
         regions = self._node.region_by_zone
         self._data.set_backends(
             [backend.to_backend(regions.get(backend.zone, "")) for backend in self._hub.backends.values()]
         )
+        self._has_backends = self._hub.backends.number > 0
 
     def _apply_gateways(self) -> None:
-        if self._hub.gateways.version == self._gateways_version:
-            return
-        self._gateways_version = self._hub.gateways.version
         gateways = [gateway for gateway in self._hub.gateways.values() if gateway.serves_clients]
         self._quota.set_gateways(gateways)
         self._data.set_gateways(gateways)
--- a/tests/system/distribution/test_gateway_program.py
+++ b/tests/system/distribution/test_gateway_program.py
@@ -64,6 +64,45 @@
     run_in_virtual_time(scenario)
 
 
+# Guards against one part of the state that cannot be applied keeping all others from being applied (review/2).
+def test_part_that_cannot_be_applied_keeps_no_other_part_from_being_applied() -> None:
+    async def scenario(peers: SimulatedPeers) -> None:
+        program = build_gateway(peers)
+        hub = program._hub
+        hub.on_change.append(program._on_state_change)
+        hub.update_config(1, 5, CONFIG, [])
+        unreadable = zlib.compress(json.dumps({"tenants": {"t": {"priority": ""}}}).encode())
+        hub.update_config(2, 6, unreadable, ["z"])
+        assert program._config.version == 5 and program._config.evacuated_zones == {"z"}
+        hub.update_backends(1.0, [make_backend("i-1")])
+        hub.set_gateways({"g1:1": make_gateway("g1")})
+        assert list(program._data._pools._pools) == ["i-1"]
+        assert failures(program) == {"config": 1.0}
+        hub.update_config(3, 7, CONFIG, [])
+        assert program._config.version == 7 and not program._config.evacuated_zones
+        assert failures(program) == {"config": 1.0}
+
+    run_in_virtual_time(scenario)
+
+
+def test_gateway_whose_first_configuration_cannot_be_applied_is_not_ready() -> None:
+    async def scenario(peers: SimulatedPeers) -> None:
+        program = build_gateway(peers)
+        hub = program._hub
+        hub.on_change.append(program._on_state_change)
+        program._sync.is_startup_complete = True
+        hub.update_config(1, 5, b"no compressed content", ["z"])
+        hub.update_backends(1.0, [make_backend("i-1")])
+        assert readiness(program) == 503 and program._data.context.config is None
+
+    run_in_virtual_time(scenario)
+
+
+def failures(program: GatewayProgram) -> dict[str, float]:
+    (metric,) = program._state.metrics()
+    return {part: count for part, count in metric.samples.items() if count}
+
+
 def test_gateway_resolves_to_the_gateways_that_it_knows() -> None:
     async def scenario(peers: SimulatedPeers) -> None:
         program = build_gateway(peers)
