Control plane: a configuration is acknowledged only if every gateway can compile it

Cause: coordinators check values and gateways convert them, by two readings that differed. The check took `priority or 0`, the conversion `int("")`.

Change: validation ends with the compilation that gateways run; what cannot be compiled is a 400 that names the entry. `priority` is a whole number or null; numbers and durations are at most 2^63 - 1; names of tenants are printable.

--- a/hallhitch/planes/control/config_validation.py
+++ b/hallhitch/planes/control/config_validation.py
@@ -1,7 +1,8 @@
 """Validation of an operator's configuration; an error names the invalid field.
 
-Invariants: validation never changes the configuration, and unknown fields are allowed. The texts of errors become part
-of the responses of the operator API.
+Invariants: validation never changes the configuration, and unknown fields are allowed. A configuration that passes can
+be compiled by every gateway of this release: it is compiled here by the same code. The texts of errors become part of
+the responses of the operator API.
 
 `cerberus` checks the top-level schema, the services and the limits. Routes and tenants come by the thousand, and
 `cerberus` takes about 0.5 ms for each, so the functions here check them by the same rules.
@@ -18,6 +19,7 @@
 
 from hallhitch.node.durations import parse_duration_ms
 from hallhitch.node.errors import DurationError
+from hallhitch.planes.config_compiler import UnreadableConfigError, compile_document
 from hallhitch.planes.control.config_digests import canonical_digest
 from hallhitch.planes.control.config_json import parse_config
 from hallhitch.planes.control.errors import ConfigTooLargeError, InvalidConfigError
@@ -26,6 +28,7 @@
 MAX_CONFIG_BYTES: Final = 32 * 1024 * 1024  # equals the body limit of the HTTP server of the operator API
 MAX_ROUTE_TIMEOUT_MS: Final = 600_000.0  # the text of the error says "ten minutes"
 MAX_INTEGER: Final = 2**63 - 1  # the largest value of the int64 fields in protocol messages
+MAX_NUMBER: Final = float(MAX_INTEGER)  # sums and products of such numbers stay far below the largest float
 ROUTE_KINDS: Final = tuple(RequestKind)
 
 JsonObject = Mapping[str, Any]
@@ -61,6 +64,10 @@
     _check_schema(_LIMITS_SCHEMA, "limits.", config.get("limits") or {})
     _check_routes(config["routes"], services)
     _check_tenants(config.get("tenants") or {})
+    try:
+        compile_document(config)
+    except UnreadableConfigError as error:
+        raise InvalidConfigError(error.reason, path=error.path) from None
     return ValidatedConfig(config["configVersion"], len(config["routes"]), canonical_digest(body))
 
 
@@ -73,7 +80,7 @@
 
 
 def _is_number(value: object) -> TypeGuard[float]:
-    return type(value) in (int, float) and math.isfinite(value) and value >= 0  # type: ignore[arg-type, operator]
+    return type(value) in (int, float) and 0 <= value <= MAX_NUMBER  # type: ignore[operator]
 
 
 def _is_text(value: object) -> TypeGuard[str]:
@@ -89,9 +96,9 @@
 def _check_duration(field: str, value: object, error: Any) -> None:
     if value is not None:
         try:
-            parse_duration_ms(value)
-        except DurationError as invalid:
-            error(field, str(invalid))
+            _parse_duration(field, value)
+        except InvalidConfigError as invalid:
+            error(field, invalid.reason)
 
 
 def _check_number(field: str, value: object, error: Any) -> None:
@@ -195,9 +202,12 @@
 
 def _parse_duration(path: str, value: object) -> float:
     try:
-        return parse_duration_ms(value)
+        duration_ms = parse_duration_ms(value)
     except DurationError as error:
         raise InvalidConfigError(str(error), path=path) from None
+    if not duration_ms <= MAX_NUMBER:
+        raise InvalidConfigError("is too long", path=path)
+    return duration_ms
 
 
 def _check_targets(path: str, route: JsonObject, services: JsonObject) -> None:
@@ -235,6 +245,8 @@
     name_by_key = dict[str, str]()
     for name, tenant in tenants.items():
         path = f"tenants.{name}"
+        if not _is_text(name) or not name.isprintable() or name != name.strip():
+            raise InvalidConfigError(f"{name!r} cannot be the name of a tenant in a header", path="tenants")
         _check_tenant(path, tenant)
         for key in tenant["apiKeys"]:
             if name_by_key.setdefault(key, name) != name:
@@ -245,8 +257,9 @@
     keys = tenant.get("apiKeys")
     if not isinstance(keys, list) or not all(_is_text(key) for key in keys):
         raise InvalidConfigError("is no list of keys", path=f"{path}.apiKeys")
-    if not _is_integer(tenant.get("priority") or 0, 0):
-        raise InvalidConfigError(f"{tenant['priority']!r} is no whole number from 0 up", path=f"{path}.priority")
+    priority = tenant.get("priority")
+    if priority is not None and not _is_integer(priority, 0):
+        raise InvalidConfigError(f"{priority!r} is no whole number from 0 up", path=f"{path}.priority")
     for name in ("ratePerS", "burstSize"):
         if tenant.get(name) is not None and not _is_number(tenant[name]):
             raise InvalidConfigError(f"{tenant[name]!r} is no number from 0 up", path=f"{path}.{name}")
