Programs: a SIGHUP during the start no longer ends the process

Cause: the handlers are installed once the event loop runs. Until then SIGHUP has its default action, which ends the process; importing the modules takes 0.2 to 0.4 s, longer beside load.

Change: in the process of a program SIGHUP is blocked as soon as the package of the programs is imported, and delivered once its handler is installed; the settings are then read again. What remains is the start of the interpreter itself.

--- a/hallhitch/lab/emulator/relayed_program.py
+++ b/hallhitch/lab/emulator/relayed_program.py
@@ -16,6 +16,8 @@
 import sys
 from typing import Any, Final
 
+from hallhitch.programs.reload_signal import hold_back_reloads
+
 REGIONS_PER_CALLER: Final = 10  # the second octet of a relay's address is 10 x CALLER + REGION
 MAX_CALLERS: Final = 24  # so that the second octet is at most 255
 CONNECTED: Final = b"+"
@@ -65,6 +67,7 @@
 
 def main() -> None:
     """Run the program that the command line names, with uvloop patched to connect over relays."""
+    hold_back_reloads()
     import uvloop
 
     module, caller, own_host, internal_port = sys.argv[1], int(sys.argv[2]), sys.argv[3], int(sys.argv[4])
--- a/hallhitch/programs/running.py
+++ b/hallhitch/programs/running.py
@@ -1,7 +1,8 @@
 """Entry point of the programs: reads the settings file, runs the event loop, handles signals and shuts down.
 
-SIGTERM and SIGINT shut the program down gracefully; SIGHUP reloads the settings file. If the settings file is invalid
-at the start, the exit code is 2 and one line on standard error gives the reason.
+SIGTERM and SIGINT shut the program down gracefully; SIGHUP reloads the settings file, also one that arrived while the
+program's modules were imported (`reload_signal`). If the settings file is invalid at the start, the exit code is 2 and
+one line on standard error gives the reason.
 """
 
 from __future__ import annotations
@@ -19,6 +20,7 @@
 from hallhitch.node.errors import SettingsError
 from hallhitch.node.settings import NodeSettings
 from hallhitch.node.settings_file import read_settings
+from hallhitch.programs.reload_signal import deliver_reloads
 
 SETTINGS_FILE_VARIABLE: Final = "HALLHITCH_NODE_FILE"
 SETTINGS_EXIT_CODE: Final = 2
@@ -71,6 +73,7 @@
     loop.add_signal_handler(signal.SIGTERM, shutdown_requested.set)
     loop.add_signal_handler(signal.SIGINT, shutdown_requested.set)
     loop.add_signal_handler(signal.SIGHUP, on_hangup)
+    deliver_reloads()
     await program.start()
     await shutdown_requested.wait()
     log.info("shutting down")
