Emulator: a client that waits for a cut link finds its connection closed

Cause: a client waits until a partition of its link ends before it writes. If the gateway has closed the connection by then, uvloop raises RuntimeError for the write, which is no failure of an attempt to the client.

Change: a connection that was closed meanwhile fails the attempt as a reset does.

--- a/hallhitch/lab/emulator/client.py
+++ b/hallhitch/lab/emulator/client.py
@@ -188,6 +188,8 @@
         try:
             async with asyncio.timeout(max(0.001, min(timeout_ms, request.patience_ms) / 1000)):
                 await self._wait_for_outbound_link(address, self._delay_ms(address))
+                if connection.writer.is_closing():
+                    raise ConnectionResetError(f"{address} closed the connection")
                 connection.writer.write(encoded)
                 status_line, headers, body = await read_message(connection.reader)
                 await self._wait_for_inbound_link(address, self._delay_ms(address))
