Client connections: each request is held to the limits in force when it begins

Cause: a client connection took the limits of the configuration in force when it was opened, and kept them.

Change: the reader of a connection asks for the limits at the first byte of each request.

Result: test_limits_of_a_new_configuration_bind_the_next_request_of_an_open_connection failed before, passes after.

--- a/hallhitch/planes/data/client_connection.py
+++ b/hallhitch/planes/data/client_connection.py
@@ -27,6 +27,7 @@
 from hallhitch.planes.data.http_readers import UNRESERVED_BODY_MAX_BYTES, BodyMemory, ClientReader
 from hallhitch.planes.data.request_handler import RequestHandler
 from hallhitch.planes.data.transports import DISCONNECTED, JOINED_WRITE_MAX_BYTES, configure_socket
+from hallhitch.planes.values import RequestLimits
 
 # Pipelined requests that are read ahead on one connection; TCP flow control slows down a client that sends more.
 MAX_QUEUED_REQUESTS: Final = 8
@@ -99,7 +100,7 @@
         self._context = listener.context
         self._timers = listener.timers
         self._transport: asyncio.Transport = DISCONNECTED
-        self._reader = ClientReader(listener.context.limits, self._reserve_memory)
+        self._reader = ClientReader(self._get_limits, self._reserve_memory)
         self.is_disconnected = False  # whether the client closed or half-closed the connection
         self.is_busy = False  # whether a request is being handled
         self._handler: RequestHandler | None = None  # of the request that is being handled
@@ -363,6 +364,9 @@
             self._is_reading_paused = False
             self._transport.resume_reading()
 
+    def _get_limits(self) -> RequestLimits:
+        return self._context.limits
+
     def _reserve_memory(self, size: int) -> bool:
         if self._listener.body_memory.reserve(size):
             self._reserved_bytes += size
--- a/hallhitch/planes/data/http_readers.py
+++ b/hallhitch/planes/data/http_readers.py
@@ -48,22 +48,28 @@
 
 
 class ClientReader(RequestReader):
-    """Reads requests, with all their header fields, from a client connection."""
+    """Reads requests, with all their header fields, from a client connection.
 
-    def __init__(self, limits: RequestLimits, reserve: Callable[[int], bool]) -> None:
+    Each request is held to the limits that are in force when it begins.
+    """
+
+    def __init__(self, get_limits: Callable[[], RequestLimits], reserve: Callable[[int], bool]) -> None:
         """Buffer a body beyond UNRESERVED_BODY_MAX_BYTES while `reserve` grants memory; otherwise stream it."""
-        super().__init__(
-            True,
-            reserve,
-            max_head_bytes=limits.max_head_bytes,
-            max_buffered_body_bytes=min(UNRESERVED_BODY_MAX_BYTES, limits.max_body_bytes),
-            max_body_bytes=limits.max_body_bytes,
-        )
+        super().__init__(True, reserve)
+        self._get_limits = get_limits
+        self._apply_limits()
 
     def on_message_begin(self) -> None:
         """Handle the start of a message (httptools)."""
         super().on_message_begin()
         self._message.fields = []
+        self._apply_limits()
+
+    def _apply_limits(self) -> None:
+        limits = self._get_limits()
+        self._max_head_bytes = limits.max_head_bytes
+        self._max_buffered_bytes = min(UNRESERVED_BODY_MAX_BYTES, limits.max_body_bytes)
+        self._max_body_bytes = limits.max_body_bytes
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Handle a header field (httptools)."""
--- a/tests/system/data/test_client_requests.py
+++ b/tests/system/data/test_client_requests.py
@@ -110,6 +110,34 @@
     assert await client.reader.read() == b"" and not backend.requests
 
 
+# Guards against requests on kept connections that are held to limits of an earlier configuration (DENIED).
+@with_data_plane()
+async def test_limits_of_a_new_configuration_bind_the_next_request_of_an_open_connection(
+    harness: DataPlaneHarness,
+) -> None:
+    await harness.start_backend("b-1", ScriptedBackend(respond_with()))
+    client = await harness.connect_client()
+    statuses = []
+    for max_body_bytes in (4096, 100_000, 1_000_000, 4096):
+        harness.plane.set_config(make_config(make_route(), limits=RequestLimits(max_body_bytes=max_body_bytes)))
+        for size in (4096, 8192):
+            client.write(encode_request(method="POST", body=b"x" * size))
+            reply = await client.read_message()
+            statuses.append(reply.status)
+            if reply.fields.get(b"connection") == b"close":
+                client = await harness.connect_client()
+    assert statuses == [200, 413, 200, 200, 200, 200, 200, 413]
+    client = await harness.connect_client()
+    client.write(encode_request(field_lines="X-Long: " + "y" * 20_000 + "\r\n"))
+    assert (await client.read_message()).status == 431
+    client = await harness.connect_client()
+    client.write(encode_request())
+    assert (await client.read_message()).status == 200
+    harness.plane.set_config(make_config(make_route(), limits=RequestLimits(max_head_bytes=30_000)))
+    client.write(encode_request(field_lines="X-Long: " + "y" * 20_000 + "\r\n"))
+    assert (await client.read_message()).status == 200
+
+
 @with_data_plane()
 async def test_gateway_without_configuration_replies_503_and_not_404(harness: DataPlaneHarness) -> None:
     harness.plane.context.config = None
