Emulator: the drawn faults are typed, and built by role

Change: a dataclass for a drawn fault, a function for the faults of each role and one for the injection. The draws and their order are as before.

--- a/hallhitch/lab/emulator/overlapping_scenario.py
+++ b/hallhitch/lab/emulator/overlapping_scenario.py
@@ -11,6 +11,8 @@
 import asyncio
 import signal
 from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+from functools import partial
 from typing import Final
 
 from hallhitch.lab.emulator.control_scenarios import DRAIN_MARGIN_MS, ConfigSequence
@@ -46,6 +48,15 @@
     return planned
 
 
+@dataclass(frozen=True, slots=True)
+class _Fault:
+    """A fault that was drawn: its machines, and how it is injected into each of them."""
+
+    description: str
+    machines: Sequence[Machine]
+    inject: Callable[[Machine], Awaitable[None]]
+
+
 class _OverlappingFaults:
     """Draws faults. A fault is skipped if its machine, or any coordinator, already has one."""
 
@@ -58,64 +69,74 @@
 
     def draw(self) -> tuple[str, Callable[[], Awaitable[None]]]:
         """Draw a fault and return its description and its injection."""
-        gateways = self._processes.with_role("gateway")
-        coordinators = self._processes.with_role("coordinator")
-        gateway = gateways[self.stream.index(len(gateways))]
-        coordinator = coordinators[self.stream.index(len(coordinators))]
+        gateway, coordinator = self._draw_machine("gateway"), self._draw_machine("coordinator")
         down_s = DOWN_S[self.stream.index(len(DOWN_S))]
-        zone_gateways = [machine for machine in gateways if machine.zone == gateway.zone]
+        faults = [*self._gateway_faults(gateway, down_s), *self._coordinator_faults(coordinator, down_s)]
+        fault = faults[self.stream.index(len(faults))]
+        return fault.description, lambda: self._inject_if_possible(fault)
+
+    def _draw_machine(self, role: str) -> Machine:
+        machines = self._processes.with_role(role)
+        return machines[self.stream.index(len(machines))]
+
+    def _gateway_faults(self, gateway: Machine, down_s: float) -> list[_Fault]:
+        zone_gateways = [machine for machine in self._processes.with_role("gateway") if machine.zone == gateway.zone]
         uses = {machine.name: self._shutdown_traffic.draw() for machine in zone_gateways}
 
-        async def shut_down(machine: Machine, down_s: float) -> None:
+        async def shut_down(machine: Machine) -> None:
             await self._shut_down(machine, uses[machine.name], self._terminate)
 
-        async def shut_down_by_series(machine: Machine, down_s: float) -> None:
+        async def shut_down_by_series(machine: Machine) -> None:
             await self._shut_down(machine, uses[machine.name], self._signal_in_series)
 
-        choices: list[tuple[str, list[Machine], Callable[[Machine, float], Awaitable[None]]]] = [
-            (f"{gateway.name} gets SIGTERM and restarts", [gateway], shut_down),
-            (f"all gateways of {gateway.zone} get SIGTERM and restart", zone_gateways, shut_down),
-            (f"{gateway.name} gets signals in series and restarts", [gateway], shut_down_by_series),
-            (f"{gateway.name} is killed for {down_s:g} s", [gateway], self._kill),
-            (f"{gateway.name} is paused for {down_s:g} s", [gateway], self._pause),
-            (f"{gateway.name} gets SIGHUP with other seeds", [gateway], self._reload),
-            (f"{coordinator.name} gets SIGTERM and restarts", [coordinator], self._terminate),
-            (f"{coordinator.name} is killed for {down_s:g} s", [coordinator], self._kill),
-            (f"{coordinator.name} is paused for {down_s:g} s", [coordinator], self._pause),
-            (f"all coordinators are killed for {down_s:g} s", coordinators, self._kill),
+        name = gateway.name
+        return [
+            _Fault(f"{name} gets SIGTERM and restarts", [gateway], shut_down),
+            _Fault(f"all gateways of {gateway.zone} get SIGTERM and restart", zone_gateways, shut_down),
+            _Fault(f"{name} gets signals in series and restarts", [gateway], shut_down_by_series),
+            _Fault(f"{name} is killed for {down_s:g} s", [gateway], partial(self._kill, down_s)),
+            _Fault(f"{name} is paused for {down_s:g} s", [gateway], partial(self._pause, down_s)),
+            _Fault(f"{name} gets SIGHUP with other seeds", [gateway], partial(self._reload, down_s)),
+        ]
+
+    def _coordinator_faults(self, coordinator: Machine, down_s: float) -> list[_Fault]:
+        coordinators, name = self._processes.with_role("coordinator"), coordinator.name
+        return [
+            _Fault(f"{name} gets SIGTERM and restarts", [coordinator], self._terminate),
+            _Fault(f"{name} is killed for {down_s:g} s", [coordinator], partial(self._kill, down_s)),
+            _Fault(f"{name} is paused for {down_s:g} s", [coordinator], partial(self._pause, down_s)),
+            _Fault(f"all coordinators are killed for {down_s:g} s", coordinators, partial(self._kill, down_s)),
         ]
-        description, machines, inject = choices[self.stream.index(len(choices))]
-
-        async def inject_if_possible() -> None:
-            names = {machine.name for machine in machines}
-            if coordinator in machines:
-                names |= {machine.name for machine in coordinators}
-            if names & self._faulty:
-                return
-            self._faulty |= names
-            try:
-                await asyncio.gather(*(inject(machine, down_s) for machine in machines))
-            finally:
-                self._faulty -= names
-
-        return description, inject_if_possible
+
+    async def _inject_if_possible(self, fault: _Fault) -> None:
+        names = {machine.name for machine in fault.machines}
+        coordinator_names = {machine.name for machine in self._processes.with_role("coordinator")}
+        if names & coordinator_names:
+            names |= coordinator_names
+        if names & self._faulty:
+            return
+        self._faulty |= names
+        try:
+            await asyncio.gather(*(fault.inject(machine) for machine in fault.machines))
+        finally:
+            self._faulty -= names
 
     async def _shut_down(
-        self, gateway: Machine, uses: Sequence[PlannedUse], inject: Callable[[Machine, float], Awaitable[None]]
+        self, gateway: Machine, uses: Sequence[PlannedUse], inject: Callable[[Machine], Awaitable[None]]
     ) -> None:
         """Shut a gateway down while clients use their connections to it until its process is gone."""
 
         async def inject_when_connected() -> None:
             await asyncio.sleep(CONNECT_S)
-            await inject(gateway, 0.0)
+            await inject(gateway)
 
         await asyncio.gather(self._shutdown_traffic.run(gateway, uses), inject_when_connected())
 
-    async def _terminate(self, machine: Machine, down_s: float) -> None:
+    async def _terminate(self, machine: Machine) -> None:
         await self._processes.terminate(machine)
         await self._processes.restart(machine, "left")
 
-    async def _signal_in_series(self, machine: Machine, down_s: float) -> None:
+    async def _signal_in_series(self, machine: Machine) -> None:
         """Send SIGHUP, then SIGTERM several times while the process shuts down."""
         self._processes.reload_seeds(machine, self._processes.seed_addresses())
         termination = asyncio.ensure_future(self._processes.terminate(machine))
@@ -125,17 +146,17 @@
         await termination
         await self._processes.restart(machine, "left")
 
-    async def _kill(self, machine: Machine, down_s: float) -> None:
+    async def _kill(self, down_s: float, machine: Machine) -> None:
         await self._processes.kill(machine)
         await asyncio.sleep(down_s)
         await self._processes.restart(machine, "killed")
 
-    async def _pause(self, machine: Machine, down_s: float) -> None:
+    async def _pause(self, down_s: float, machine: Machine) -> None:
         self._processes.pause(machine)
         await asyncio.sleep(down_s)
         self._processes.resume(machine)
 
-    async def _reload(self, machine: Machine, down_s: float) -> None:
+    async def _reload(self, down_s: float, machine: Machine) -> None:
         seeds = self._processes.seed_addresses()
         self._processes.reload_seeds(machine, seeds[1:])
         await asyncio.sleep(down_s)
