--- a/tests/system/emulator/test_overlapping_faults.py
+++ b/tests/system/emulator/test_overlapping_faults.py
@@ -1,6 +1,7 @@
 """A short soak: signals, restarts and changes overlap while clients use open connections until a process is gone.
 
-HALLHITCH_OVERLAP_SEEDS sets the number of seeds. `make soak-overlaps` plays longer runs under the operators' bounds.
+HALLHITCH_OVERLAP_SEEDS sets the number of seeds, half a minute each. `make soak-overlaps` plays longer runs under the
+operators' bounds.
 """
 
 from __future__ import annotations
@@ -19,7 +20,7 @@
 from hallhitch.lab.emulator.spec import EmulatorSpec
 from hallhitch.lab.emulator.traffic import Traffic, plan_requests
 
-SEED_COUNT = int(os.environ.get("HALLHITCH_OVERLAP_SEEDS", "1"))
+SEED_COUNT = int(os.environ.get("HALLHITCH_OVERLAP_SEEDS", "2"))
 DURATION_S = 15.0
 BUSY_MACHINE_MS = 120_000.0  # replaces the time bounds: a delay on a busy machine is no violation
 
