--- a/hallhitch/programs/gateway.py
+++ b/hallhitch/programs/gateway.py
@@ -78,6 +78,7 @@
                 StatePart("lease holders", object, lambda: self._quota.set_holders(hub.holders)),
             ],
             self._log,
+            runtime.clock,
         )
 
     # Start and shutdown.
--- a/hallhitch/programs/state_application.py
+++ b/hallhitch/programs/state_application.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 from typing import Final
 
-from hallhitch.node.logs import ComponentLogger
+from hallhitch.node.logs import ComponentLogger, RateLimitedLog
 from hallhitch.node.metrics import Metric, MetricKind
 
 NOTHING: Final = object()  # equals no version
@@ -21,7 +21,10 @@
 
 @dataclass(slots=True, eq=False)
 class StatePart:
-    """One part of the state; `version` returns the version of what was received, and `apply` applies it."""
+    """One part of the state; `version` returns the version of what was received, and `apply` applies it.
+
+    A part whose version never equals an earlier one is applied at each change.
+    """
 
     name: str
     version: Callable[[], object]
@@ -33,9 +36,11 @@
 class StateApplication:
     """Applies the parts in their order, whenever one of them has a new version."""
 
-    def __init__(self, parts: Sequence[StatePart], log: ComponentLogger) -> None:
+    def __init__(self, parts: Sequence[StatePart], log: ComponentLogger, clock: Callable[[], float]) -> None:
+        """`clock` returns monotonic milliseconds."""
         self._parts = tuple(parts)
-        self._log = log
+        self._logs = {part.name: RateLimitedLog(log) for part in parts}
+        self._clock = clock
         self._failures: Counter[str] = Counter({part.name: 0 for part in parts})
 
     def apply_changes(self) -> None:
@@ -51,7 +56,8 @@
         except Exception as error:  # noqa: BLE001  boundary between parts: logs the error, and the others are applied
             part.failed_version = version
             self._failures[part.name] += 1
-            self._log.exception("state not applied", error, part=part.name, version=version)
+            log = self._logs[part.name]
+            log.exception(self._clock(), "state not applied", error, part=part.name, version=version)
         else:
             part.applied_version, part.failed_version = version, NOTHING
 
