--- a/hallhitch/programs/state_application.py
+++ b/hallhitch/programs/state_application.py
@@ -39,7 +39,7 @@
     def __init__(self, parts: Sequence[StatePart], log: ComponentLogger, clock: Callable[[], float]) -> None:
         """`clock` returns monotonic milliseconds."""
         self._parts = tuple(parts)
-        self._logs = {part.name: RateLimitedLog(log) for part in parts}
+        self._failure_logs = {part.name: RateLimitedLog(log) for part in parts}
         self._clock = clock
         self._failures: Counter[str] = Counter({part.name: 0 for part in parts})
 
@@ -56,8 +56,9 @@
         except Exception as error:  # noqa: BLE001  boundary between parts: logs the error, and the others are applied
             part.failed_version = version
             self._failures[part.name] += 1
-            log = self._logs[part.name]
-            log.exception(self._clock(), "state not applied", error, part=part.name, version=version)
+            self._failure_logs[part.name].exception(
+                self._clock(), "state not applied", error, part=part.name, version=version
+            )
         else:
             part.applied_version, part.failed_version = version, NOTHING
 
--- a/tests/system/programs/test_reload_signal.py
+++ b/tests/system/programs/test_reload_signal.py
@@ -2,19 +2,14 @@
 
 from __future__ import annotations
 
-import asyncio
 import os
-import signal
 import subprocess
 import sys
 from pathlib import Path
 
 import pytest
 
-from hallhitch.node.settings import NodeSettings
 from hallhitch.programs import running
-from hallhitch.programs.reload_signal import deliver_reloads, hold_back_reloads
-from tests.system.data.data_plane_harness import make_node_settings
 
 ROOT = Path(__file__).parents[3]
 SIGNAL_AT_FIRST_IMPORT = """
@@ -33,48 +28,46 @@
 """
 
 
+def run_python(*arguments: str) -> subprocess.CompletedProcess[str]:
+    """Run Python code in a process of its own, without a settings file."""
+    environment = {name: value for name, value in os.environ.items() if name != running.SETTINGS_FILE_VARIABLE}
+    return subprocess.run(
+        [sys.executable, "-c", *arguments], cwd=ROOT, env=environment, capture_output=True, text=True, check=False
+    )
+
+
 # Guards against a program that is ended by a SIGHUP which arrives while it imports its modules.
 @pytest.mark.parametrize("program", ["hallhitch.programs.gateway", "hallhitch.programs.coordinator"])
 def test_signal_during_the_imports_does_not_end_the_process(program: str) -> None:
-    environment = {name: value for name, value in os.environ.items() if name != running.SETTINGS_FILE_VARIABLE}
-    completed = subprocess.run(
-        [sys.executable, "-c", SIGNAL_AT_FIRST_IMPORT, program],
-        cwd=ROOT,
-        env=environment,
-        capture_output=True,
-        text=True,
-        check=False,
-    )
+    completed = run_python(SIGNAL_AT_FIRST_IMPORT, program)
     assert completed.returncode == running.SETTINGS_EXIT_CODE, completed.stderr
     assert running.SETTINGS_FILE_VARIABLE in completed.stderr
 
 
+# A process of its own, as another thread of this one would take the signal.
+PENDING_SIGNAL = """
+import asyncio, os, signal
+from hallhitch.programs import running
+from hallhitch.programs.reload_signal import hold_back_reloads
+
 class RecordingProgram:
-    """A program that records the settings that it is given, and asks for its own end."""
+    async def start(self):
+        pass
+
+    def apply_settings(self, node):
+        print("applied", node)
+        os.kill(os.getpid(), signal.SIGTERM)
 
-    def __init__(self) -> None:
-        self.applied: list[NodeSettings] = []
+    async def shut_down(self):
+        pass
 
-    async def start(self) -> None:
-        """Do nothing."""
+hold_back_reloads()
+os.kill(os.getpid(), signal.SIGHUP)
+running.read_settings = lambda path: f"settings of {path}"
+asyncio.run(running._run(RecordingProgram(), "the-file"))
+"""
 
-    def apply_settings(self, node: NodeSettings) -> None:
-        """Record the settings and end the program."""
-        self.applied.append(node)
-        os.kill(os.getpid(), signal.SIGTERM)
 
-    async def shut_down(self) -> None:
-        """Do nothing."""
-
-
-def test_signal_that_was_held_back_reloads_the_settings(monkeypatch: pytest.MonkeyPatch) -> None:
-    node = make_node_settings()
-    monkeypatch.setattr(running, "read_settings", lambda path: node)
-    program = RecordingProgram()
-    hold_back_reloads()
-    try:
-        os.kill(os.getpid(), signal.SIGHUP)
-        asyncio.run(running._run(program, "settings.toml"))
-    finally:
-        deliver_reloads()
-    assert program.applied == [node]
+def test_signal_that_was_held_back_reloads_the_settings() -> None:
+    completed = run_python(PENDING_SIGNAL)
+    assert (completed.returncode, completed.stdout) == (0, "applied settings of the-file\n"), completed.stderr
