Emulator: a relayed program holds SIGHUP back before its long imports

It came in the 0.1 s in which the emulator's own wrapper imports its modules, before it holds the signal back.

Change: the wrapper imports them after that.

--- a/hallhitch/lab/emulator/relayed_program.py
+++ b/hallhitch/lab/emulator/relayed_program.py
@@ -9,15 +9,15 @@
 
 from __future__ import annotations
 
-import asyncio
-import functools
-import runpy
-import socket
 import sys
-from typing import Any, Final
+from typing import TYPE_CHECKING, Any, Final
 
 from hallhitch.programs.reload_signal import hold_back_reloads
 
+if TYPE_CHECKING:
+    import asyncio
+    import socket
+
 REGIONS_PER_CALLER: Final = 10  # the second octet of a relay's address is 10 x CALLER + REGION
 MAX_CALLERS: Final = 24  # so that the second octet is at most 255
 CONNECTED: Final = b"+"
@@ -50,6 +50,8 @@
     Raises:
         OSError: The host refuses the connection or it is reset, as it would be without a relay.
     """
+    import socket
+
     sock = socket.socket()
     try:
         sock.setblocking(False)
@@ -67,7 +69,10 @@
 
 def main() -> None:
     """Run the program that the command line names, with uvloop patched to connect over relays."""
-    hold_back_reloads()
+    hold_back_reloads()  # before the imports that take long, as the programs do
+    import functools
+    import runpy
+
     import uvloop
 
     module, caller, own_host, internal_port = sys.argv[1], int(sys.argv[2]), sys.argv[3], int(sys.argv[4])
