--- a/hallhitch/lab/emulator/process_rig.py
+++ b/hallhitch/lab/emulator/process_rig.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import shutil
 import signal
@@ -241,7 +242,8 @@
             async with asyncio.timeout(timeout_ms / 1000):
                 return await process.wait()
         except TimeoutError:
-            process.kill()
+            with contextlib.suppress(ProcessLookupError):  # it may have ended at this very moment
+                process.kill()
             return await process.wait()
 
     async def restart(self, machine: Machine, fault: str = "down") -> None:
