Gateway: counts and a log line that show whether a request ran after a refusal

Now responses to no attempt in flight are counted by what they are, a refusal that repeats an earlier one of its connection or names no request is counted, and so are rejections after refusals and those of which nothing was sent. A response to a request that its backend had refused is logged with its id.

No decision changes.

--- a/hallhitch/planes/data/backend_connection.py
+++ b/hallhitch/planes/data/backend_connection.py
@@ -22,7 +22,8 @@
 from hallhitch.planes.data.http_readers import BackendReader, BodyMemory
 from hallhitch.planes.data.idle_reuse import IdleReuseLimit
 from hallhitch.planes.data.interfaces import Outcome
-from hallhitch.planes.data.response_classification import classify_response, response_id_of
+from hallhitch.planes.data.refused_requests import RefusedRequests
+from hallhitch.planes.data.response_classification import classify_response, is_refusal, response_id_of
 from hallhitch.planes.data.transports import DISCONNECTED, JOINED_WRITE_MAX_BYTES, configure_socket
 from hallhitch.planes.data.upstream_attempt import UpstreamAttempt
 from hallhitch.planes.values import Backend
@@ -43,6 +44,12 @@
     def idle_reuse_limit(self) -> IdleReuseLimit:
         """The idle time up to which connections to the backend are reused."""
 
+    def count(self, event: str) -> None:
+        """Increment the counter of an event."""
+
+    def on_response_after_refusal(self, request_id: bytes, status: int) -> None:
+        """Report that the backend responded to a request that it had refused, as if it had run it."""
+
     def on_connection_made(self, connection: BackendConnection) -> None:
         """Count a connection as open."""
 
@@ -66,6 +73,7 @@
         "_must_not_be_reused",
         "_pool",
         "_reader",
+        "_refused",
         "_transport",
         "_upload",
         "_write_resumed",
@@ -90,6 +98,7 @@
         self._idle_before_ms = 0.0  # how long it was idle before the current attempt
         self._is_unused = True  # whether no request has been completed on it yet
         self._must_not_be_reused = False
+        self._refused = RefusedRequests()
         self._is_closed = False
         self._upload: asyncio.Task[None] | None = None
         self._write_resumed: asyncio.Future[None] | None = None  # set while the transport's buffer is full
@@ -150,7 +159,7 @@
             return None
         attempt = self.attempt
         if attempt is None:
-            return self.close()  # unsolicited bytes: no request is in flight
+            return self._close_on_unsolicited_bytes(data)
         self.received_at = self._clock()
         has_excess_bytes = False
         try:
@@ -203,15 +212,39 @@
 
     # Responses.
 
+    def _close_on_unsolicited_bytes(self, data: bytes) -> None:
+        """Close the connection, as no request is in flight; count the responses that arrived."""
+        self._pool.count("unsolicited_bytes")
+        try:
+            responses = self._reader.feed(data)
+        except Malformed:
+            responses = self._reader.take_completed()
+        for response in responses:
+            self._observe_refused(response, response_id_of(response))
+        self.close()
+
+    def _observe_refused(self, response: Message, response_id: bytes | None) -> None:
+        """Count a response to no attempt in flight, if the backend has refused its request on this connection."""
+        if response_id is None or response.status < 200 or response_id not in self._refused:
+            return
+        if is_refusal(response):
+            self._pool.count("refusal_copy")
+        else:
+            self._pool.on_response_after_refusal(response_id, response.status)
+
     def _handle_response(self, attempt: UpstreamAttempt, response: Message, has_excess_bytes: bool) -> bool:
         """Handle a complete or streaming response; return whether it belongs to the attempt's request."""
         request_id, response_id = attempt.request.request_id, response_id_of(response)
         if response_id is not None and response_id != request_id:
+            self._pool.count("response_to_other_request")
+            self._observe_refused(response, response_id)
             self._must_not_be_reused = True
             if response.flow is not None:
                 response.flow.abandon()
             return False
         outcome = classify_response(response, response_id, request_id, self._is_unused)
+        if outcome.is_refusal:
+            self._on_refusal(response_id, request_id)
         if response.flow is None:
             self._complete(attempt, outcome, response, response.keep_alive and not has_excess_bytes)
         elif outcome is Outcome.INVALID_RESPONSE or response.flow.broken:
@@ -221,6 +254,16 @@
             self._advance_stream(attempt, response.flow, has_excess_bytes)
         return True
 
+    def _on_refusal(self, response_id: bytes | None, request_id: bytes | None) -> None:
+        """Remember the refused request; count a refusal that does not name it, or that repeats an earlier one."""
+        if request_id is None:
+            return
+        if response_id is None:
+            self._pool.count("refusal_without_id")
+        if request_id in self._refused:
+            self._pool.count("refusal_copy")
+        self._refused.add(request_id)
+
     def _begin_stream(self, attempt: UpstreamAttempt, outcome: Outcome, response: Message, flow: Flow) -> None:
         """Start to stream a response whose body is still arriving."""
         self.body_flow, self._head_outcome = flow, outcome
--- a/hallhitch/planes/data/connection_pool.py
+++ b/hallhitch/planes/data/connection_pool.py
@@ -51,6 +51,9 @@
     def count(self, event: str) -> None:
         """Increment the counter of an event."""
 
+    def on_response_after_refusal(self, backend: Backend, request_id: bytes, status: int) -> None:
+        """Report that a backend responded to a request that it had refused, as if it had run it."""
+
     def idle_reuse_limit_of(self, service: str) -> IdleReuseLimit:
         """Return the idle time up to which connections to a service's backends are reused."""
 
@@ -189,6 +192,14 @@
 
     # Called by the connections.
 
+    def count(self, event: str) -> None:
+        """Increment the counter of an event."""
+        self._owner.count(event)
+
+    def on_response_after_refusal(self, request_id: bytes, status: int) -> None:
+        """Report that the backend responded to a request that it had refused, as if it had run it."""
+        self._owner.on_response_after_refusal(self.backend, request_id, status)
+
     def on_connection_made(self, connection: BackendConnection) -> None:
         """Count a connection as open."""
         self.connections.add(connection)
--- a/hallhitch/planes/data/connection_pools.py
+++ b/hallhitch/planes/data/connection_pools.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Final
 
+from hallhitch.node.logs import ComponentLogger, RateLimitedLog
 from hallhitch.planes.data.connection_pool import ConnectionPool
 from hallhitch.planes.data.http_readers import BodyMemory
 from hallhitch.planes.data.idle_reuse import IdleReuseLimit
@@ -50,6 +51,7 @@
         self.opening_count = 0
         self.connect_tasks: set[asyncio.Task[None]] = set()
         self._event_counts = event_counts
+        self._refusal_log = RateLimitedLog(ComponentLogger("backends"))
         self._pools: dict[str, ConnectionPool] = {}  # by backend instance
         self._retired: set[ConnectionPool] = set()  # retired pools that still have connections
         self._idle_reuse_limits: dict[str, IdleReuseLimit] = {}  # by service
@@ -60,6 +62,17 @@
         """Increment the counter of an event."""
         self._event_counts[event] = self._event_counts.get(event, 0) + 1
 
+    def on_response_after_refusal(self, backend: Backend, request_id: bytes, status: int) -> None:
+        """Log that a backend responded to a request that it had refused: its client may have got a wrong 503."""
+        self.count("response_after_refusal")
+        self._refusal_log.warning(
+            self.clock(),
+            "response after refusal",
+            request=request_id.decode("latin-1"),
+            backend=backend.instance,
+            status=status,
+        )
+
     # Updates from other planes.
 
     def set_services(self, services: Mapping[str, Service]) -> None:
--- a/hallhitch/planes/data/interfaces.py
+++ b/hallhitch/planes/data/interfaces.py
@@ -45,6 +45,11 @@
             Outcome.ABANDONED,
         )
 
+    @property
+    def is_refusal(self) -> bool:
+        """Return whether the backend stated that it did not run the request."""
+        return self in (Outcome.DECLINED, Outcome.MISDIRECTED)
+
 
 @dataclass(slots=True)
 class RequestInfo:
--- a/hallhitch/planes/data/request_handler.py
+++ b/hallhitch/planes/data/request_handler.py
@@ -256,6 +256,7 @@
             return forwarded_reply(self._error_response)
         if self._may_have_run or self._in_flight:
             return local_reply(status, self._request)
+        self._context.count("rejected_after_refusal" if self._written_count else "rejected_unsent")
         return local_reply(503, self._request, retry_after_ms)
 
     # Waiting.
--- a/hallhitch/planes/data/response_classification.py
+++ b/hallhitch/planes/data/response_classification.py
@@ -17,6 +17,11 @@
     return response.headers.get(REQUEST_ID) or None
 
 
+def is_refusal(response: Message) -> bool:
+    """Return whether a response states that the backend did not run its request."""
+    return response.status == 421 or (NOT_EXECUTED in response.headers and response.status >= 400)
+
+
 def classify_response(
     response: Message, response_id: bytes | None, request_id: bytes | None, is_first_on_connection: bool
 ) -> Outcome:
@@ -33,10 +38,8 @@
         or headers.get(b"transfer-encoding", b"chunked").lower() != b"chunked"
     ):
         return Outcome.INVALID_RESPONSE
-    if status == 421:
-        return Outcome.MISDIRECTED
-    if NOT_EXECUTED in headers and status >= 400:
-        return Outcome.DECLINED
+    if is_refusal(response):
+        return Outcome.MISDIRECTED if status == 421 else Outcome.DECLINED
     if status >= 500 or status in (408, 429):  # without the field, 408 and 429 do not say that the request never ran
         return Outcome.SERVER_ERROR
     if 200 <= status < 300 and (lacks_id or not _is_valid_success(response)):
