Backend connections: a connection carries a request at most once (REFUSED, TWICE)

Callers got 503, a promise that the request never runs, while a backend ran it; others ran twice. After a refusal the retry could go out on the connection that the refusal had come on. All attempts of a request have the same id, so a late second copy of the refusal ended the retry as DECLINED. Trace: response_after_refusal and refusal_copy grow together, and the backend began the request 0.3 to 77 ms before the 503.

Now a pool writes no two attempts of a request on one connection; a retry at the same backend takes another idle connection or a new one. So a response with the request's id can only answer the one attempt, and its copies find no attempt in flight. The connection stays in use for other requests.

--- a/hallhitch/planes/data/backend_connection.py
+++ b/hallhitch/planes/data/backend_connection.py
@@ -255,13 +255,11 @@
         return True
 
     def _on_refusal(self, response_id: bytes | None, request_id: bytes | None) -> None:
-        """Remember the refused request; count a refusal that does not name it, or that repeats an earlier one."""
+        """Remember the refused request; count a refusal that does not name it."""
         if request_id is None:
             return
         if response_id is None:
             self._pool.count("refusal_without_id")
-        if request_id in self._refused:
-            self._pool.count("refusal_copy")
         self._refused.add(request_id)
 
     def _begin_stream(self, attempt: UpstreamAttempt, outcome: Outcome, response: Message, flow: Flow) -> None:
--- a/hallhitch/planes/data/connection_pool.py
+++ b/hallhitch/planes/data/connection_pool.py
@@ -4,6 +4,7 @@
 - A connection is in `idle` if and only if no attempt is in flight on it; the list is ordered by `idle_since`, latest
   last.
 - An attempt in `_queue` has not been written; it leaves the queue when it is sent on a connection or ends.
+- No connection carries two attempts of one request: a retry at the same backend takes another connection.
 - A retired pool opens no connection and starts no attempt; attempts in flight run to their end.
 
 Points in time are monotonic milliseconds; durations are in milliseconds.
@@ -20,7 +21,7 @@
 from hallhitch.planes.data.http_readers import BodyMemory
 from hallhitch.planes.data.idle_reuse import IdleReuseLimit
 from hallhitch.planes.data.interfaces import Outcome
-from hallhitch.planes.data.upstream_attempt import UpstreamAttempt
+from hallhitch.planes.data.upstream_attempt import UpstreamAttempt, UpstreamRequest
 from hallhitch.planes.values import Backend
 
 # Longer than the round trips within a region and across regions; a backend that takes longer counts as unreachable.
@@ -90,7 +91,7 @@
         """Send an attempt on an idle or a new connection; it may have ended when this returns."""
         if self.is_retired:
             return attempt.end(self._owner.clock(), Outcome.CANCELLED)
-        connection = self._take_idle(attempt.request.is_non_idempotent)
+        connection = self._take_idle(attempt.request, attempt.request.is_non_idempotent)
         if connection is not None:
             return connection.send_attempt(attempt)
         self._queue.append(attempt)
@@ -100,7 +101,7 @@
             self._open()
             return None
         # No connection may be opened: a non-idempotent request then accepts one that has been idle for longer.
-        connection = self._take_idle(False)
+        connection = self._take_idle(attempt.request, False)
         if connection is not None:
             self._queue.remove(attempt)
             connection.send_attempt(attempt)
@@ -118,18 +119,31 @@
             return True
         return False
 
-    def _take_idle(self, is_non_idempotent: bool) -> BackendConnection | None:
-        """Take the connection that became idle last, if the backend has probably not closed it yet."""
+    def _take_idle(self, request: UpstreamRequest, is_non_idempotent: bool) -> BackendConnection | None:
+        """Take the connection that became idle last and may carry the request.
+
+        It has carried no attempt of the request, and the backend has probably not closed it yet.
+        """
         now, idle_reuse_limit = self._owner.clock(), self.idle_reuse_limit
-        while self.idle:
-            connection = self.idle[-1]
-            if connection.is_usable():
-                if now - connection.idle_since > idle_reuse_limit.max_idle_ms(
-                    now, connection.keep_alive_ms, is_non_idempotent
-                ):
-                    return None  # the other connections have been idle for even longer
-                return self.idle.pop()
-            connection.close()
+        for connection in reversed(self.idle):
+            if not connection.is_usable():
+                connection.close()
+                continue
+            if now - connection.idle_since > idle_reuse_limit.max_idle_ms(
+                now, connection.keep_alive_ms, is_non_idempotent
+            ):
+                return None  # the other connections have been idle for even longer
+            if not request.has_used(connection):
+                self.idle.remove(connection)
+                return connection
+        return None
+
+    def _take_queued(self, connection: BackendConnection) -> UpstreamAttempt | None:
+        """Take the attempt that has waited longest, of those that the connection may carry."""
+        for attempt in self._queue:
+            if not attempt.request.has_used(connection):
+                self._queue.remove(attempt)
+                return attempt
         return None
 
     # Opening connections.
@@ -208,8 +222,7 @@
     def on_connection_free(self, connection: BackendConnection) -> None:
         """Send the attempt that has waited longest on a free connection, or keep the connection idle."""
         now = self._owner.clock()
-        while self._queue:
-            attempt = self._queue.popleft()
+        while (attempt := self._take_queued(connection)) is not None:
             if self.is_retired or attempt.request.deadline_ms - now < MIN_REMAINING_MS:
                 attempt.end(now, Outcome.CANCELLED)
                 continue
--- a/hallhitch/planes/data/upstream_attempt.py
+++ b/hallhitch/planes/data/upstream_attempt.py
@@ -32,6 +32,8 @@
 - `AttemptOwner.on_attempt_ended` is called exactly once for each attempt.
 - `written_at` is set if and only if `BackendConnection.send_attempt` accepted the attempt. It is set before the first
   byte is written: an attempt for which it is set may have reached the backend.
+- A connection carries at most one attempt of a request (`UpstreamRequest.has_used`): all attempts of a request have the
+  same id, so on a shared connection a late copy of one response could not be told from the next response.
 - An attempt that was written is not cancelled. While the client is connected, a late response is read and dropped, and
   the connection stays usable. After the client has disconnected, an attempt of an idempotent request is abandoned:
   closing the connection tells the backend to stop. An attempt of a non-idempotent request continues, because its effect
@@ -42,7 +44,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from hallhitch.net.flow import Flow
@@ -79,6 +81,11 @@
     body_flow: Flow | None  # the body if it is streamed; it can be sent only once
     is_non_idempotent: bool  # whether it must not run twice
     deadline_ms: float
+    used_connections: list[AttemptConnection] = field(default_factory=list)  # that an attempt was written on
+
+    def has_used(self, connection: AttemptConnection) -> bool:
+        """Return whether an attempt of this request was written on the connection."""
+        return connection in self.used_connections
 
 
 class UpstreamAttempt:
@@ -120,6 +127,7 @@
     def on_sent(self, now: float, connection: AttemptConnection) -> None:
         """Enter state written: `connection` sends the attempt."""
         self.written_at, self._connection = now, connection
+        self.request.used_connections.append(connection)
 
     def abandon(self) -> None:
         """End the attempt as ABANDONED if it was written and has not ended."""
--- a/tests/system/data/test_response_attribution.py
+++ b/tests/system/data/test_response_attribution.py
@@ -78,6 +78,7 @@
 
     assert backend.run_counts[b"id-1"] == 1
     assert reply.status == 200 and reply.body == b"ran id-1"
+    assert harness.plane.event_counts["refusal_copy"] >= 1
 
 
 # Guards against: a refusal that names no request ends the first attempt on its connection, so that the client gets 503
