Backend connections: only an id proves which request a response answers (REFUSED, TWICE)

Callers got 503 for requests that ran, others ran twice. A response without an id was taken for that of the first request on its connection. A backend may send bytes that belong to no request, such as a 503 with Hallhitch-Not-Executed before it has read one; they ended the attempt as DECLINED while the backend ran it. Trace: refusal_without_id and response_after_refusal grow together.

Without the request's id a response is UNKNOWN: the attempt may have run, the connection is closed, and what the response says is no promise. Backends repeat the id in every answer, so nothing else is lost.

--- a/hallhitch/planes/data/backend_connection.py
+++ b/hallhitch/planes/data/backend_connection.py
@@ -18,12 +18,13 @@
 
 from hallhitch.net.flow import Broken, Flow
 from hallhitch.net.http import Malformed, Message
-from hallhitch.planes.data.http_messages import CHUNKED_LINE, encode_attempt_head
+from hallhitch.planes.data.http_messages import encode_attempt_head, is_chunked, parse_keep_alive_ms
 from hallhitch.planes.data.http_readers import BackendReader, BodyMemory
 from hallhitch.planes.data.idle_reuse import IdleReuseLimit
 from hallhitch.planes.data.interfaces import Outcome
 from hallhitch.planes.data.refused_requests import RefusedRequests
-from hallhitch.planes.data.response_classification import classify_response, is_refusal, response_id_of
+from hallhitch.planes.data.response_attribution import Attribution, attribute_response, response_id_of
+from hallhitch.planes.data.response_classification import classify_response, is_refusal
 from hallhitch.planes.data.transports import DISCONNECTED, JOINED_WRITE_MAX_BYTES, configure_socket
 from hallhitch.planes.data.upstream_attempt import UpstreamAttempt
 from hallhitch.planes.values import Backend
@@ -32,7 +33,6 @@
 UNACKNOWLEDGED_TIMEOUT_MS: Final = 5000
 # A backend that has already closed an idle connection resets it when a request arrives: one round trip plus a margin.
 STALE_RESET_WINDOW_MS: Final = 250.0
-KEEP_ALIVE_MAX_DIGITS: Final = 6  # a time-out in seconds with more digits is ignored
 
 
 class BackendConnectionOwner(Protocol):
@@ -69,7 +69,6 @@
         "_head_outcome",
         "_idle_before_ms",
         "_is_closed",
-        "_is_unused",
         "_must_not_be_reused",
         "_pool",
         "_reader",
@@ -96,7 +95,6 @@
         self.received_at = 0.0  # when bytes were last received, or the attempt was sent
         self._head_outcome = Outcome.OK  # of the response that is being streamed
         self._idle_before_ms = 0.0  # how long it was idle before the current attempt
-        self._is_unused = True  # whether no request has been completed on it yet
         self._must_not_be_reused = False
         self._refused = RefusedRequests()
         self._is_closed = False
@@ -220,11 +218,12 @@
         except Malformed:
             responses = self._reader.take_completed()
         for response in responses:
-            self._observe_refused(response, response_id_of(response))
+            self._observe_refused(response)
         self.close()
 
-    def _observe_refused(self, response: Message, response_id: bytes | None) -> None:
+    def _observe_refused(self, response: Message) -> None:
         """Count a response to no attempt in flight, if the backend has refused its request on this connection."""
+        response_id = response_id_of(response)
         if response_id is None or response.status < 200 or response_id not in self._refused:
             return
         if is_refusal(response):
@@ -233,18 +232,19 @@
             self._pool.on_response_after_refusal(response_id, response.status)
 
     def _handle_response(self, attempt: UpstreamAttempt, response: Message, has_excess_bytes: bool) -> bool:
-        """Handle a complete or streaming response; return whether it belongs to the attempt's request."""
-        request_id, response_id = attempt.request.request_id, response_id_of(response)
-        if response_id is not None and response_id != request_id:
-            self._pool.count("response_to_other_request")
-            self._observe_refused(response, response_id)
-            self._must_not_be_reused = True
-            if response.flow is not None:
-                response.flow.abandon()
+        """Handle a complete or streaming response; return False if it belongs to another request and was dropped."""
+        attribution = attribute_response(response, attempt.request.request_id)
+        if attribution is Attribution.OTHER_REQUEST:
+            self._drop_response(response)
             return False
-        outcome = classify_response(response, response_id, request_id, self._is_unused)
-        if outcome.is_refusal:
-            self._on_refusal(response_id, request_id)
+        if attribution is Attribution.UNKNOWN:
+            if is_refusal(response):
+                self._pool.count("refusal_without_id")
+            self._close_invalid()
+            return True
+        outcome = classify_response(response)
+        if outcome.is_refusal and attempt.request.request_id is not None:
+            self._refused.add(attempt.request.request_id)
         if response.flow is None:
             self._complete(attempt, outcome, response, response.keep_alive and not has_excess_bytes)
         elif outcome is Outcome.INVALID_RESPONSE or response.flow.broken:
@@ -254,13 +254,13 @@
             self._advance_stream(attempt, response.flow, has_excess_bytes)
         return True
 
-    def _on_refusal(self, response_id: bytes | None, request_id: bytes | None) -> None:
-        """Remember the refused request; count a refusal that does not name it."""
-        if request_id is None:
-            return
-        if response_id is None:
-            self._pool.count("refusal_without_id")
-        self._refused.add(request_id)
+    def _drop_response(self, response: Message) -> None:
+        """Drop a response to an earlier request; the response to the attempt in flight may follow."""
+        self._pool.count("response_to_other_request")
+        self._observe_refused(response)
+        self._must_not_be_reused = True
+        if response.flow is not None:
+            response.flow.abandon()
 
     def _begin_stream(self, attempt: UpstreamAttempt, outcome: Outcome, response: Message, flow: Flow) -> None:
         """Start to stream a response whose body is still arriving."""
@@ -292,9 +292,10 @@
     ) -> None:
         """End the attempt after its complete response; return the connection to the pool if it can be reused."""
         if response is not None:
-            self._record_keep_alive(response)
+            announced_ms = parse_keep_alive_ms(response.headers.get(b"keep-alive"))
+            self.keep_alive_ms = self.keep_alive_ms if announced_ms is None else announced_ms
         is_reusable = may_keep_connection and self._is_clean()
-        self.attempt, self._is_unused = None, False
+        self.attempt = None
         self._reader.release_memory()
         if is_reusable:
             self._pool.on_connection_free(self)
@@ -313,16 +314,6 @@
             and not self._transport.get_write_buffer_size()
         )
 
-    def _record_keep_alive(self, response: Message) -> None:
-        """Record the keep-alive time-out that the backend announces."""
-        value = response.headers.get(b"keep-alive")
-        if value is None:
-            return
-        for parameter in value.split(b","):
-            name, _, number = parameter.strip().partition(b"=")
-            if name.lower() == b"timeout" and number.isdigit() and len(number) <= KEEP_ALIVE_MAX_DIGITS:
-                self.keep_alive_ms = 1000.0 * int(number)
-
     # Closing.
 
     def _close_invalid(self) -> None:
@@ -369,8 +360,3 @@
                     await self._write_resumed
         except Broken:
             self._end_attempt(Outcome.ABANDONED)  # caused by the client, not the backend
-
-
-def is_chunked(head_prefix: bytes) -> bool:
-    """Return whether the body after this head uses the chunked transfer coding."""
-    return b"\r\n" + CHUNKED_LINE + b"\r\n" in head_prefix
--- a/hallhitch/planes/data/http_messages.py
+++ b/hallhitch/planes/data/http_messages.py
@@ -51,6 +51,7 @@
     (b"host", b"content-length", b"transfer-encoding", b"authorization", REQUEST_ID)
 )
 CHUNKED_LINE: Final = b"Transfer-Encoding: chunked"
+KEEP_ALIVE_MAX_DIGITS: Final = 6  # a time-out in seconds with more digits is ignored
 MIN_RETRY_AFTER_MS: Final = 1.0  # the resolution of the Retry-After fields of this gateway
 MIN_DEADLINE_REMAINING_MS: Final = 1  # the field has a resolution of 1 ms; zero would mark the request as expired
 
@@ -148,6 +149,24 @@
     )
 
 
+def is_chunked(head_prefix: bytes) -> bool:
+    """Return whether the body after this head uses the chunked transfer coding."""
+    return b"\r\n" + CHUNKED_LINE + b"\r\n" in head_prefix
+
+
+# Responses of backends.
+
+
+def parse_keep_alive_ms(value: bytes | None) -> float | None:
+    """Return the time-out that a Keep-Alive field announces, in ms; None if it announces none."""
+    timeout_ms = None
+    for parameter in (value or b"").split(b","):
+        name, _, number = parameter.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.isdigit() and len(number) <= KEEP_ALIVE_MAX_DIGITS:
+            timeout_ms = 1000.0 * int(number)
+    return timeout_ms
+
+
 # Replies to clients.
 
 
