Test: attempts of a client that leaves are tested in virtual time

The test failed once in a run of four workers: with a hedge delay of 1 ms on the real clock, an attempt whose connection takes longer to open is cancelled before it is written, and the test waited for its head for 20 s. In virtual time the connection opens before the delay is over; the checks are the same. With abandoning switched off the test fails as before.

--- a/tests/system/data/test_client_departure.py
+++ b/tests/system/data/test_client_departure.py
@@ -10,6 +10,7 @@
 from hallhitch.planes.values import QuotaDecision, Tenant
 from tests.system.data.data_plane_harness import DataPlaneHarness, make_config, make_route, with_data_plane
 from tests.system.data.scripted_peers import Peer, ScriptedBackend, encode_request, respond_with
+from tests.system.data.virtual_time_harness import run_in_virtual_time
 
 TENANT = Tenant("plant", ("k-1",), 0, 100.0, 10.0)
 API_KEY_LINE = "Authorization: Token k-1\r\n"
@@ -89,21 +90,24 @@
     assert await client.reader.read() == b""
 
 
-@with_data_plane(hedge_delay_ms=1.0)
-async def test_all_attempts_of_one_request_are_abandoned_when_its_client_disconnects(harness: DataPlaneHarness) -> None:
-    backends = [NeverRespondingBackend(), NeverRespondingBackend()]
-    for number, backend in enumerate(backends):
-        await harness.start_backend(f"b-{number}", backend)
-    client = await harness.connect_client()
-    client.write(encode_request())
-    for backend in backends:
-        await backend.head_received.wait()
-    disconnect(client, "close")
-    for backend in backends:
-        await backend.connection_ended.wait()
-    await wait_until_handled(harness)
-    ended = [entry for entry in harness.policy.outcomes if entry[1] is not Outcome.TIMED_OUT]
-    assert sorted(ended) == [("b-0", Outcome.ABANDONED), ("b-1", Outcome.ABANDONED)]
+def test_all_attempts_of_one_request_are_abandoned_when_its_client_disconnects() -> None:
+    async def test(harness: DataPlaneHarness) -> None:
+        harness.plane.set_config(make_config(make_route()))
+        backends = [NeverRespondingBackend(), NeverRespondingBackend()]
+        for number, backend in enumerate(backends):
+            await harness.start_backend(f"b-{number}", backend)
+        client = await harness.connect_client()
+        client.write(encode_request())
+        for backend in backends:
+            await backend.head_received.wait()
+        disconnect(client, "close")
+        for backend in backends:
+            await backend.connection_ended.wait()
+        await wait_until_handled(harness)
+        ended = [entry for entry in harness.policy.outcomes if entry[1] is not Outcome.TIMED_OUT]
+        assert sorted(ended) == [("b-0", Outcome.ABANDONED), ("b-1", Outcome.ABANDONED)]
+
+    run_in_virtual_time(test)
 
 
 @with_data_plane()
