Backend connections: a refusal that names no request ends no attempt (LOST)

A leaving gateway answered 502 while a backend was at work on the request: a refusal without an id had ended the attempt and closed the connection. Such a refusal proves nothing, not even that the attempt is over, so it is dropped like a response to another request: the attempt's own response, or the end of the connection, follows. The connection is not used again. Any other response without an id still ends the attempt as one that may have run.

--- a/hallhitch/planes/data/backend_connection.py
+++ b/hallhitch/planes/data/backend_connection.py
@@ -232,14 +232,18 @@
             self._pool.on_response_after_refusal(response_id, response.status)
 
     def _handle_response(self, attempt: UpstreamAttempt, response: Message, has_excess_bytes: bool) -> bool:
-        """Handle a complete or streaming response; return False if it belongs to another request and was dropped."""
+        """Handle a complete or streaming response; return False if it was dropped and the attempt goes on."""
         attribution = attribute_response(response, attempt.request.request_id)
         if attribution is Attribution.OTHER_REQUEST:
+            self._pool.count("response_to_other_request")
+            self._observe_refused(response)
+            self._drop_response(response)
+            return False
+        if attribution is Attribution.UNKNOWN and is_refusal(response):
+            self._pool.count("refusal_without_id")
             self._drop_response(response)
             return False
         if attribution is Attribution.UNKNOWN:
-            if is_refusal(response):
-                self._pool.count("refusal_without_id")
             self._close_invalid()
             return True
         outcome = classify_response(response)
@@ -255,9 +259,7 @@
         return True
 
     def _drop_response(self, response: Message) -> None:
-        """Drop a response to an earlier request; the response to the attempt in flight may follow."""
-        self._pool.count("response_to_other_request")
-        self._observe_refused(response)
+        """Drop a response that does not belong to the attempt in flight, whose own response may follow."""
         self._must_not_be_reused = True
         if response.flow is not None:
             response.flow.abandon()
--- a/hallhitch/planes/data/response_attribution.py
+++ b/hallhitch/planes/data/response_attribution.py
@@ -11,12 +11,17 @@
     id of the attempt in flight, a copy       after its response: the connection is closed
     id of an earlier request (late, a copy)   OTHER_REQUEST: dropped,  the connection is closed
                                               no reuse afterwards
-    without an id, to a request with one      UNKNOWN                  the connection is closed
-    two ids                                   UNKNOWN                  the connection is closed
+    without an id, to a request with one:
+      a refusal                               UNKNOWN: dropped,        the connection is closed
+                                              no reuse afterwards
+      any other                               UNKNOWN: the attempt     the connection is closed
+                                              may have run
+    two ids                                   as without an id         the connection is closed
     without an id, to a request without one   ATTEMPT                  the connection is closed
 
-An attempt whose response is UNKNOWN may have run. What the response says then counts for nothing: a refusal that names
-no request is no promise. Backends run no request without an id, so a copy of a refusal does no harm in the last case.
+A refusal that names no request is no promise, and no reason to end an attempt that the backend may be running: its
+response, or the end of the connection, still follows. Backends run no request without an id, so a copy of a refusal
+does no harm in the last case.
 
 The status matters only once a response is attributed (`response_classification`).
 """
--- a/tests/system/data/test_response_attribution.py
+++ b/tests/system/data/test_response_attribution.py
@@ -105,7 +105,8 @@
 
     reply = await harness.send(encode_request(request_id="id-1", method="POST"))
 
-    assert reply.status not in NEVER_RAN_STATUSES and run_counts[b"id-1"] == 1
+    assert run_counts[b"id-1"] == 1
+    assert reply.status == 200 and reply.body == b"ran id-1"
     assert harness.plane.event_counts["refusal_without_id"] == 1
 
 
