Emulator: backends that refuse, refuse twice or late, and write refusals that name no request

Second copies were sent of 200 alone, never of a refusal, so the cause of the incident REFUSED could not show.

--- a/hallhitch/cli/demo_system.py
+++ b/hallhitch/cli/demo_system.py
@@ -69,12 +69,13 @@
     """
     import uvloop
 
+    from hallhitch.lab.emulator.refusing_backends import with_refusing_backends
     from hallhitch.lab.emulator.shutdown_traffic import with_long_requests
     from hallhitch.lab.emulator.spec import EmulatorSpec
 
     spec = EmulatorSpec(seed=seed, gateways_per_zone=gateways, clients_stay_connected=stay_connected)
     if day == "overlaps":
-        spec = with_long_requests(spec)
+        spec = with_refusing_backends(with_long_requests(spec))
     uvloop.run(_run_scenario(day, seconds, load, spec, to))
 
 
--- a/hallhitch/lab/emulator/backend.py
+++ b/hallhitch/lab/emulator/backend.py
@@ -37,6 +37,9 @@
     health_path: str = "/health"
     idle_timeout_ms: float = 15_000.0  # of an idle connection
     contention_ratio: float = 0.0  # by which work takes longer when all slots are busy
+    refusal_ratio: float = 0.0  # share of arrivals that are treated as if the backend were full
+    refusal_copy_ratio: float = 0.0  # share of refusals that are sent twice, at once or late
+    unsolicited_refusal_ratio: float = 0.0  # share of connections on which a refusal that names no request comes first
 
 
 class Backend:
--- a/hallhitch/lab/emulator/backend_connection.py
+++ b/hallhitch/lab/emulator/backend_connection.py
@@ -1,6 +1,7 @@
 """One connection to an emulated backend, which reads, records and responds to requests one at a time.
 
-An arrival and the start of its execution are recorded before any part of the response is sent.
+An arrival and the start of its execution are recorded before any part of the response is sent. Refusals may come twice
+or name no request (`BackendSpec`), and responses to executed requests have the faults that the fleet draws.
 """
 
 from __future__ import annotations
@@ -55,6 +56,8 @@
         self.backend.connections.add(self)
         self.fleet.connections_opened += 1
         self._start_idle_timer()
+        if self.fleet.draws_refusal(self.spec.unsolicited_refusal_ratio):
+            self._write_later(self.fleet.draw_copy_delay_ms(), self._encode_response(503, NOT_EXECUTED_HEADER, b"", ""))
         return None
 
     def connection_lost(self, error: Exception | None) -> None:
@@ -161,7 +164,7 @@
         remaining = headers.get("hallhitch-deadline-remaining", "")
         remaining_ms = float(remaining) if remaining.replace(".", "", 1).isdigit() else DEFAULT_DEADLINE_MS
         ends_at_ms = arrival.arrived_at_ms + remaining_ms
-        if not await backend.acquire_slot():
+        if self.fleet.draws_refusal(self.spec.refusal_ratio) or not await backend.acquire_slot():
             if self.spec.resets_when_full:
                 return self.abort()
             return await self._decline(arrival, 503)
@@ -177,6 +180,9 @@
         """Respond with a status and the header that promises that the request was not executed."""
         arrival.status = status
         await self._respond(status, NOT_EXECUTED_HEADER, request_id=arrival.id)
+        if self.fleet.draws_refusal(self.spec.refusal_copy_ratio):
+            copy = self._encode_response(status, NOT_EXECUTED_HEADER, b"", arrival.id)
+            self._write_later(self.fleet.draw_copy_delay_ms(), copy)
 
     async def _execute(self, arrival: BackendArrival, ends_at_ms: float) -> None:
         backend = self.backend
@@ -230,8 +236,7 @@
                 self._write(self._encode_response(200, seal, body, arrival.id))
             case ResponseFault.DUPLICATED_LATE:
                 await self._respond(200, seal, body, arrival.id)
-                duplicate = self._encode_response(200, seal, body, arrival.id)
-                asyncio.get_running_loop().call_later(LATE_DUPLICATE_DELAY_MS / 1000, self._write, duplicate)
+                self._write_later(LATE_DUPLICATE_DELAY_MS, self._encode_response(200, seal, body, arrival.id))
             case _:
                 await self._respond(200, seal, body, arrival.id)
 
@@ -254,6 +259,9 @@
         head = f"HTTP/1.1 {status} X\r\n{id_header}{connection_header}\r\nContent-Length: {len(body)}\r\n"
         return head.encode() + headers + b"\r\n" + body
 
+    def _write_later(self, delay_ms: float, data: bytes) -> None:
+        asyncio.get_running_loop().call_later(delay_ms / 1000, self._write, data)
+
     def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
--- a/hallhitch/lab/emulator/backend_fleet.py
+++ b/hallhitch/lab/emulator/backend_fleet.py
@@ -18,6 +18,7 @@
 from hallhitch.node.clock import now
 
 CRASH_LISTING_DELAY_MS: Final = 2000.0  # from a crash until the backend is marked as gone, without the list's lag
+REFUSAL_COPY_DELAYS_MS: Final = (0.0, 5.0, 15.0, 30.0, 60.0)  # drawn alike
 LIST_COLUMNS: Final = (
     "instanceId",
     "targetService",
@@ -63,6 +64,7 @@
         self._port = port
         self._region_numbers = region_numbers or {}
         self._work_stream, self._fault_stream = Streams(seed).of("work"), Streams(seed).of("tricks")
+        self._refusal_stream = Streams(seed).of("refusals")
 
     def identify_caller(self, peer: Address, local: Address, backend: Backend) -> tuple[str, float]:
         """Return the name of the process that opened a connection and the one-way delay to it in ms."""
@@ -80,6 +82,14 @@
                 return fault
         return None
 
+    def draws_refusal(self, ratio: float) -> bool:
+        """Draw whether something happens that concerns a refusal; `ratio` is its share."""
+        return ratio > 0.0 and self._refusal_stream.chance(ratio)
+
+    def draw_copy_delay_ms(self) -> float:
+        """Draw how long after a refusal its second copy is sent."""
+        return REFUSAL_COPY_DELAYS_MS[self._refusal_stream.index(len(REFUSAL_COPY_DELAYS_MS))]
+
     async def start_backend(
         self, instance: str, spec: BackendSpec, host: str, location: tuple[str, str], is_cold: bool = False
     ) -> Backend:
--- a/tests/system/emulator/test_emulated_backend.py
+++ b/tests/system/emulator/test_emulated_backend.py
@@ -79,6 +79,24 @@
     run_with_timeout(body)
 
 
+def test_backend_refuses_twice_and_writes_a_refusal_that_names_no_request() -> None:
+    spec = BackendSpec("shelf", refusal_ratio=1.0, refusal_copy_ratio=1.0, unsolicited_refusal_ratio=1.0)
+
+    async def body() -> None:
+        async with running_backend(spec) as backend:
+            reader, writer = await asyncio.open_connection(*backend.address)
+            writer.write(encode_request("a1"))
+            refusals = [await read_message(reader) for _ in range(3)]
+            assert all(status_line.split()[1] == "503" for status_line, _, _ in refusals)
+            assert all("hallhitch-not-executed" in headers for _, headers, _ in refusals)
+            ids = [headers.get("hallhitch-request-id", "") for _, headers, _ in refusals]
+            assert sorted(ids) == ["", "a1", "a1"]
+            assert backend.fleet.records.arrivals[0].started_at_ms is None
+            writer.close()
+
+    run_with_timeout(body)
+
+
 def test_deadline_expired_in_the_queue_is_declined_and_during_execution_times_out() -> None:
     async def body() -> None:
         async with running_backend(BackendSpec("shelf", slots=1, queue_limit=1, work_ms=60_000)) as backend:
--- a/tests/system/emulator/test_overlapping_faults.py
+++ b/tests/system/emulator/test_overlapping_faults.py
@@ -15,6 +15,7 @@
 
 from hallhitch.lab.emulator.emulator import Emulator
 from hallhitch.lab.emulator.overlapping_scenario import overlapping_faults
+from hallhitch.lab.emulator.refusing_backends import with_refusing_backends
 from hallhitch.lab.emulator.rules import check_records
 from hallhitch.lab.emulator.shutdown_traffic import with_long_requests
 from hallhitch.lab.emulator.spec import EmulatorSpec
@@ -27,7 +28,7 @@
 
 @pytest.mark.parametrize("seed", range(1, SEED_COUNT + 1))
 def test_overlapping_faults_violate_no_rule_and_no_process_exits_unexpectedly(seed: int, tmp_path: Path) -> None:
-    spec = with_long_requests(EmulatorSpec(seed=seed, clients_stay_connected=True))
+    spec = with_refusing_backends(with_long_requests(EmulatorSpec(seed=seed, clients_stay_connected=True)))
 
     async def body() -> None:
         async with Emulator(spec, tmp_path) as emulator:
