Backend connections: the upload of a streamed request in a module of its own

The task that forwards a long body, with its flow control, is now RequestUpload, and what a backend sends about refused requests is observed by RefusedRequests.

--- a/hallhitch/planes/data/backend_connection.py
+++ b/hallhitch/planes/data/backend_connection.py
@@ -16,14 +16,15 @@
 from collections.abc import Callable
 from typing import Final, Protocol, cast
 
-from hallhitch.net.flow import Broken, Flow
+from hallhitch.net.flow import Flow
 from hallhitch.net.http import Malformed, Message
 from hallhitch.planes.data.http_messages import encode_attempt_head, is_chunked, parse_keep_alive_ms
 from hallhitch.planes.data.http_readers import BackendReader, BodyMemory
 from hallhitch.planes.data.idle_reuse import IdleReuseLimit
 from hallhitch.planes.data.interfaces import Outcome
-from hallhitch.planes.data.refused_requests import RefusedRequests
-from hallhitch.planes.data.response_attribution import Attribution, attribute_response, response_id_of
+from hallhitch.planes.data.refused_requests import RefusalObserver, RefusedRequests
+from hallhitch.planes.data.request_upload import RequestUpload
+from hallhitch.planes.data.response_attribution import Attribution, attribute_response
 from hallhitch.planes.data.response_classification import classify_response, is_refusal
 from hallhitch.planes.data.transports import DISCONNECTED, JOINED_WRITE_MAX_BYTES, configure_socket
 from hallhitch.planes.data.upstream_attempt import UpstreamAttempt
@@ -35,7 +36,7 @@
 STALE_RESET_WINDOW_MS: Final = 250.0
 
 
-class BackendConnectionOwner(Protocol):
+class BackendConnectionOwner(RefusalObserver, Protocol):
     """The part of a connection pool that its connections use."""
 
     backend: Backend
@@ -44,12 +45,6 @@
     def idle_reuse_limit(self) -> IdleReuseLimit:
         """The idle time up to which connections to the backend are reused."""
 
-    def count(self, event: str) -> None:
-        """Increment the counter of an event."""
-
-    def on_response_after_refusal(self, request_id: bytes, status: int) -> None:
-        """Report that the backend responded to a request that it had refused, as if it had run it."""
-
     def on_connection_made(self, connection: BackendConnection) -> None:
         """Count a connection as open."""
 
@@ -75,7 +70,6 @@
         "_refused",
         "_transport",
         "_upload",
-        "_write_resumed",
         "attempt",
         "body_flow",
         "idle_since",
@@ -98,8 +92,7 @@
         self._must_not_be_reused = False
         self._refused = RefusedRequests()
         self._is_closed = False
-        self._upload: asyncio.Task[None] | None = None
-        self._write_resumed: asyncio.Future[None] | None = None  # set while the transport's buffer is full
+        self._upload: RequestUpload | None = None
 
     # Called by the pool.
 
@@ -118,8 +111,8 @@
         self._reader.is_head_request = request.method == b"HEAD"
         head = encode_attempt_head(request.head_prefix, request.deadline_ms - now, attempt.backend.instance)
         if request.body_flow is not None:
-            self._upload = asyncio.get_running_loop().create_task(
-                self._stream_request(head, request.body_flow, is_chunked(request.head_prefix))
+            self._upload = RequestUpload(
+                self._transport, head, request.body_flow, is_chunked(request.head_prefix), self._on_request_truncated
             )
         elif len(request.body) <= JOINED_WRITE_MAX_BYTES:
             self._transport.write(head + request.body)
@@ -200,13 +193,13 @@
 
     def pause_writing(self) -> None:
         """Make the upload wait: the transport's buffer is full."""
-        self._write_resumed = asyncio.get_running_loop().create_future()
+        if self._upload is not None:
+            self._upload.pause()
 
     def resume_writing(self) -> None:
         """Resume the upload: the transport's buffer has room again."""
-        if self._write_resumed is not None and not self._write_resumed.done():
-            self._write_resumed.set_result(None)
-        self._write_resumed = None
+        if self._upload is not None:
+            self._upload.resume()
 
     # Responses.
 
@@ -218,25 +211,15 @@
         except Malformed:
             responses = self._reader.take_completed()
         for response in responses:
-            self._observe_refused(response)
+            self._refused.observe(response, self._pool)
         self.close()
 
-    def _observe_refused(self, response: Message) -> None:
-        """Count a response to no attempt in flight, if the backend has refused its request on this connection."""
-        response_id = response_id_of(response)
-        if response_id is None or response.status < 200 or response_id not in self._refused:
-            return
-        if is_refusal(response):
-            self._pool.count("refusal_copy")
-        else:
-            self._pool.on_response_after_refusal(response_id, response.status)
-
     def _handle_response(self, attempt: UpstreamAttempt, response: Message, has_excess_bytes: bool) -> bool:
         """Handle a complete or streaming response; return False if it was dropped and the attempt goes on."""
         attribution = attribute_response(response, attempt.request.request_id)
         if attribution is Attribution.OTHER_REQUEST:
             self._pool.count("response_to_other_request")
-            self._observe_refused(response)
+            self._refused.observe(response, self._pool)
             self._drop_response(response)
             return False
         if attribution is Attribution.UNKNOWN and is_refusal(response):
@@ -307,7 +290,7 @@
 
     def _is_clean(self) -> bool:
         """Return whether no part of the last request or response is left on the connection."""
-        is_uploading = self._upload is not None and not self._upload.done()
+        is_uploading = self._upload is not None and not self._upload.is_done
         return (
             not self._must_not_be_reused
             and not is_uploading
@@ -323,6 +306,10 @@
         self._transport.abort()
         self._end_attempt(Outcome.INVALID_RESPONSE)
 
+    def _on_request_truncated(self) -> None:
+        """Close the connection, so that the backend drops a request whose body its client did not complete."""
+        self._end_attempt(Outcome.ABANDONED)
+
     def _end_attempt(self, outcome: Outcome) -> None:
         """Close the connection and end its attempt, if any, with this outcome."""
         attempt, self.attempt = self.attempt, None
@@ -350,15 +337,3 @@
         self._reader.release_memory()
         self._reader.close()
         self._pool.on_connection_closed(self)
-
-    # Streamed request bodies.
-
-    async def _stream_request(self, head: bytes, body: Flow, chunked: bool) -> None:
-        """Forward a long request as it arrives; if it is truncated, close the connection: the backend then drops it."""
-        try:
-            async for data in body.encode_message(head, chunked=chunked):
-                self._transport.write(data)
-                while self._write_resumed is not None:
-                    await self._write_resumed
-        except Broken:
-            self._end_attempt(Outcome.ABANDONED)  # caused by the client, not the backend
