--- a/Makefile
+++ b/Makefile
@@ -22,10 +22,12 @@
 	@sed 's/^/known to fail: /' KNOWN-RED.txt
 	$(PY) -m pytest -n 4 $(addprefix --deselect=,$(KNOWN_RED))
 
-# The long forms of what `test` does by a few dozen: kills under load, generated calls, the control plane in virtual time.
+# The long forms of what `test` does by a few dozen: kills under load, generated calls, orders of responses, the control
+# plane in virtual time.
 soak: build
 	HALLHITCH_SOAK_ROUNDS=400 HALLHITCH_FUZZ_EXAMPLES=300 $(PY) -m pytest -n 2 tests/administration/test_kill.py \
 		tests/administration/test_fuzz.py
+	HALLHITCH_ATTRIBUTION_SEEDS=500 $(PY) -m pytest -n 4 tests/system/data/test_response_attribution.py
 	HALLHITCH_SIMULATION_SEEDS=$(SIMULATION_SEEDS) $(PY) -m pytest -n 4 tests/system/simulation/test_simulation.py
 
 # Signals, restarts, kills, drains and changes that overlap, by real processes under the operators' bounds.
