Test: drawn backends use the refusal field of the table of endings

drawn_backends had a second NOT_EXECUTED_LINE beside that of attempt_endings, with another value that no test reads.

--- a/tests/system/data/drawn_backends.py
+++ b/tests/system/data/drawn_backends.py
@@ -9,10 +9,9 @@
 from random import Random
 from typing import Final
 
-from tests.system.data.attempt_endings import EARLY_HINTS, encode_response
+from tests.system.data.attempt_endings import EARLY_HINTS, NOT_EXECUTED_LINE, encode_response
 from tests.system.data.scripted_peers import SEAL_LINE, Peer
 
-NOT_EXECUTED_LINE: Final = b"Hallhitch-Not-Executed: 1\r\n"
 WORK_S: Final = (0.002, 0.02, 0.08)
 COPY_DELAY_S: Final = (0.0, 0.001, 0.01, 0.03, 0.09)
 PREFACE_SHARE: Final = 0.1  # of new connections: something is written before a request was read
--- a/tests/system/data/test_response_attribution.py
+++ b/tests/system/data/test_response_attribution.py
@@ -15,9 +15,9 @@
 
 import pytest
 
-from tests.system.data.attempt_endings import encode_response
+from tests.system.data.attempt_endings import NOT_EXECUTED_LINE, encode_response
 from tests.system.data.data_plane_harness import DataPlaneHarness, make_config, make_route, with_data_plane
-from tests.system.data.drawn_backends import MISDIRECTED, NOT_EXECUTED_LINE, REFUSALS, DrawnBackend
+from tests.system.data.drawn_backends import MISDIRECTED, REFUSALS, DrawnBackend
 from tests.system.data.scripted_peers import Peer, encode_request
 from tests.system.data.virtual_time_harness import NEVER_RAN_STATUSES, run_in_virtual_time
 
