Configuration: a value that cannot be read stands aside alone (CONFIG)

Callers saw: release acknowledged a version with a tenant whose `priority` is "".

Cause: compilation of a configuration was all or nothing.

Change: fields are read one by one. A value that cannot be read is recorded by its path, and another one stands in for it that allows nothing the operator did not allow; everything else is in force. Logged once for a version, counted in config_unreadable_values. Validation stays as strict, as it refuses whatever compilation had to put aside.

--- a/hallhitch/planes/control/config_validation.py
+++ b/hallhitch/planes/control/config_validation.py
@@ -1,7 +1,7 @@
 """Validation of an operator's configuration; an error names the invalid field.
 
 Invariants: validation never changes the configuration, and unknown fields are allowed. A configuration that passes can
-be compiled by every gateway of this release: it is compiled here by the same code. The texts of errors become part of
+be read whole by every gateway of this release: it is compiled here by the same code. The texts of errors become part of
 the responses of the operator API.
 
 `cerberus` checks the top-level schema, the services and the limits. Routes and tenants come by the thousand, and
@@ -19,7 +19,8 @@
 
 from hallhitch.node.durations import parse_duration_ms
 from hallhitch.node.errors import DurationError
-from hallhitch.planes.config_compiler import UnreadableConfigError, compile_document
+from hallhitch.planes.config_compiler import compile_document
+from hallhitch.planes.config_fields import MAX_INTEGER, MAX_NUMBER, is_text
 from hallhitch.planes.control.config_digests import canonical_digest
 from hallhitch.planes.control.config_json import parse_config
 from hallhitch.planes.control.errors import ConfigTooLargeError, InvalidConfigError
@@ -27,8 +28,6 @@
 
 MAX_CONFIG_BYTES: Final = 32 * 1024 * 1024  # equals the body limit of the HTTP server of the operator API
 MAX_ROUTE_TIMEOUT_MS: Final = 600_000.0  # the text of the error says "ten minutes"
-MAX_INTEGER: Final = 2**63 - 1  # the largest value of the int64 fields in protocol messages
-MAX_NUMBER: Final = float(MAX_INTEGER)  # sums and products of such numbers stay far below the largest float
 ROUTE_KINDS: Final = tuple(RequestKind)
 
 JsonObject = Mapping[str, Any]
@@ -64,10 +63,8 @@
     _check_schema(_LIMITS_SCHEMA, "limits.", config.get("limits") or {})
     _check_routes(config["routes"], services)
     _check_tenants(config.get("tenants") or {})
-    try:
-        compile_document(config)
-    except UnreadableConfigError as error:
-        raise InvalidConfigError(error.reason, path=error.path) from None
+    for value in compile_document(config).unreadable:
+        raise InvalidConfigError(value.reason, path=value.path)
     return ValidatedConfig(config["configVersion"], len(config["routes"]), canonical_digest(body))
 
 
@@ -83,13 +80,6 @@
     return type(value) in (int, float) and 0 <= value <= MAX_NUMBER  # type: ignore[operator]
 
 
-def _is_text(value: object) -> TypeGuard[str]:
-    """Return whether a value is a non-empty string that UTF-8 can encode: one without surrogates."""
-    if not isinstance(value, str) or not value:
-        return False
-    return value.isascii() or not any("\ud800" <= character <= "\udfff" for character in value)
-
-
 # --- Schemas for cerberus. A check function gets the field, its value and the function that records an error.
 
 
@@ -185,9 +175,9 @@
 
 def _check_location(path: str, route: JsonObject) -> None:
     host, prefix = route.get("host"), route.get("pathPrefix")
-    if not _is_text(host) or any(character <= " " or character == "/" for character in host):
+    if not is_text(host) or any(character <= " " or character == "/" for character in host):
         raise InvalidConfigError(f"{host!r} is no host", path=f"{path}.host")
-    if not _is_text(prefix) or not (prefix.startswith("/") and prefix.endswith("/")):
+    if not is_text(prefix) or not (prefix.startswith("/") and prefix.endswith("/")):
         raise InvalidConfigError(f"{prefix!r} does not start and end with a slash", path=f"{path}.pathPrefix")
 
 
@@ -245,7 +235,7 @@
     name_by_key = dict[str, str]()
     for name, tenant in tenants.items():
         path = f"tenants.{name}"
-        if not _is_text(name) or not name.isprintable() or name != name.strip():
+        if not is_text(name) or not name.isprintable() or name != name.strip():
             raise InvalidConfigError(f"{name!r} cannot be the name of a tenant in a header", path="tenants")
         _check_tenant(path, tenant)
         for key in tenant["apiKeys"]:
@@ -255,7 +245,7 @@
 
 def _check_tenant(path: str, tenant: JsonObject) -> None:
     keys = tenant.get("apiKeys")
-    if not isinstance(keys, list) or not all(_is_text(key) for key in keys):
+    if not isinstance(keys, list) or not all(is_text(key) for key in keys):
         raise InvalidConfigError("is no list of keys", path=f"{path}.apiKeys")
     priority = tenant.get("priority")
     if priority is not None and not _is_integer(priority, 0):
--- a/hallhitch/planes/data/request_admission.py
+++ b/hallhitch/planes/data/request_admission.py
@@ -9,7 +9,7 @@
 import math
 import zlib
 from dataclasses import dataclass
-from typing import Final
+from typing import Final, NamedTuple
 
 from hallhitch.net.http import Message, path_of
 from hallhitch.planes.data.context import DataPlaneContext
@@ -17,7 +17,8 @@
 from hallhitch.planes.data.interfaces import RequestInfo
 from hallhitch.planes.values import ClusterConfig, Route, Tenant
 
-# Retry-After of a gateway that has no configuration yet, and for a tenant whose regions do not overlap the route's.
+# Retry-After of a gateway that has no configuration yet or cannot read a part of it, and for a tenant whose regions do
+# not overlap the route's.
 NOT_CONFIGURED_RETRY_AFTER_MS: Final = 1000.0
 CRC32_RANGE: Final = 2**32
 
@@ -30,21 +31,22 @@
     tenant: Tenant | None
 
 
+class _Match(NamedTuple):
+    route: Route
+    tenant: Tenant | None
+
+
 def admit(context: DataPlaneContext, request: Message, received_at: float) -> AdmittedRequest | Reply:
     """Admit a request, or return the reply that rejects it; `received_at` is when its first byte arrived."""
     config, now = context.config, context.clock()
-    headers = request.headers
     if is_malformed(request):
         return local_reply(400, request, must_close=True)
     if config is None:
         return local_reply(503, request, NOT_CONFIGURED_RETRY_AFTER_MS)
-    host = headers.get(b"host", b"").decode("latin-1").partition(":")[0].lower()
-    route = config.find_route(host, path_of(request.target).decode("latin-1"))
-    if route is None:
-        return local_reply(404, request)
-    tenant = _find_tenant(config, request)
-    if tenant is None and config.tenants and not route.is_public:
-        return local_reply(401, request)
+    match = _match(config, request)
+    if isinstance(match, Reply):
+        return match
+    route, tenant = match.route, match.tenant
     regions = route.allowed_regions
     if tenant is not None and tenant.allowed_regions:
         regions = regions & tenant.allowed_regions if regions else tenant.allowed_regions
@@ -53,12 +55,33 @@
                 503, request, NOT_CONFIGURED_RETRY_AFTER_MS
             )  # the regions of route and tenant do not overlap
     priority = route.priority if tenant is None or tenant.priority is None else tenant.priority
-    remaining_ms = parse_deadline_ms(headers.get(DEADLINE_REMAINING), route.timeout_ms)
+    remaining_ms = parse_deadline_ms(request.headers.get(DEADLINE_REMAINING), route.timeout_ms)
     deadline_ms = received_at + min(route.timeout_ms, remaining_ms)
-    service = choose_service(route, headers.get(REQUEST_ID, b""))
+    service = choose_service(route, request.headers.get(REQUEST_ID, b""))
     return AdmittedRequest(RequestInfo(route, service, regions, priority, now, deadline_ms), tenant)
 
 
+def _match(config: ClusterConfig, request: Message) -> _Match | Reply:
+    """Return the route and the tenant of a request, or the reply if it has no route or lacks a key."""
+    host = request.headers.get(b"host", b"").decode("latin-1").partition(":")[0].lower()
+    route = config.find_route(host, path_of(request.target).decode("latin-1"))
+    if route is None:
+        return _unknown_reply(request, 404, is_certain=not config.has_unlocated_routes)
+    if not route.is_readable:
+        return local_reply(503, request, NOT_CONFIGURED_RETRY_AFTER_MS)
+    tenant = _find_tenant(config, request)
+    if tenant is None and config.requires_key and not route.is_public:
+        return _unknown_reply(request, 401, is_certain=not config.has_unreadable_keys)
+    if tenant is not None and not tenant.is_readable:
+        return local_reply(503, request, NOT_CONFIGURED_RETRY_AFTER_MS)
+    return _Match(route, tenant)
+
+
+def _unknown_reply(request: Message, status: int, *, is_certain: bool) -> Reply:
+    """Return the reply for a route or key that is not there; 503 if an entry that cannot be read may contain it."""
+    return local_reply(status, request) if is_certain else local_reply(503, request, NOT_CONFIGURED_RETRY_AFTER_MS)
+
+
 def _find_tenant(config: ClusterConfig, request: Message) -> Tenant | None:
     """Return the tenant whose API key the request carries; None if there is none."""
     if not config.tenants:
--- a/hallhitch/planes/values.py
+++ b/hallhitch/planes/values.py
@@ -31,9 +31,20 @@
     weight: float
 
 
+class UnreadableValue(NamedTuple):
+    """A value of a configuration that this release cannot read: where it stands, and why."""
+
+    path: str
+    reason: str
+
+
 @dataclass(frozen=True, slots=True)
 class Route:
-    """One route of the configuration; `weighted_services` is never empty."""
+    """One route of the configuration.
+
+    If `is_readable` is False, where its requests may go cannot be read from the configuration, and they are rejected
+    with 503. `weighted_services` of any other route is not empty.
+    """
 
     name: str
     host: str
@@ -46,6 +57,7 @@
     max_attempts: int
     is_public: bool
     allowed_regions: frozenset[str] = ANY_REGION  # regions whose gateways and backends may serve the route; empty = any
+    is_readable: bool = True
 
     @property
     def is_idempotent(self) -> bool:
@@ -66,7 +78,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Tenant:
-    """One tenant of the configuration; `rate_per_s` requests and an additional `burst` are its quota, 0 = no limit."""
+    """One tenant of the configuration; `rate_per_s` requests and an additional `burst` are its quota, 0 = no limit.
+
+    If `is_readable` is False, what its requests are allowed cannot be read from the configuration, and they are
+    rejected with 503.
+    """
 
     name: str
     api_keys: tuple[str, ...]
@@ -74,6 +90,7 @@
     rate_per_s: float
     burst: float
     allowed_regions: frozenset[str] = ANY_REGION
+    is_readable: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,6 +123,14 @@
     # By host in lower case: the regions that may serve every route of the host. Hosts without restricted routes are
     # absent.
     home_regions: Mapping[str, frozenset[str]] = field(default_factory=dict)
+    unreadable: tuple[UnreadableValue, ...] = ()
+    has_unlocated_routes: bool = False  # whether the host or the path of a route cannot be read
+    has_unreadable_keys: bool = False  # whether the API keys of a tenant cannot be read
+
+    @property
+    def requires_key(self) -> bool:
+        """Whether requests need the API key of a tenant, except on public routes."""
+        return bool(self.tenants) or self.has_unreadable_keys
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the host's route with the longest prefix of `path`, or None; `path` must not include a query."""
--- a/hallhitch/programs/gateway.py
+++ b/hallhitch/programs/gateway.py
@@ -14,7 +14,7 @@
 from hallhitch.messages.system_pb2 import Envelope
 from hallhitch.node.http_server import HttpReply, HttpServer
 from hallhitch.node.logs import ComponentLogger
-from hallhitch.node.metrics import MetricsServer
+from hallhitch.node.metrics import Metric, MetricsServer, gauge
 from hallhitch.node.settings import NodeSettings
 from hallhitch.planes.config_compiler import EMPTY_CONFIG, compile_config
 from hallhitch.planes.data.load_balancer import LoadBalancer, LoadBalancerSettings
@@ -38,6 +38,7 @@
 DRAIN_DEADLINE_RATIO: Final = 0.9  # share of gracePeriod after which a leaving gateway has answered every request
 # Share of gracePeriod after which a leaving gateway exits; until then clients may receive the last replies.
 EXIT_RATIO: Final = 0.95
+MAX_LOGGED_PATHS: Final = 10  # of the values that cannot be read, in one line
 
 
 class GatewayProgram:
@@ -59,9 +60,7 @@
         load_balancer = LoadBalancer(_load_balancer_settings(node), random.Random(self._incarnation))
         self._data = DataPlane(node, load_balancer, self._quota.counter, runtime.clock)
         self._readiness_server = HttpServer("readiness", self._handle_readiness)
-        self._metrics_server = MetricsServer(
-            lambda: [*self._hub.metrics(), *self._state.metrics(), *self._sync.metrics(), *self._data.metrics()]
-        )
+        self._metrics_server = MetricsServer(self._metrics)
         self._directory = Directory(
             node.region_by_zone, node.bounds.max_ttl_ms, lambda host: self._config.home_regions.get(host)
         )
@@ -183,12 +182,32 @@
         return has_config and self._has_backends and self._sync.is_startup_complete
 
     def _apply_config(self) -> None:
-        config = self._hub.config
-        self._set_config(
-            compile_config(
-                config.serial, config.config_version, config.config, config.evacuated_zones, config.max_gateways
-            )
+        received = self._hub.config
+        config = compile_config(
+            received.serial, received.config_version, received.config, received.evacuated_zones, received.max_gateways
         )
+        if config.unreadable and config.version != self._config.version:
+            self._log_unreadable(config)
+        self._set_config(config)
+
+    def _log_unreadable(self, config: ClusterConfig) -> None:
+        self._log.error(
+            "configuration read in part",
+            config_version=config.version,
+            unreadable=len(config.unreadable),
+            paths=[value.path for value in config.unreadable[:MAX_LOGGED_PATHS]],
+            reason=config.unreadable[0].reason,
+        )
+
+    def _metrics(self) -> list[Metric]:
+        description = "Values of the configuration in force that this release cannot read."
+        return [
+            *self._hub.metrics(),
+            gauge("config_unreadable_values", description, len(self._config.unreadable)),
+            *self._state.metrics(),
+            *self._sync.metrics(),
+            *self._data.metrics(),
+        ]
 
     def _apply_evacuations(self) -> None:
         """Apply the evacuations that came with a configuration which cannot be applied to the one in force."""
