Configuration: what is acknowledged can match a request, a host with a port too (CONFIG)

Callers saw: a version with the host shop.example:80, an API key with a line end or beyond Latin-1, or a path with "?" or a space was acknowledged, and no request ever matched it (404, 401).

Cause: validation looked at the form of the texts, not at what a request can carry; admission cut a port off the Host before it looked the route up, and an IPv6 address at its first colon.

Change: a route whose host has a port matches that port, one without matches any. Keys that no header field and paths that no request can contain are a 400 with their place.

--- a/hallhitch/planes/config_compiler.py
+++ b/hallhitch/planes/config_compiler.py
@@ -30,6 +30,7 @@
     Tenant,
     UnreadableValue,
     WeightedService,
+    without_port,
 )
 
 EMPTY_CONFIG: Final = ClusterConfig(serial=0, version=-1, routes={}, services={}, tenants={}, tenants_by_api_key={})
@@ -104,7 +105,8 @@
     home_regions: dict[str, frozenset[str]] = {}
     for route in routes:
         if route.allowed_regions:
-            home_regions[route.host] = home_regions.get(route.host, route.allowed_regions) & route.allowed_regions
+            host = without_port(route.host)
+            home_regions[host] = home_regions.get(host, route.allowed_regions) & route.allowed_regions
     return home_regions
 
 
--- a/hallhitch/planes/control/config_validation.py
+++ b/hallhitch/planes/control/config_validation.py
@@ -1,8 +1,11 @@
 """Validation of an operator's configuration; an error names the invalid field.
 
-Invariants: validation never changes the configuration, and unknown fields are allowed. A configuration that passes can
-be read whole by every gateway of this release: it is compiled here by the same code. The texts of errors become part of
-the responses of the operator API.
+Invariants:
+- Validation never changes the configuration, and unknown fields are allowed.
+- Each route and each API key of a configuration that passes can match a request.
+- A configuration that passes can be read whole by every gateway of this release: it is compiled here by the same code.
+
+The texts of errors become part of the responses of the operator API.
 
 `cerberus` checks the top-level schema, the services and the limits. Routes and tenants come by the thousand, and
 `cerberus` takes about 0.5 ms for each, so the functions here check them by the same rules.
@@ -20,7 +23,7 @@
 from hallhitch.node.durations import parse_duration_ms
 from hallhitch.node.errors import DurationError
 from hallhitch.planes.config_compiler import compile_document
-from hallhitch.planes.config_fields import MAX_INTEGER, MAX_NUMBER, is_text
+from hallhitch.planes.config_fields import MAX_INTEGER, MAX_NUMBER, is_field_value, is_path, is_text
 from hallhitch.planes.control.config_digests import canonical_digest
 from hallhitch.planes.control.config_json import parse_config
 from hallhitch.planes.control.errors import ConfigTooLargeError, InvalidConfigError
@@ -175,10 +178,12 @@
 
 def _check_location(path: str, route: JsonObject) -> None:
     host, prefix = route.get("host"), route.get("pathPrefix")
-    if not is_text(host) or any(character <= " " or character == "/" for character in host):
+    if not is_text(host) or not is_field_value(host) or any(character in host for character in " \t/"):
         raise InvalidConfigError(f"{host!r} is no host", path=f"{path}.host")
     if not is_text(prefix) or not (prefix.startswith("/") and prefix.endswith("/")):
         raise InvalidConfigError(f"{prefix!r} does not start and end with a slash", path=f"{path}.pathPrefix")
+    if not is_path(prefix):
+        raise InvalidConfigError(f"no path of a request begins with {prefix!r}", path=f"{path}.pathPrefix")
 
 
 def _check_route_durations(path: str, route: JsonObject) -> None:
@@ -247,6 +252,9 @@
     keys = tenant.get("apiKeys")
     if not isinstance(keys, list) or not all(is_text(key) for key in keys):
         raise InvalidConfigError("is no list of keys", path=f"{path}.apiKeys")
+    for number, key in enumerate(keys):
+        if not is_field_value(key):
+            raise InvalidConfigError("no header field can carry this key", path=f"{path}.apiKeys.{number}")
     priority = tenant.get("priority")
     if priority is not None and not _is_integer(priority, 0):
         raise InvalidConfigError(f"{priority!r} is no whole number from 0 up", path=f"{path}.priority")
--- a/hallhitch/planes/data/request_admission.py
+++ b/hallhitch/planes/data/request_admission.py
@@ -15,7 +15,7 @@
 from hallhitch.planes.data.context import DataPlaneContext
 from hallhitch.planes.data.http_messages import DEADLINE_REMAINING, REQUEST_ID, Reply, is_malformed, local_reply
 from hallhitch.planes.data.interfaces import RequestInfo
-from hallhitch.planes.values import ClusterConfig, Route, Tenant
+from hallhitch.planes.values import ClusterConfig, Route, Tenant, without_port
 
 # Retry-After of a gateway that has no configuration yet or cannot read a part of it, and for a tenant whose regions do
 # not overlap the route's.
@@ -63,8 +63,7 @@
 
 def _match(config: ClusterConfig, request: Message) -> _Match | Reply:
     """Return the route and the tenant of a request, or the reply if it has no route or lacks a key."""
-    host = request.headers.get(b"host", b"").decode("latin-1").partition(":")[0].lower()
-    route = config.find_route(host, path_of(request.target).decode("latin-1"))
+    route = _find_route(config, request)
     if route is None:
         return _unknown_reply(request, 404, is_certain=not config.has_unlocated_routes)
     if not route.is_readable:
@@ -82,6 +81,13 @@
     return local_reply(status, request) if is_certain else local_reply(503, request, NOT_CONFIGURED_RETRY_AFTER_MS)
 
 
+def _find_route(config: ClusterConfig, request: Message) -> Route | None:
+    """Return the route of the request's host and path; a route whose host has no port matches any port."""
+    host = request.headers.get(b"host", b"").decode("latin-1").lower()
+    path = path_of(request.target).decode("latin-1")
+    return config.find_route(host, path) or config.find_route(without_port(host), path)
+
+
 def _find_tenant(config: ClusterConfig, request: Message) -> Tenant | None:
     """Return the tenant whose API key the request carries; None if there is none."""
     if not config.tenants:
--- a/hallhitch/planes/values.py
+++ b/hallhitch/planes/values.py
@@ -140,6 +140,13 @@
         return None
 
 
+def without_port(host: str) -> str:
+    """Return the host of a Host field or a route without its port, if it has one."""
+    name, colon, port = host.rpartition(":")
+    is_port = bool(colon) and (not port or (port.isascii() and port.isdecimal()))
+    return name if is_port else host
+
+
 @dataclass(frozen=True, slots=True)
 class Backend:
     """One incarnation of a backend, as listed in the platform's endpoint list."""
