Operator API: an order that was acknowledged is not refused when it is sent again (CONFIG)

Likewise an evacuation whose zone the settings no longer name could neither be sent again nor withdrawn.

Change: an invalid configuration is compared with the digests of the committed state, after a majority has confirmed that state. If it is recorded there, it is acknowledged; otherwise it is a 400, and a 503 without contact to a majority, as it may have been taken. Text that no release can have taken is a 400 at once. A zone counts as known if it is evacuated, or was in the settings of this process.

--- a/hallhitch/planes/control/config_digests.py
+++ b/hallhitch/planes/control/config_digests.py
@@ -15,6 +15,7 @@
 import hashlib
 import json
 from collections.abc import Sequence
+from dataclasses import dataclass
 from typing import Final
 
 from hallhitch.messages.system_pb2 import ClusterState, ConfigDigest
@@ -33,6 +34,27 @@
     ABSENT = "absent"  # its version is above the one in force: this change has not been applied
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigIdentity:
+    """The version of a configuration and the canonical digest of its content."""
+
+    version: int
+    digest: bytes
+
+
+def identify_config(body: bytes) -> ConfigIdentity | None:
+    """Return the identity of a configuration, valid or not; None if no release can have acknowledged it.
+
+    A release may have acknowledged any JSON object with a version.
+    """
+    try:
+        config = json.loads(body)
+        version = config.get("configVersion") if isinstance(config, dict) else None
+        return ConfigIdentity(version, canonical_digest(body)) if type(version) is int else None
+    except (ValueError, RecursionError):
+        return None
+
+
 def canonical_digest(body: bytes) -> bytes:
     """Return a digest that is equal for all JSON texts with the same meaning.
 
--- a/hallhitch/planes/control/operator_api.py
+++ b/hallhitch/planes/control/operator_api.py
@@ -4,6 +4,9 @@
 
 - *Acknowledged means durable*: a reply of 200 to a command means that a majority of each set of members holds the
   state after it on disk.
+- *Acknowledged again*: a configuration whose digest is recorded is acknowledged when it is sent again, whatever the
+  release that acknowledged it took for valid. An evacuated zone may be evacuated again or restored, whichever zones the
+  settings name by now.
 - *In time*: a reply comes within one second, after which callers give up. Large configurations are the exception, as
   their callers allow more time.
 
@@ -27,7 +30,7 @@
 from hallhitch.node.http_server import HttpReply
 from hallhitch.node.settings import NodeSettings
 from hallhitch.planes.control import state_transitions
-from hallhitch.planes.control.config_digests import ConfigOutcome, config_outcome
+from hallhitch.planes.control.config_digests import ConfigOutcome, config_outcome, identify_config
 from hallhitch.planes.control.config_validation import ValidatedConfig, validate_config
 from hallhitch.planes.control.errors import ConfigTooLargeError, InvalidConfigError
 from hallhitch.planes.control.plane import ControlPlane
@@ -58,11 +61,12 @@
     """Handles the operator's calls on one coordinator."""
 
     def __init__(self, node: NodeSettings, plane: ControlPlane, clock: Callable[[], float] = now) -> None:
-        self._node, self._plane, self._clock = node, plane, clock
+        self._plane, self._clock = plane, clock
+        self._zones = set(node.region_by_zone)
 
     def apply_settings(self, node: NodeSettings) -> None:
-        """Use the zones of new settings from now on."""
-        self._node = node
+        """Accept the zones of new settings, too."""
+        self._zones |= node.region_by_zone.keys()
 
     async def handle(self, method: str, target: str, body: bytes) -> HttpReply:  # noqa: PLR0911  a reply for each case
         """Return the reply to one request; raises nothing but CancelledError, when the call is cancelled."""
@@ -109,16 +113,31 @@
         except ConfigTooLargeError as error:
             return _error_reply(413, str(error))
         except InvalidConfigError as error:
-            return _error_reply(400, str(error))
+            return await self._refuse_config(body, error)
         content = zlib.compress(body, CONFIG_COMPRESSION_LEVEL)
         transition = state_transitions.replace_config(config.version, content, config.digest)
         timeout_ms = COMMAND_TIMEOUT_MS + COMMAND_TIMEOUT_PER_ROUTE_MS * config.route_count
         return await self._commit(transition, received_ms + timeout_ms, lambda state: _config_reply(state, config))
 
+    async def _refuse_config(self, body: bytes, error: InvalidConfigError) -> HttpReply:
+        """Refuse an invalid configuration, unless it was acknowledged before, by a release that took it for valid."""
+        identity = identify_config(body)
+        if identity is None:
+            return _error_reply(400, str(error))
+        if not await self._plane.confirm(CONFIRM_TIMEOUT_MS):
+            return _retry_reply("no contact with a majority")
+        state = self._plane.committed_state
+        outcome = config_outcome(state, identity.version, identity.digest)
+        return _acknowledgement(state) if outcome is ConfigOutcome.RECORDED else _error_reply(400, str(error))
+
+    def _is_known_zone(self, zone: str) -> bool:
+        """Return whether a zone is or was in the settings of this process, or is evacuated."""
+        return zone in self._zones or zone in self._plane.committed_state.evacuations
+
     async def _change_evacuation(
         self, zone: str, transition_for: Callable[[str], StateTransition], received_ms: float
     ) -> HttpReply:
-        if zone not in self._node.region_by_zone:
+        if not self._is_known_zone(zone):
             return _error_reply(400, f"there is no zone {zone!r}" if zone else "the zone is missing: of=ZONE")
         transition = transition_for(zone)
         # Yields to the event loop once, so that a caller that disconnected long ago is noticed before its command is
