--- a/benchmarks/distribution_cost.py
+++ b/benchmarks/distribution_cost.py
@@ -12,7 +12,8 @@
 from benchmarks.sample_data import sample_backend, sample_gateway
 from hallhitch.messages.system_pb2 import BackendUpdate, Envelope, GatewayUpdate, LeaseHolderUpdate, StateRequest
 from hallhitch.planes.discovery.directory import DirectoryQuery, nearest_gateways
-from hallhitch.planes.discovery.endpoint_list import ListedBackend, parse_page
+from hallhitch.planes.discovery.endpoint_list import ListedBackend
+from hallhitch.planes.discovery.endpoint_page import parse_page
 from hallhitch.planes.discovery.gateway_registry import merge_gateways
 from hallhitch.planes.distribution.state_hub import StateHub
 from hallhitch.planes.distribution.state_messages import encode_backend, encode_gateway
--- a/hallhitch/planes/config_fields.py
+++ b/hallhitch/planes/config_fields.py
@@ -8,11 +8,11 @@
 from __future__ import annotations
 
 import math
-import re
 from collections.abc import Iterator
-from typing import Any, Final, TypeGuard, TypeVar
+from typing import Any, Final, TypeVar
 
 from hallhitch.node.durations import parse_duration_ms
+from hallhitch.node.texts import is_text
 from hallhitch.planes.values import UnreadableValue
 
 ValueT = TypeVar("ValueT")
@@ -20,26 +20,6 @@
 MAX_INTEGER: Final = 2**63 - 1  # the largest value of the int64 fields in protocol messages
 MAX_NUMBER: Final = float(MAX_INTEGER)  # sums and products of such numbers stay far below the largest float
 
-_FIELD_VALUE_PATTERN: Final = re.compile(r"[\t -~\x80-\xff]*")
-_PATH_PATTERN: Final = re.compile(r"[!->@-~]*")
-
-
-def is_text(value: object) -> TypeGuard[str]:
-    """Return whether a value is a non-empty string that UTF-8 can encode: one without surrogates."""
-    if not isinstance(value, str) or not value:
-        return False
-    return value.isascii() or not any("\ud800" <= character <= "\udfff" for character in value)
-
-
-def is_field_value(text: str) -> bool:
-    """Return whether a header field can carry this text: Latin-1 without control characters or spaces around it."""
-    return bool(_FIELD_VALUE_PATTERN.fullmatch(text)) and text == text.strip(" \t")
-
-
-def is_path(text: str) -> bool:
-    """Return whether the path of a request can contain this text: visible ASCII without a question mark."""
-    return bool(_PATH_PATTERN.fullmatch(text))
-
 
 class FieldReader:
     """Reads the fields of one JSON object and records in `unreadable` those that cannot be read.
--- a/hallhitch/planes/control/config_validation.py
+++ b/hallhitch/planes/control/config_validation.py
@@ -22,8 +22,9 @@
 
 from hallhitch.node.durations import parse_duration_ms
 from hallhitch.node.errors import DurationError
+from hallhitch.node.texts import is_field_value, is_path, is_text
 from hallhitch.planes.config_compiler import compile_document
-from hallhitch.planes.config_fields import MAX_INTEGER, MAX_NUMBER, is_field_value, is_path, is_text
+from hallhitch.planes.config_fields import MAX_INTEGER, MAX_NUMBER
 from hallhitch.planes.control.config_digests import canonical_digest
 from hallhitch.planes.control.config_json import parse_config
 from hallhitch.planes.control.errors import ConfigTooLargeError, InvalidConfigError
--- a/hallhitch/planes/data/connection_pool.py
+++ b/hallhitch/planes/data/connection_pool.py
@@ -165,8 +165,8 @@
         connection: BackendConnection | None = None
         try:
             connection = await self._create_connection()
-        except OSError:
-            pass  # refused or no route: handled as unreachable below
+        except (OSError, UnicodeError):
+            pass  # refused, no route, or no name of a host: handled as unreachable below
         finally:
             self.opening_count -= 1
             self._owner.opening_count -= 1
--- a/hallhitch/planes/data/endpoint_set.py
+++ b/hallhitch/planes/data/endpoint_set.py
@@ -290,9 +290,11 @@
 
 
 def _is_eligible(backend: Backend, criteria: SelectionCriteria) -> bool:
-    """Return whether the request has not tried this backend yet and may be served in its region."""
+    """Return whether the request has not tried this backend yet, may run there and may be served in its region."""
     if backend.instance in criteria.excluded_instances:
         return False
+    if backend.is_idempotent_only and criteria.is_non_idempotent:
+        return False
     return not criteria.allowed_regions or backend.region in criteria.allowed_regions
 
 
--- a/hallhitch/planes/discovery/endpoint_list.py
+++ b/hallhitch/planes/discovery/endpoint_list.py
@@ -1,4 +1,4 @@
-"""The endpoint list, the platform's list of backends: how to parse it, when to read it and how to merge a new one.
+"""The endpoint list, the platform's list of backends: when to read it and how to merge a new one.
 
 The module performs no I/O and reads no clock. Any coordinator may read the list, so reading requires no lease.
 Normally only the first of the live coordinators in a rendezvous order reads it (highest random weight hashing, Thaler
@@ -12,13 +12,10 @@
 from __future__ import annotations
 
 import hashlib
-import json
 from collections.abc import Container, Iterable, Mapping, Sequence
 from dataclasses import dataclass, replace
-from typing import Any, Final
+from typing import Final
 
-from hallhitch.node.durations import parse_duration_ms
-from hallhitch.planes.discovery.errors import MalformedPageError
 from hallhitch.planes.values import Backend
 
 # Difference within which two end times of a slow start count as equal. The list contains the remaining duration, so the
@@ -43,6 +40,7 @@
     slots: int
     is_draining: bool
     warming_until_ms: float  # by the monotonic clock of the process that holds this value; 0 = warm
+    is_idempotent_only: bool = False  # a part of its row cannot be read: no request that may run once goes there
 
     def to_backend(self, region: str) -> Backend:
         """Convert the entry to the type that the other planes use, given the region of its zone."""
@@ -56,62 +54,10 @@
             slots=self.slots,
             is_draining=self.is_draining,
             warming_until_ms=self.warming_until_ms,
+            is_idempotent_only=self.is_idempotent_only,
         )
 
 
-@dataclass(frozen=True, slots=True)
-class Page:
-    """One page of the endpoint list."""
-
-    entries: tuple[ListedBackend, ...]
-    next_token: str | None  # None on the last page
-
-
-def parse_page(body: bytes, now: float) -> Page:
-    """Parse a page that was received at `now` (monotonic ms).
-
-    The page contains its entries either as a list of objects or as column names with rows of values.
-
-    Raises:
-        MalformedPageError: the page does not have the platform's format.
-    """
-    try:
-        table = json.loads(body)
-        backends = tuple(_parse_backend(row, now) for row in _rows(table["instances"]))
-        return Page(backends, _parse_token(table.get("nextPageToken")))
-    except (KeyError, TypeError, AttributeError, ValueError) as error:
-        raise MalformedPageError(f"malformed page: {type(error).__name__} {error}") from error
-
-
-def _parse_token(value: object) -> str | None:
-    if value is not None and not isinstance(value, str):
-        raise TypeError("nextPageToken is not a string")
-    return value or None
-
-
-def _rows(instances: Any) -> Iterable[Mapping[str, Any]]:
-    if isinstance(instances, dict):
-        names = instances["columnNames"]
-        return (dict(zip(names, row, strict=True)) for row in instances["rowValues"])
-    rows: Iterable[Mapping[str, Any]] = instances
-    return rows
-
-
-def _parse_backend(row: Mapping[str, Any], now: float) -> ListedBackend:
-    host, _, port = row["address"].rpartition(":")
-    warmup_ms = parse_duration_ms(row["coldRemaining"]) if row.get("coldRemaining") else 0.0
-    return ListedBackend(
-        instance=row["instanceId"],
-        service=row["targetService"],
-        host=host,
-        port=int(port),
-        zone=row.get("zone") or "",
-        slots=int(row.get("slotCount") or 1),
-        is_draining=row.get("state") == "draining",
-        warming_until_ms=now + warmup_ms if warmup_ms > 0 else 0.0,
-    )
-
-
 def reconcile_list(
     known: Mapping[str, ListedBackend], latest: Iterable[ListedBackend], drained: Container[str] = ()
 ) -> dict[str, ListedBackend]:
@@ -119,14 +65,15 @@
 
     The end of a slow start changes only if it moves by more than the tolerance. A backend stays draining if it was
     draining in `known`, or if it is in `drained` because it was draining before it was absent: one page of the platform
-    may lag behind another.
+    may lag behind another, and the list may contain a backend twice.
     """
-    reconciled = {}
+    reconciled: dict[str, ListedBackend] = {}
     for backend in latest:
         previous = known.get(backend.instance)
         if previous is not None and _is_same_slow_start(backend, previous):
             backend = replace(backend, warming_until_ms=previous.warming_until_ms)
-        was_draining = backend.instance in drained or (previous is not None and previous.is_draining)
+        listed = reconciled.get(backend.instance, previous)
+        was_draining = backend.instance in drained or (listed is not None and listed.is_draining)
         if was_draining and not backend.is_draining:
             backend = replace(backend, is_draining=True)
         reconciled[backend.instance] = backend
--- a/hallhitch/planes/discovery/endpoint_list_reader.py
+++ b/hallhitch/planes/discovery/endpoint_list_reader.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Sequence
 from typing import Final
 
 from hallhitch.node.logs import ComponentLogger, RateLimitedLog
 from hallhitch.node.metrics import Histogram, Metric, MetricKind
+from hallhitch.planes.discovery.endpoint_page import UnreadableRow
 from hallhitch.planes.discovery.errors import EndpointListError
 from hallhitch.planes.discovery.platform_client import EndpointListReading, PlatformClient
 
@@ -48,6 +50,8 @@
         self._log = RateLimitedLog(ComponentLogger("list"))
         self._durations = Histogram(READ_BUCKETS_MS)
         self._read_counts = {"complete": 0, "failed": 0}
+        self._row_log = RateLimitedLog(ComponentLogger("list"))
+        self._unreadable_rows: Counter[str] = Counter()  # by the first field that cannot be read
         self.read_duration_ms = 0.0  # of the latest complete read
 
     async def read(self) -> None:
@@ -63,12 +67,23 @@
             self._read_counts["complete"] += 1
             self.read_duration_ms = self._clock() - started_at
             self._durations.observe(self.read_duration_ms)
+            self._record_unreadable(reading.unreadable_rows)
             self._on_reading(reading)
 
+    def _record_unreadable(self, rows: Sequence[UnreadableRow]) -> None:
+        for row in rows:
+            self._unreadable_rows[row.fields[0]] += 1
+            self._row_log.warning(
+                self._clock(), "row of the endpoint list cannot be read", instance=row.instance, fields=row.fields
+            )
+
     def metrics(self) -> list[Metric]:
-        """Return how many reads were complete or failed, and how long the complete ones took."""
+        """Return how many reads were complete or failed, how long the complete ones took, and the unreadable rows."""
         reads = {result: float(count) for result, count in self._read_counts.items()}
+        rows = {name: float(count) for name, count in self._unreadable_rows.items()}
+        description = "Rows of the endpoint list that could not be read whole."
         return [
+            Metric("endpoint_list_unreadable_rows_total", MetricKind.COUNTER, description, rows, "field"),
             Metric("endpoint_list_reads_total", MetricKind.COUNTER, "Reads of the endpoint list.", reads, "result"),
             self._durations.metric("endpoint_list_read_ms", "Duration of the complete reads."),
         ]
--- a/hallhitch/planes/discovery/platform_client.py
+++ b/hallhitch/planes/discovery/platform_client.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Final
 from urllib.parse import quote
 
 from hallhitch.net.http import Malformed, Message, ResponseReader
 from hallhitch.node.clock import now
-from hallhitch.planes.discovery.endpoint_list import ListedBackend, parse_page
+from hallhitch.planes.discovery.endpoint_list import ListedBackend
+from hallhitch.planes.discovery.endpoint_page import UnreadableRow, parse_page
 from hallhitch.planes.discovery.errors import EndpointListError
 
 MAX_PAGES: Final = 2000  # per list; ends a read if the platform repeats page tokens
@@ -21,7 +22,8 @@
     """The complete endpoint list and the time at which the read started (monotonic ms)."""
 
     started_at: float
-    backends: list[ListedBackend]
+    backends: list[ListedBackend]  # of the rows that can be read whole
+    unreadable_rows: list[UnreadableRow] = field(default_factory=list)
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,12 +51,13 @@
         Raises:
             EndpointListError: the platform did not respond in time, or its response is not a list.
         """
-        started_at, backends, token = now(), list[ListedBackend](), ""
+        reading, token = EndpointListReading(now(), []), ""
         for _ in range(MAX_PAGES):
             page = parse_page(await self._get(f"/instances?pageToken={quote(token)}" if token else "/instances"), now())
-            backends += page.entries
+            reading.backends.extend(page.backends)
+            reading.unreadable_rows.extend(page.unreadable_rows)
             if page.next_token is None:
-                return EndpointListReading(started_at, backends)
+                return reading
             token = page.next_token
         raise EndpointListError(f"the list has more than {MAX_PAGES} pages")
 
--- a/hallhitch/planes/distribution/state_messages.py
+++ b/hallhitch/planes/distribution/state_messages.py
@@ -63,6 +63,7 @@
         slots=backend.slots,
         is_draining=backend.is_draining,
         warmup_remaining_ms=max(0.0, backend.warming_until_ms - now),
+        is_idempotent_only=backend.is_idempotent_only,
     )
 
 
@@ -82,6 +83,7 @@
         slots=message.slots,
         is_draining=message.is_draining,
         warming_until_ms=received_at + remaining_ms if remaining_ms > 0 else 0.0,
+        is_idempotent_only=message.is_idempotent_only,
     )
 
 
--- a/hallhitch/planes/values.py
+++ b/hallhitch/planes/values.py
@@ -160,6 +160,7 @@
     slots: int
     is_draining: bool = False
     warming_until_ms: float = 0.0  # end of the slow start by this process's clock; a time in the past = warm
+    is_idempotent_only: bool = False  # what the endpoint list says of it cannot be read whole
 
 
 @dataclass(frozen=True, slots=True)
--- a/hallhitch/programs/coordinator.py
+++ b/hallhitch/programs/coordinator.py
@@ -27,6 +27,7 @@
     page_timeout_ms,
     reading_interval_ms,
 )
+from hallhitch.planes.discovery.endpoint_page import resolve_unreadable
 from hallhitch.planes.discovery.gateway_registry import max_gateways_to_record
 from hallhitch.planes.discovery.platform_client import EndpointListReading, PlatformClient
 from hallhitch.planes.distribution.coordinator_sync import CoordinatorSync
@@ -177,7 +178,9 @@
         self._sync.add_peers(state.members)
 
     def _on_list_reading(self, reading: EndpointListReading) -> None:
-        self._hub.update_backends(reading.started_at, reading.backends)
+        known = {backend.instance: backend for backend in self._hub.backends.values()}
+        resolved = resolve_unreadable(reading.unreadable_rows, known)
+        self._hub.update_backends(reading.started_at, [*resolved, *reading.backends])
 
     # Periodic work.
 
--- a/tests/system/data/test_endpoint_selection.py
+++ b/tests/system/data/test_endpoint_selection.py
@@ -37,6 +37,18 @@
     assert selected_instances(harness, 40, RequestSpec(kind)) == {"remote"}
 
 
+# Guards against requests that may run once at a backend of which the list cannot be read whole (TWICE, DRAIN).
+@pytest.mark.parametrize("kind", list(RequestKind))
+def test_backend_that_is_known_in_part_gets_only_idempotent_requests(kind: RequestKind) -> None:
+    partly_known = replace(backend("partly-known"), is_idempotent_only=True)
+    expected = set() if kind is RequestKind.NON_IDEMPOTENT else {"partly-known"}
+    harness = LoadBalancerHarness(partly_known)
+    assert selected_instances(harness, 3, RequestSpec(kind)) == expected
+    known_again = LoadBalancerHarness(partly_known)
+    known_again.balancer.set_backends(START_MS, [backend("partly-known")])
+    assert selected_instances(known_again, 1, NON_IDEMPOTENT_REQUEST) == {"partly-known"}
+
+
 def test_another_region_is_selected_only_when_the_local_region_has_no_capacity() -> None:
     harness = LoadBalancerHarness(backend("near", slots=6), backend("remote", "b1", slots=6))
     assert selected_instances(harness, 4) == {"near"}
--- a/tests/system/discovery/test_endpoint_list.py
+++ b/tests/system/discovery/test_endpoint_list.py
@@ -1,58 +1,18 @@
-"""Tests of the endpoint list: parsing its pages, reconciling it with a later one, and selecting its reader."""
-
-import json
-
-import pytest
+"""Tests of the endpoint list: reconciling it with a later one, and selecting its reader."""
 
 from hallhitch.planes.discovery.endpoint_list import (
     ListedBackend,
     is_read_due,
-    parse_page,
     reader_rank,
     reconcile_list,
 )
-from hallhitch.planes.discovery.errors import MalformedPageError
 from hallhitch.planes.values import Backend
 
-ROW = {
-    "targetService": "s",
-    "address": "10.0.0.9:8080",
-    "zone": "z",
-    "slotCount": 6,
-    "state": "draining",
-    "coldRemaining": "1500ms",
-    "instanceId": "i-1",
-}
-COLUMNS = {"columnNames": list(ROW), "rowValues": [list(ROW.values())]}
-
 
 def make_backend(instance: str, *, is_draining: bool = False, warming_until_ms: float = 0.0) -> ListedBackend:
     return ListedBackend(instance, "s", "10.0.0.1", 80, "z", 3, is_draining, warming_until_ms)
 
 
-@pytest.mark.parametrize("instances", [COLUMNS, [ROW]], ids=["columns", "rows"])
-def test_page_is_parsed_in_both_formats(instances: object) -> None:
-    page = parse_page(json.dumps({"instances": instances, "nextPageToken": "p-50"}).encode(), 100.0)
-    assert page.next_token == "p-50"
-    assert page.entries == (ListedBackend("i-1", "s", "10.0.0.9", 8080, "z", 6, True, 1600.0),)
-
-
-@pytest.mark.parametrize(
-    "body",
-    [
-        b"{",
-        b"[]",
-        b'{"instances":{"columnNames":["a"],"rowValues":[[1,2]]}}',
-        b'{"instances":[{}]}',
-        b'{"instances":[],"nextPageToken":7}',
-        b'{"instances":[],"nextPageToken":["p"]}',
-    ],
-)
-def test_malformed_page_raises_an_error(body: bytes) -> None:
-    with pytest.raises(MalformedPageError):
-        parse_page(body, 0.0)
-
-
 def test_draining_backend_stays_draining_and_end_of_slow_start_is_stable() -> None:
     known = {"a": make_backend("a", is_draining=True), "b": make_backend("b", warming_until_ms=5000.0)}
     latest = [make_backend("a"), make_backend("b", warming_until_ms=5100.0), make_backend("c")]
@@ -61,6 +21,11 @@
     assert "a" not in reconcile_list(known, [make_backend("c")])
 
 
+def test_backend_that_the_list_contains_twice_is_draining_if_either_row_says_so() -> None:
+    for latest in ([make_backend("a", is_draining=True), make_backend("a")], [make_backend("a")] * 2):
+        assert reconcile_list({}, latest)["a"].is_draining == latest[0].is_draining
+
+
 def test_readers_have_distinct_ranks_and_take_over_as_the_list_gets_older() -> None:
     addresses = ["10.0.0.1:1", "10.0.0.2:1", "10.0.0.3:1"]
     ranks = sorted(reader_rank(address, addresses) for address in addresses)
--- a/tests/system/discovery/test_platform_client.py
+++ b/tests/system/discovery/test_platform_client.py
@@ -148,6 +148,30 @@
     asyncio.run(main())
 
 
+def test_unreadable_rows_are_passed_on_counted_by_field_and_logged_at_most_once_a_second(
+    logged_lines: list[str],
+) -> None:
+    rows = [
+        {"instanceId": f"i-{number}", "targetService": "s", "address": address, "slotCount": slots}
+        for number, (address, slots) in enumerate([("h:80", 1), ("h:80", "x"), (None, "x"), (5, 1)])
+    ]
+    body = json.dumps({"instances": rows, "nextPageToken": None}).encode()
+
+    async def scenario(client: PlatformClient) -> None:
+        readings: list[EndpointListReading] = []
+        reader = EndpointListReader(client, 4.0, readings.append, lambda: 0.0)
+        for _ in range(2):
+            await reader.read()
+        assert [instances(reading) for reading in readings] == [["i-0"]] * 2
+        assert [row.instance for row in readings[0].unreadable_rows] == ["i-1", "i-2", "i-3"]
+        (metric,) = (m for m in reader.metrics() if m.name == "endpoint_list_unreadable_rows_total")
+        assert metric.samples == {"slotCount": 2.0, "address": 4.0}
+
+    run_against(PlatformServer({"/instances": response(body)}), scenario)
+    (line,) = (line for line in logged_lines if "cannot be read" in line)
+    assert "instance=i-1 fields=slotCount" in line
+
+
 # Guards against the failure that an idle connection which the network dropped silently delays the list by a time-out.
 def test_page_without_a_response_on_a_reused_connection_is_requested_on_a_new_one() -> None:
     async def main() -> None:
--- a/tests/system/distribution/test_coordinator_program.py
+++ b/tests/system/distribution/test_coordinator_program.py
@@ -1,4 +1,4 @@
-"""A coordinator program without quorum contact: its directory, first configurations and the age of its contact."""
+"""A coordinator program: without quorum contact, and with an endpoint list that it cannot read whole."""
 
 from __future__ import annotations
 
@@ -6,6 +6,9 @@
 import json
 
 from hallhitch.planes.control import state_transitions
+from hallhitch.planes.discovery.endpoint_page import parse_page
+from hallhitch.planes.discovery.platform_client import EndpointListReading
+from hallhitch.planes.distribution.state_messages import decode_backend_delta
 from hallhitch.programs.coordinator import CoordinatorProgram
 from tests.system.distribution.simulated_core import SEEDS, SimulatedCoordinators
 from tests.system.distribution.simulated_peers import SimulatedPeers, run_in_virtual_time
@@ -52,3 +55,38 @@
             await program.shut_down()
 
     run_in_virtual_time(scenario)
+
+
+# Guards against drains that are not obeyed while a row of the list cannot be read (DRAIN).
+def test_drains_are_passed_on_while_a_row_of_the_list_cannot_be_read() -> None:
+    def page(odd_state: str, slots: object, other_state: str) -> bytes:
+        fields = {"targetService": "s", "address": "10.9.0.1:80", "zone": "z"}
+        odd = {**fields, "instanceId": "odd", "slotCount": slots, "state": odd_state}
+        other = {**fields, "instanceId": "other", "slotCount": 4, "state": other_state}
+        return json.dumps({"instances": [odd, other]}).encode()
+
+    async def scenario(peers: SimulatedPeers) -> None:
+        coordinators = SimulatedCoordinators(peers)
+        await coordinators.start()
+        await asyncio.sleep(1)
+        program = coordinators.programs[SEEDS[0]]
+
+        async def list_known_after(at_ms: float, body: bytes) -> dict[str, tuple[int, bool, bool]]:
+            parsed = parse_page(body, at_ms)
+            program._on_list_reading(EndpointListReading(at_ms, [*parsed.backends], [*parsed.unreadable_rows]))
+            update = await coordinators.pull(SEEDS[0], "gateway", 0)
+            backends = decode_backend_delta(update.backends, at_ms).entries.values()
+            return {b.instance: (b.slots, b.is_draining, b.is_idempotent_only) for b in backends}
+
+        known = await list_known_after(1.0, page("ready", 6, "ready"))
+        assert known == {"odd": (6, False, False), "other": (4, False, False)}
+        known = await list_known_after(2.0, page("ready", "six", "draining"))
+        assert known == {"odd": (6, False, True), "other": (4, True, False)}
+        known = await list_known_after(3.0, page("draining", 2**40, "ready"))
+        assert known == {"odd": (6, True, True), "other": (4, True, False)}
+        known = await list_known_after(4.0, page("ready", 7, "ready"))
+        assert known == {"odd": (7, True, False), "other": (4, True, False)}
+        for running in coordinators.programs.values():
+            await running.shut_down()
+
+    run_in_virtual_time(scenario)
