--- a/hallhitch/planes/control/acceptor.py
+++ b/hallhitch/planes/control/acceptor.py
@@ -12,6 +12,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Any, Final
 
 from hallhitch.messages.system_pb2 import Accept, Accepted, BallotMessage, ClusterState, Envelope, Promise
@@ -67,8 +68,7 @@
         result = results[0]
         if result.problems:
             self._log.warning("data directory has unusable files", problems="; ".join(result.problems))
-        if result.state is not None:
-            self.state = result.state
+        self.state = result.state or replace(self.state, is_disk_empty=result.is_empty)
         return result
 
     async def install(self, state: AcceptorState) -> None:
@@ -80,6 +80,10 @@
         async with self._lock:
             await self._save(state)
 
+    def record_use(self) -> None:
+        """Record that the cluster has committed a state, so that it must not be bootstrapped again."""
+        self.state = replace(self.state, is_cluster_in_use=True)
+
     def discard_state(self) -> None:
         """Continue as a recovering replica, because the disk does not hold this replica's latest votes."""
         self.state = AcceptorState(self.state.address, is_recovering=True)
--- a/hallhitch/planes/control/acceptor_state.py
+++ b/hallhitch/planes/control/acceptor_state.py
@@ -62,6 +62,15 @@
     state: ClusterState = field(default_factory=ClusterState)
     incarnations: Mapping[str, int] = field(default_factory=dict)
     is_recovering: bool = False
+    is_disk_empty: bool = False  # while recovering: whether the disk proves that no vote was ever written to it
+    is_cluster_in_use: bool = False  # whether a peer has shown this replica a state that the cluster committed
+
+    @property
+    def has_never_voted(self) -> bool:
+        """Whether this replica has taken part in no ballot, and knows of no use of the cluster."""
+        if self.is_cluster_in_use:
+            return False
+        return self.is_disk_empty if self.is_recovering else self.promised == self.accepted == INITIAL_BALLOT
 
     @property
     def accepted_state(self) -> BallotedState:
@@ -109,7 +118,7 @@
         The state changes only if the query names a newer incarnation of the replica that sent it.
         """
         if self.is_recovering:
-            return Answer(self, AcceptorReport(incarnations=self.incarnations))
+            return Answer(self, AcceptorReport(incarnations=self.incarnations, is_empty=self.has_never_voted))
         after = self
         if query.incarnation > self.incarnations.get(query.address, 0):
             after = replace(self, incarnations=self._with_incarnation(query.address, query.incarnation))
@@ -118,6 +127,7 @@
             promised=self.promised.to_message(),
             accepted=self.accepted.to_message(),
             incarnations=after.incarnations,
+            is_empty=self.has_never_voted,
         )
         if self._must_send_state(query.known_ballot):
             report.state.CopyFrom(self.state)
--- a/hallhitch/planes/control/plane.py
+++ b/hallhitch/planes/control/plane.py
@@ -191,6 +191,11 @@
         """Set the internal addresses of the live coordinators, as discovery has found them."""
         self._observer.live_coordinators = frozenset(addresses)
 
+    def record_use(self) -> None:
+        """Record that a peer holds a state that the cluster committed: it must not be bootstrapped again."""
+        if self._acceptor.state.has_never_voted:
+            self._acceptor.record_use()
+
     def handle(self, envelope: Envelope) -> Envelope | Awaitable[Envelope] | None:
         """Return the reply to another replica's message, or None if the message is not for the control plane."""
         if envelope.HasField("acceptor_query"):
@@ -238,6 +243,7 @@
             peers.call,
             self._on_own_ballot_committed,
             lambda address: self._observations.is_responsive(address, self._clock()),
+            lambda: self._startup.is_in_startup_grace_period,
         )
         return Proposer(self._acceptor, incarnation, ports, self._clock, environment.rng)
 
--- a/hallhitch/planes/control/proposal.py
+++ b/hallhitch/planes/control/proposal.py
@@ -10,6 +10,8 @@
 - *Members change on committed members only*: a transition may change the members only if a majority is known to hold
   the membership that it starts from. Otherwise, after two incomplete changes in a row, the first set of members could
   be unaware of the second change.
+- *First change by all members*: while the coordinators may still be starting, the first change of a new cluster needs
+  the promises of all members. So a member that has never voted proves that nothing was ever committed.
 - *A change is always written*: a change that finds nothing to do is still accepted under the new ballot. Otherwise a
   state that an older ballot left on a minority of replicas could still be committed after it.
 """
@@ -82,6 +84,8 @@
         # The proposed state, or the state that was read if the proposal ends after its promises.
         self.state: ClusterState | None = None
         self.is_changed = False
+        # Whether a first change of a new cluster waits for all members; set by the caller before the first promise.
+        self.needs_all_promises = False
         # The caller may set this to False for a plain read, for which it is enough that a majority holds the state.
         self.requires_commit = True
         self.newest_state = BallotedState()  # the newest of `newest_known` and the states in a majority of promises
@@ -123,9 +127,7 @@
         if self.state is not None:
             return None
         self._promises.add(member, answer.ok, answer.incarnations)
-        if not self._promises.has_quorum():
-            return None
-        return self._on_promise_quorum()
+        return self._on_promise_quorum() if self._has_enough_promises() else None
 
     def accept_message(self, member: str) -> Accept:
         """Return the accept for a recipient; it carries a delta if the recipient holds the state it is based on."""
@@ -155,8 +157,17 @@
 
     def has_failed(self) -> bool:
         """Return whether the current phase of this ballot can no longer get a quorum."""
+        if self._accepts is None and self.needs_all_promises and self._promises.refusals:
+            return True
         return self._current_tally().is_quorum_impossible()
 
+    def _has_enough_promises(self) -> bool:
+        if not self._promises.has_quorum():
+            return False
+        voters = self._promises.valid_votes()
+        has_all = not self.needs_all_promises or self.recipients <= voters
+        return has_all or self._find_newest_state(voters).state.serial > 0
+
     def _current_tally(self) -> VoteTally:
         return self._accepts or self._promises
 
--- a/hallhitch/planes/control/proposer.py
+++ b/hallhitch/planes/control/proposer.py
@@ -42,12 +42,13 @@
     """The functions of its process that a proposer calls.
 
     `on_commit` is called with each state that a majority holds, and its ballot. `is_responsive` returns whether a
-    replica is likely to answer.
+    replica is likely to answer, `are_members_starting` whether the first change of a new cluster waits for all members.
     """
 
     call_peer: PeerCall
     on_commit: Callable[[ClusterState, Ballot], None]
     is_responsive: Callable[[str], bool]
+    are_members_starting: Callable[[], bool]
 
 
 class Proposer:
@@ -69,6 +70,7 @@
         self._round = 0
         self._pending = PendingChanges(clock)
         self._calls = MemberCalls(acceptor, ports.call_peer)
+        self._are_members_starting = ports.are_members_starting
         self._context = BallotContext(
             self._calls,
             self._pending,
@@ -197,6 +199,7 @@
         ballot = Ballot(self._round, self._name)
         proposal = Proposal(ballot, newest_known, local_state, apply_pending, self.committed_membership)
         proposal.requires_commit = False
+        proposal.needs_all_promises = not newest_known.state.serial and self._are_members_starting()
         return proposal
 
     def _newest_known(self, local_state: BallotedState) -> BallotedState:
--- a/hallhitch/planes/control/recovery_quorum.py
+++ b/hallhitch/planes/control/recovery_quorum.py
@@ -9,6 +9,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+
 from hallhitch.messages.system_pb2 import AcceptorReport, ClusterState
 from hallhitch.planes.control.acceptor_state import AcceptorState
 from hallhitch.planes.control.ballot import Ballot, BallotedState
@@ -21,9 +23,12 @@
     def __init__(self, address: str, incarnation: int = 0) -> None:
         self.address, self.incarnation = address, incarnation
         self._reports: dict[str, AcceptorReport] = {}
+        self._never_voted: set[str] = set()
 
     def add_report(self, member: str, report: AcceptorReport) -> None:
-        """Add a report; reports of other recovering replicas do not count."""
+        """Add a report; that of another recovering replica tells only whether it has ever voted."""
+        if report.is_empty:
+            self._never_voted.add(member)
         if report.ok:
             self._reports[member] = report
 
@@ -36,6 +41,16 @@
         quorum_sets = Membership.from_state(self.newest_state()).quorum_sets
         return bool(quorum_sets) and all(self._is_set_covered(members) for members in quorum_sets)
 
+    def unused_members(self, seeds: Iterable[str]) -> tuple[str, ...]:
+        """Return the members of a cluster that was never in use; empty unless the reports prove that.
+
+        `seeds` are its members if no replica holds a bootstrap state. Each other member has to report that it has never
+        voted. A first change needs the promises of all members (see `proposal`), so none was ever proposed.
+        """
+        members = tuple(self.newest_state().members or seeds)
+        others = {*members, *self._reports} - {self.address}
+        return members if self.address in members and others <= self._never_voted else ()
+
     def next_incarnation(self) -> int:
         """Return the incarnation to continue with; called after the first pass."""
         known = (report.incarnations.get(self.address, 0) for report in self._reports.values())
--- a/hallhitch/planes/control/replica_startup.py
+++ b/hallhitch/planes/control/replica_startup.py
@@ -3,7 +3,7 @@
 Owns the task that reads the disk. Invariants:
 
 - A new cluster is bootstrapped only on an empty data directory at a first start, or if the settings name this machine
-  as the only seed.
+  as the only seed, or if a first start was interrupted before any member had voted.
 - A replica recovers its state from peers only after its disk is known to hold none.
 """
 
@@ -36,7 +36,7 @@
     ) -> None:
         self.node = node
         self._replica, self._recovery, self._known_peers = replica, recovery, known_peers
-        self._is_loaded = self._is_disk_empty = False
+        self._is_loaded = False
         self._loading: asyncio.Task[None] | None = None
         self._started_at_ms = replica.clock()
         self._log = ComponentLogger("control")
@@ -77,7 +77,6 @@
         if loaded is None:
             self._log.warning("no data directory configured")
         elif loaded.state is None:
-            self._is_disk_empty = loaded.is_empty
             if loaded.is_empty and self._is_bootstrap_member:
                 # Loaded only after the bootstrap: otherwise a round would try to recover a state that never existed.
                 self._is_loaded = await self._recovery.bootstrap_cluster(self.node.seed_addresses)
@@ -96,10 +95,13 @@
         if is_alone and self._may_bootstrap_alone():
             await self._recovery.bootstrap_single_member()
             return
-        await self._recovery.recover()
+        # Within the grace period, others may still report that they have voted.
+        may_bootstrap = not self.is_in_startup_grace_period
+        await self._recovery.recover(self.node.seed_addresses, may_bootstrap=may_bootstrap)
 
     def _may_bootstrap_alone(self) -> bool:
         """Return whether this machine is the only seed, or this is a first start on an empty disk without any seed."""
         if self.node.seed_addresses == (self._replica.address,):
             return True
-        return self.node.is_first_start and self._is_disk_empty and not self.node.seed_addresses
+        is_disk_empty = self._replica.acceptor.state.is_disk_empty
+        return self.node.is_first_start and is_disk_empty and not self.node.seed_addresses
--- a/hallhitch/planes/control/state_recovery.py
+++ b/hallhitch/planes/control/state_recovery.py
@@ -3,6 +3,7 @@
 Invariants.
 - *Durable before voting*: a recovered state or a bootstrap state is on the disk before the replica votes.
 - *Sufficient reports*: a replica continues only from reports that `recovery_quorum` finds sufficient.
+- *Never in use*: a cluster is bootstrapped again only if all its members report that they have never voted.
 """
 
 from __future__ import annotations
@@ -52,11 +53,16 @@
         self._log.warning("bootstrapping a cluster with this machine as the only member, no other coordinator is known")
         await self.bootstrap_cluster((self._address,))
 
-    async def recover(self) -> None:
-        """Query the other replicas in two passes and continue from their reports, if these suffice."""
+    async def recover(self, seeds: tuple[str, ...], *, may_bootstrap: bool) -> None:
+        """Query the other replicas in two passes and continue from their reports, if these suffice.
+
+        If they prove that the cluster of these `seeds` was never in use, bootstrap it again, if that is allowed.
+        """
         first_pass = RecoveryQuorum(self._address)
         await self._collect_reports(first_pass)
         if not first_pass.is_sufficient():
+            if may_bootstrap and self._acceptor.state.has_never_voted:
+                await self._bootstrap_again(first_pass.unused_members(seeds))
             return
         second_pass = RecoveryQuorum(self._address, first_pass.next_incarnation())
         await self._collect_reports(second_pass)
@@ -65,6 +71,11 @@
         if await self._install(second_pass.recovered_state()):
             self._log.info("state recovered from other replicas", incarnation=second_pass.incarnation)
 
+    async def _bootstrap_again(self, members: tuple[str, ...]) -> None:
+        """Bootstrap a cluster that was never in use; no members if that is not certain."""
+        if members and await self.bootstrap_cluster(members):
+            self._log.warning("bootstrapped again, no member has ever voted", members=members)
+
     async def _install(self, state: AcceptorState) -> bool:
         try:
             await self._acceptor.install(state)
--- a/hallhitch/programs/coordinator.py
+++ b/hallhitch/programs/coordinator.py
@@ -146,6 +146,8 @@
 
     def _handle(self, envelope: Envelope) -> Envelope | Awaitable[Envelope]:
         if envelope.HasField("state_request"):
+            if envelope.state_request.known_versions["config"].number:
+                self._control.record_use()
             return self._sync.respond(envelope.state_request)
         if envelope.HasField("lease_request"):
             return self._handle_lease_request(envelope)
