Settings and stored state: unreadable values are one line, not a traceback

Callers saw: a settings file with inf, nan, a list in `serves` or a port in other digits ended the program with a traceback in place of exit code 2 and one line, or passed (nan); a recorded number of gateways that is no number kept every configuration from being distributed, as the commit listener failed at it.

Cause: conversions that raise other errors than the reader expects; int() on a stored text without a look at it.

Change: numbers and durations have to be finite, ports decimal digits, `serves` texts. A recorded number that cannot be read counts as none.

--- a/hallhitch/node/settings_file.py
+++ b/hallhitch/node/settings_file.py
@@ -13,8 +13,10 @@
 from hallhitch.node.durations import parse_duration_ms
 from hallhitch.node.errors import DurationError, SettingsError
 from hallhitch.node.settings import HostPort, NodeSettings, RuleBounds
+from hallhitch.node.texts import is_visible_ascii
 
 MAX_PORT: Final = 65535
+MAX_NUMBER: Final = 1e15  # far above any bound or limit; in ms, 30,000 years
 # Defaults for fields that the file omits.
 DEFAULT_MEMORY_MB: Final = 256
 DEFAULT_MAX_OPEN_FILES: Final = 1024
@@ -39,7 +41,7 @@
         name=top.text("nodeName"),
         role=top.text("role"),
         machine_class=top.text("machineClass"),
-        serves=frozenset(top.array("serves")),
+        serves=top.texts("serves"),
         ip_address=top.text("ipAddress"),
         zone=top.text("zone"),
         region=top.text("region"),
@@ -67,7 +69,7 @@
             return tomllib.load(file)
     except OSError as error:
         raise SettingsError(f"cannot be read: {error.strerror}", path=path) from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, RecursionError) as error:
         raise SettingsError(f"is not valid TOML: {error}", path=path) from None
 
 
@@ -94,26 +96,35 @@
     def array(self, name: str) -> list[Any]:
         return list(self._get(name, list, None))
 
+    def texts(self, name: str) -> frozenset[str]:
+        values = self.array(name)
+        if not all(isinstance(value, str) for value in values):
+            raise self.error(name, f"{values!r} is not a list of texts")
+        return frozenset(values)
+
     def number(self, name: str, default: float) -> float:
-        value = float(self._get(name, (int, float), default))
-        if value < 0:
-            raise self.error(name, f"{value!r} is negative")
-        return value
+        value = self._get(name, (int, float), default)
+        if not 0 <= value <= MAX_NUMBER:
+            raise self.error(name, f"{value!r} is no number from 0 up")
+        return float(value)
 
     def duration_ms(self, name: str, default_ms: float) -> float:
         if name not in self.fields:
             return default_ms
         try:
-            return parse_duration_ms(self.fields[name])
+            duration_ms = parse_duration_ms(self.fields[name])
         except DurationError as error:
             raise self.error(name, str(error)) from None
+        if duration_ms > MAX_NUMBER:
+            raise self.error(name, "is too long")
+        return duration_ms
 
     def optional_address(self, name: str) -> HostPort | None:
         return self.parse_address(name, self.fields[name]) if name in self.fields else None
 
     def parse_address(self, name: str, value: object) -> HostPort:
-        host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
-        if not host or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
+        host, _, port = value.rpartition(":") if is_visible_ascii(value) else ("", "", "")
+        if not host or not port.isdecimal() or not 0 < int(port) <= MAX_PORT:
             raise self.error(name, f"{value!r} is not an address such as 10.0.0.1:80")
         return host, int(port)
 
--- a/hallhitch/programs/coordinator.py
+++ b/hallhitch/programs/coordinator.py
@@ -43,6 +43,7 @@
 MAINTENANCE_INTERVAL_MS: Final = 100.0  # between updates of the live gateways and coordinators
 ENDPOINT_LIST_CHECK_INTERVAL_MS: Final = 50.0  # between checks whether the endpoint list has to be read
 MAX_GATEWAYS_ANNOTATION: Final = "gateways"  # key in the annotations of the stored cluster state
+MAX_RECORDED_GATEWAYS: Final = 2**32 - 1  # of the field in protocol messages
 RECORD_MAX_GATEWAYS_INTERVAL_MS: Final = 1000.0  # between attempts to record the number, and timeout of each
 HANDOVER_RATIO: Final = 0.5  # share of gracePeriod for handing the membership over; the rest is for pending calls
 MAX_OPERATOR_BODY_BYTES: Final = 32 * 1024 * 1024  # size of the largest configuration that is accepted
@@ -228,7 +229,8 @@
 
 def _recorded_max_gateways(state: ClusterState) -> int:
     """Return the maximum number of gateways that the cluster state records, or 0 if it records none."""
-    return int(state.annotations.get(MAX_GATEWAYS_ANNOTATION, "0"))
+    text = state.annotations.get(MAX_GATEWAYS_ANNOTATION, "")
+    return min(int(text), MAX_RECORDED_GATEWAYS) if text.isascii() and text.isdecimal() else 0
 
 
 if __name__ == "__main__":
--- a/tests/system/distribution/test_coordinator_program.py
+++ b/tests/system/distribution/test_coordinator_program.py
@@ -5,6 +5,9 @@
 import asyncio
 import json
 
+import pytest
+
+from hallhitch.messages.system_pb2 import ClusterState
 from hallhitch.planes.control import state_transitions
 from hallhitch.planes.discovery.endpoint_page import parse_page
 from hallhitch.planes.discovery.platform_client import EndpointListReading
@@ -90,3 +93,20 @@
             await running.shut_down()
 
     run_in_virtual_time(scenario)
+
+
+@pytest.mark.parametrize(("recorded", "expected"), [("12", 12), ("", 0), ("many", 0), ("-1", 0), ("9" * 30, 2**32 - 1)])
+def test_recorded_number_of_gateways_that_cannot_be_read_keeps_no_configuration_back(
+    recorded: str, expected: int
+) -> None:
+    async def scenario(peers: SimulatedPeers) -> None:
+        coordinators = SimulatedCoordinators(peers)
+        await coordinators.start()
+        program = coordinators.programs[SEEDS[0]]
+        state = ClusterState(serial=900, config_version=7, config=b"x", annotations={"gateways": recorded})
+        program._on_commit(state)
+        assert (program._hub.config.config_version, program._hub.config.max_gateways) == (7, expected)
+        for running in coordinators.programs.values():
+            await running.shut_down()
+
+    run_in_virtual_time(scenario)
--- a/tests/system/node/test_settings.py
+++ b/tests/system/node/test_settings.py
@@ -69,6 +69,10 @@
         ("retryBudgetRatio = 0.2", "retryBudgetRatio = -1", "bounds.retryBudgetRatio"),
         ('frontend = "127.1.0.13:8388"', 'frontend = "127.1.0.13:99999"', "listenAddresses.frontend"),
         ("firstStart = true", "firstStart = 1", "firstStart"),
+        ("memoryMb = 300", "memoryMb = nan", "limits.memoryMb"),
+        ("maxOpenFiles = 4100", "maxOpenFiles = inf", "limits.maxOpenFiles"),
+        ('serves = ["edge"]', 'serves = [["edge"]]', "serves"),
+        ('"127.1.0.15:8381"', '"127.1.0.15:\u00b2"', "seedNodes"),
         ("[zones]", "[zones", "TOML"),
     ],
 )
@@ -99,3 +103,26 @@
     error = raised.value
     assert (error.path, error.field, error.reason) == (str(settings_path), field, reason)
     assert str(error) == f"{settings_path}: {field}: {reason}"
+
+
+LITERALS = ("inf", "-inf", "nan", "-1", "0", "1e300", "true", '""', '"x"', '"\u00b2:\u00b2"', '"1s"')
+TABLES = ("[]", "[[1]]", "{}", "{x = 1}")
+
+
+def error_of(path: Path) -> SettingsError | None:
+    try:
+        read_settings(str(path))
+    except SettingsError as error:
+        return error
+    return None
+
+
+# Guards against a settings file that ends the program, or its reload, with an error other than one line on the field.
+@pytest.mark.parametrize("number", range(len(VALID.splitlines())))
+def test_any_value_of_any_field_is_read_or_named_as_invalid(settings_path: Path, number: int) -> None:
+    lines = VALID.splitlines()
+    name, equals, _ = lines[number].partition(" = ")
+    for literal in (*LITERALS, *TABLES) if equals else ():
+        settings_path.write_text("\n".join([*lines[:number], f"{name} = {literal}", *lines[number + 1 :]]))
+        error = error_of(settings_path)
+        assert error is None or error.field.rpartition(".")[2] in (name, "zones"), (name, literal)
