Emulator: unreadable rows of the list, invalid configurations, orders sent again

The scenario of overlapping faults shows the processes what issue reports of CONFIG and DRAIN had: 15 % of the rows of the instance list have one value of another form for a second, invalid configurations come between valid ones, and acknowledged ones are sent again. The rule CONFIG now also says that nothing invalid is acknowledged, and that nothing acknowledged is rejected when it is sent again.

--- a/hallhitch/lab/emulator/backend_fleet.py
+++ b/hallhitch/lab/emulator/backend_fleet.py
@@ -14,6 +14,7 @@
 from hallhitch.lab.emulator.network_paths import NetworkPaths, region_of
 from hallhitch.lab.emulator.records import ColdPeriod, ListingChange, Records
 from hallhitch.lab.emulator.response_fault import ResponseFault
+from hallhitch.lab.emulator.unreadable_rows import UnreadableRows
 from hallhitch.lab.streams import Streams
 from hallhitch.node.clock import now
 
@@ -61,6 +62,7 @@
         self.health_checks = 0
         self.fault_ratios: dict[ResponseFault, float] = {}  # share of responses with each fault
         self.work_factor = 1.0  # multiplies the work of all requests
+        self.unreadable_rows = UnreadableRows(seed, 0.0)
         self._port = port
         self._region_numbers = region_numbers or {}
         self._work_stream, self._fault_stream = Streams(seed).of("work"), Streams(seed).of("tricks")
@@ -142,22 +144,25 @@
             is_in_other_zone = bool(zone) and backend.zone != zone
             if state not in LISTED_STATES or is_in_other_zone:
                 continue
-            host, port = backend.address
-            rows.append(
-                [
-                    backend.instance,
-                    backend.spec.service,
-                    f"{host}:{port}",
-                    backend.zone,
-                    "v1",
-                    backend.spec.slots,
-                    state,
-                    f"{max(0.0, backend.cold_until_ms - moment_ms):.0f}ms",
-                ]
-            )
+            row = _listed_row(backend, state, moment_ms)
+            rows.append(self.unreadable_rows.change(moment_ms, backend.instance, LIST_COLUMNS, row))
         return rows
 
     def close(self) -> None:
         """Stop all backends."""
         for backend in self.backends.values():
             backend.end()
+
+
+def _listed_row(backend: Backend, state: str, moment_ms: float) -> list[object]:
+    host, port = backend.address
+    return [
+        backend.instance,
+        backend.spec.service,
+        f"{host}:{port}",
+        backend.zone,
+        "v1",
+        backend.spec.slots,
+        state,
+        f"{max(0.0, backend.cold_until_ms - moment_ms):.0f}ms",
+    ]
--- a/hallhitch/lab/emulator/config_rules.py
+++ b/hallhitch/lab/emulator/config_rules.py
@@ -8,7 +8,7 @@
 
 from hallhitch.lab.emulator.config_semantics import ContactHistory, admits_request, permits_service, sent_configs
 from hallhitch.lab.emulator.record_index import attempts_by_id
-from hallhitch.lab.emulator.records import CheckBounds, Records, Violation
+from hallhitch.lab.emulator.records import CheckBounds, OperatorOperation, Records, Violation
 
 # Statuses with which a gateway rejects a request because of its configuration rather than its load.
 CONFIG_REJECTION_STATUSES: Final = (401, 403, 404)
@@ -21,6 +21,7 @@
         *_check_rejections(records, bounds),
         *_check_downgrades(records, bounds),
         *_check_config_reads(records),
+        *_check_orders(records),
     ]
 
 
@@ -128,6 +129,25 @@
     return violations
 
 
+def _check_orders(records: Records) -> list[Violation]:
+    """Check that nothing invalid is acknowledged, and that nothing acknowledged is rejected when it is sent again."""
+    violations, acknowledged = [], list[OperatorOperation]()
+    for operation in sorted(records.operations, key=lambda operation: operation.sent_at_ms):
+        if operation.kind != "config":
+            continue
+        if operation.acknowledged_at_ms is not None:
+            acknowledged.append(operation)
+            if not operation.is_valid:
+                violations.append(Violation("CONFIG", f"version {operation.version} is invalid and was acknowledged"))
+        elif 400 <= operation.status < 500 and any(
+            earlier.config == operation.config and (earlier.acknowledged_at_ms or 0.0) <= operation.sent_at_ms
+            for earlier in acknowledged
+        ):
+            detail = f"version {operation.version} was acknowledged, sent again and rejected with {operation.status}"
+            violations.append(Violation("CONFIG", detail))
+    return violations
+
+
 def _normalize_numbers(value: Any) -> Any:
     """Return the document with integers converted to floats, so that 1 equals 1.0."""
     if isinstance(value, dict):
--- a/hallhitch/lab/emulator/config_semantics.py
+++ b/hallhitch/lab/emulator/config_semantics.py
@@ -67,7 +67,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SentConfigs:
-    """The configurations of a run, sorted by version; `accepted` excludes those that were rejected."""
+    """The valid configurations of a run, sorted by version; `accepted` excludes those that were rejected."""
 
     accepted: tuple[OperatorOperation, ...]
     all_sent: tuple[OperatorOperation, ...]
@@ -105,7 +105,8 @@
         (operation for operation in operations if operation.kind == "config"),
         key=lambda operation: (operation.version, operation.sent_at_ms),
     )
-    return SentConfigs(tuple(operation for operation in all_sent if not 400 <= operation.status < 500), tuple(all_sent))
+    accepted = (operation for operation in all_sent if operation.is_valid and not 400 <= operation.status < 500)
+    return SentConfigs(tuple(accepted), tuple(operation for operation in all_sent if operation.is_valid))
 
 
 @dataclass(frozen=True, slots=True)
--- a/hallhitch/lab/emulator/emulated_operator.py
+++ b/hallhitch/lab/emulator/emulated_operator.py
@@ -44,7 +44,9 @@
         self._list_addresses = list_addresses
         self._stream = stream
 
-    async def replace_config(self, config: Config, timeout_ms: float = DEFAULT_TIMEOUT_MS) -> OperatorOperation:
+    async def replace_config(
+        self, config: Config, timeout_ms: float = DEFAULT_TIMEOUT_MS, *, is_valid: bool = True
+    ) -> OperatorOperation:
         """Send a configuration until there is a conclusive response."""
         body = json.dumps(config).encode()
         sent_at_ms = now()
@@ -56,6 +58,7 @@
             config["configVersion"],
             config,
             status=response.status,
+            is_valid=is_valid,
         )
         self._records.operations.append(operation)
         return operation
--- a/hallhitch/lab/emulator/operator_config.py
+++ b/hallhitch/lab/emulator/operator_config.py
@@ -4,11 +4,25 @@
 
 import copy
 from collections.abc import Sequence
-from typing import Any
+from typing import Any, Final
 
 from hallhitch.lab.emulator.records import Config
 from hallhitch.lab.emulator.spec import SERVED_HOST, EmulatorSpec, RequestKind
 
+# Wrong values, by their places in a configuration; "*" stands for any entry.
+WRONG_VALUES: Final[tuple[tuple[tuple[str, ...], object], ...]] = (
+    (("tenants", "*", "priority"), ""),
+    (("tenants", "*", "ratePerS"), "fast"),
+    (("tenants", "*", "apiKeys"), ["key\r\n"]),
+    (("routes", "*", "host"), ""),
+    (("routes", "*", "pathPrefix"), "/a b/"),
+    (("routes", "*", "timeout"), "11m"),
+    (("routes", "*", "maxAttempts"), 0),
+    (("routes", "*", "allowedRegions"), ["\ud800"]),
+    (("services", "*", "coldPerS"), -1),
+    (("limits", "maxBodyBytes"), "1"),
+)
+
 
 def route_document(kind: RequestKind) -> dict[str, Any]:
     """Return the route document of a kind of request."""
@@ -75,3 +89,15 @@
     route.pop("trafficSplit", None)
     route["targetService"] = service
     return document
+
+
+def with_wrong_value(config: Config, number: int) -> Config:
+    """Return a copy of a configuration in which one value is wrong; `number` selects the value and its place."""
+    document: dict[str, Any] = copy.deepcopy(dict(config))
+    place, value = WRONG_VALUES[number % len(WRONG_VALUES)]
+    parent = document
+    for name in place[:-1]:
+        names = sorted(parent)
+        parent = parent[names[number % len(names)] if name == "*" else name]
+    parent[place[-1]] = value
+    return document
--- a/hallhitch/lab/emulator/overlapping_scenario.py
+++ b/hallhitch/lab/emulator/overlapping_scenario.py
@@ -1,5 +1,7 @@
 """A scenario drawn by the seed: signals, restarts and kills in series that overlap, under constant drains and changes.
 
+Acknowledged configurations are sent again, invalid ones come between them, and the instance list has unreadable rows.
+
 Clients that ignore the directory for their open connections (`EmulatorSpec.clients_stay_connected`) use a gateway until
 its process is gone; `shutdown_traffic` sends long requests on connections to each gateway that gets SIGTERM. At most
 one coordinator is down at a time, except while all are killed at once, so nothing that was acknowledged may be lost.
@@ -18,8 +20,10 @@
 from hallhitch.lab.emulator.control_scenarios import DRAIN_MARGIN_MS, ConfigSequence
 from hallhitch.lab.emulator.emulator import Emulator
 from hallhitch.lab.emulator.node_file import Machine
+from hallhitch.lab.emulator.operator_config import with_wrong_value
 from hallhitch.lab.emulator.shutdown_traffic import CONNECT_S, PlannedUse, ShutdownTraffic
 from hallhitch.lab.emulator.traffic import PlannedFault
+from hallhitch.lab.emulator.unreadable_rows import UnreadableRows
 from hallhitch.lab.streams import Stream, Streams
 from hallhitch.node.clock import now
 
@@ -28,6 +32,10 @@
 MEAN_PAUSE_S: Final = 1.0  # between two faults
 DOWN_S: Final = (0.2, 1.0, 3.0)  # drawn time for which a process is down or paused
 CONFIG_INTERVAL_S: Final = 0.3
+RESENT_RATIO: Final = 0.3  # of the configurations, sent again once they were acknowledged
+INVALID_RATIO: Final = 0.3  # of the configurations, followed by an invalid one
+WRONG_VALUE_CHOICES: Final = 1000  # more than there are wrong values and places
+UNREADABLE_ROW_RATIO: Final = 0.15  # of the rows of the instance list
 DRAIN_INTERVAL_S: Final = 0.8
 SIGNALS_IN_SERIES: Final = 3
 SIGNAL_INTERVAL_S: Final = 0.05
@@ -163,15 +171,24 @@
         self._processes.reload_seeds(machine, seeds)
 
     async def write_configs(self, duration_s: float) -> None:
-        """Write configurations one after another."""
+        """Write configurations one after another, some of them twice, and invalid ones between them."""
+        operator, orders = self._emulator.operator, Streams(self._emulator.spec.seed).of("orders")
         configs, ends_at_ms = ConfigSequence(self._emulator), now() + duration_s * 1000
+        config = configs.next()
         while now() < ends_at_ms:
-            await self._emulator.operator.replace_config(configs.next())
+            await operator.replace_config(config)
+            if orders.chance(RESENT_RATIO):
+                await operator.replace_config(config)
+            if orders.chance(INVALID_RATIO):
+                invalid = with_wrong_value(configs.next(), orders.index(WRONG_VALUE_CHOICES))
+                await operator.replace_config(invalid, is_valid=False)
+            config = configs.next()
             await asyncio.sleep(CONFIG_INTERVAL_S)
 
     async def replace_backends(self, duration_s: float) -> None:
-        """Replace backends one at a time: start a new one, then drain the oldest."""
+        """Replace backends one at a time, under a list with unreadable rows: start a new one, then drain the oldest."""
         fleet, spec = self._emulator.backends, self._emulator.spec
+        fleet.unreadable_rows = UnreadableRows(spec.seed, UNREADABLE_ROW_RATIO)
         zones = spec.zone_numbers()
         ends_at_ms = now() + duration_s * 1000
         while now() < ends_at_ms:
--- a/hallhitch/lab/emulator/records.py
+++ b/hallhitch/lab/emulator/records.py
@@ -76,6 +76,7 @@
     config: Config = field(default_factory=dict)
     zone: str = ""
     status: int = 0
+    is_valid: bool = True  # whether the system has to accept it
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/system/emulator/test_rules.py
+++ b/tests/system/emulator/test_rules.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from hallhitch.lab.emulator.operator_config import config_document, move_route
+from hallhitch.lab.emulator.operator_config import config_document, move_route, with_wrong_value
 from hallhitch.lab.emulator.records import (
     ColdPeriod,
     Config,
@@ -255,6 +255,22 @@
     _read(FIRST_CONFIG)(builder)
 
 
+def _order(status: int, version: int, config: Config, *, is_valid: bool = True) -> Fill:
+    acknowledged_at_ms = 2010.0 if status == 200 else None
+    operation = OperatorOperation(
+        2000.0, "config", acknowledged_at_ms, version, config, status=status, is_valid=is_valid
+    )
+    return lambda builder: builder.records.operations.append(operation)
+
+
+def _sent_again(status: int) -> Fill:
+    return _order(status, 1, FIRST_CONFIG)
+
+
+def _invalid(status: int) -> Fill:
+    return _order(status, 2, with_wrong_value(config_document(EmulatorSpec(), 2), 0), is_valid=False)
+
+
 def _with_fault(fill: Fill, target: str = "edge-1") -> Fill:
     def fill_with_fault(builder: RecordBuilder) -> None:
         builder.add_fault(3000, 3500, target, "killed")
@@ -338,6 +354,11 @@
     ("no response to a read", _read(None), {"CONFIG"}),
     ("read back, changed", _read(dict(FIRST_CONFIG) | {"limits": {}}), {"CONFIG"}),
     ("read back, older", _read_after_move, {"CONFIG"}),
+    ("an acknowledged version rejected when it is sent again", _sent_again(400), {"CONFIG"}),
+    ("an acknowledged version acknowledged again", _sent_again(200), set()),
+    ("an acknowledged version without an answer when it is sent again", _sent_again(0), set()),
+    ("an invalid version acknowledged", _invalid(200), {"CONFIG"}),
+    ("an invalid version rejected", _invalid(400), set()),
 ]
 
 
