Endpoint list: bytes that are no UTF-8, and very long integers, spoil one row (DRAIN)

Cause: such a value made the whole page unreadable in the JSON parser, before rows were looked at.

Change: bytes that are no UTF-8 become surrogates, which no readable field has; integers of more than 20 digits become floats, which are out of range. A gateway that knows only an evacuation answers 503, not 404.

Tests: the new cases failed before with MalformedPageError, and 404.

--- a/hallhitch/planes/config_compiler.py
+++ b/hallhitch/planes/config_compiler.py
@@ -52,6 +52,8 @@
 ) -> ClusterConfig:
     """Compile a configuration from `content`, its zlib-compressed JSON; empty if only zones were evacuated so far.
 
+    As long as it is empty, no route is known, so that requests are rejected with 503.
+
     Raises:
         UnreadableConfigError: the content is no compressed JSON object.
     """
@@ -68,6 +70,7 @@
         version=version,
         evacuated_zones=frozenset(evacuated_zones),
         max_gateways=max_gateways,
+        has_unlocated_routes=config.has_unlocated_routes or not content,
     )
 
 
--- a/hallhitch/planes/discovery/endpoint_page.py
+++ b/hallhitch/planes/discovery/endpoint_page.py
@@ -24,6 +24,7 @@
 
 MAX_PORT: Final = 65535
 MAX_SLOTS: Final = 2**32 - 1  # of the field in protocol messages
+MAX_INTEGER_DIGITS: Final = 20
 UNREADABLE_SLOTS: Final = 1
 # For how long a backend that is not known yet counts as warming up if its row does not tell: longer than services take.
 UNREADABLE_SLOW_START_MS: Final = 30_000.0
@@ -70,7 +71,8 @@
         MalformedPageError: the page does not have the platform's format.
     """
     try:
-        table = json.loads(body)
+        # Bytes that are no UTF-8 become surrogates, which `is_text` refuses where they stand.
+        table = json.loads(body.decode("utf-8-sig", "surrogateescape"), parse_int=_parse_integer)
         rows = [_parse_row(row, now) for row in _rows(table["instances"])]
         token = _parse_token(table.get("nextPageToken"))
     except (KeyError, TypeError, AttributeError, ValueError, RecursionError) as error:
@@ -98,6 +100,11 @@
         yield replace(backend, is_draining=row.is_draining or backend.is_draining, is_idempotent_only=True)
 
 
+def _parse_integer(text: str) -> float:
+    """Return an integer; a float if it has more digits than any field, as `int` refuses very long ones."""
+    return int(text) if len(text) <= MAX_INTEGER_DIGITS else float(text)
+
+
 def _parse_token(value: object) -> str | None:
     if value is not None and not isinstance(value, str):
         raise TypeError("nextPageToken is not a string")
--- a/tests/system/discovery/test_endpoint_page.py
+++ b/tests/system/discovery/test_endpoint_page.py
@@ -122,6 +122,16 @@
     assert row.is_draining and backend is not None and backend.is_draining
 
 
+@pytest.mark.parametrize(
+    ("field", "written"), [("slotCount", b"9" * 5000), ("zone", b'"\xe9"'), ("coldRemaining", b"-Infinity")]
+)
+def test_value_that_is_no_proper_json_is_put_aside_alone(field: str, written: bytes) -> None:
+    rows = json.dumps([{**ROW, "state": "ready", field: "MARK"}, OTHER]).encode()
+    page = parse_page(b'\xef\xbb\xbf{"instances":' + rows.replace(b'"MARK"', written) + b"}", NOW)
+    assert [backend.instance for backend in page.backends] == ["i-2"]
+    assert [row.fields for row in page.unreadable_rows] == [(field,)]
+
+
 @pytest.mark.parametrize("value", [None, "", 5, "a b", "a\r\nb", "õ", ["i-1"]])
 def test_row_without_an_instance_is_put_aside(value: Any) -> None:
     row = read_row(instanceId=value)
--- a/tests/system/distribution/test_unreadable_values.py
+++ b/tests/system/distribution/test_unreadable_values.py
@@ -183,6 +183,12 @@
     assert [status(shared, "/b/1", key) for key in ("k-x", "k-y")] == [503, 200]
 
 
+# Guards against 404 of a gateway that knows an evacuation and no configuration yet.
+def test_requests_get_503_while_only_evacuations_are_known() -> None:
+    assert status(compile_config(1, -1, b"", ["z"]), "/a/1") == 503
+    assert status(compile_config(1, 1, zlib.compress(b'{"routes": {}}'), ()), "/a/1") == 404
+
+
 def test_numbers_that_are_too_large_are_the_largest() -> None:
     for value in (2**63, 1e300, 10**400, float("inf")):
         config = compile_document(document_with("tenants.x.ratePerS", value))
