--- a/hallhitch/planes/distribution/gateway_sync.py
+++ b/hallhitch/planes/distribution/gateway_sync.py
@@ -4,8 +4,8 @@
 replies, it pulls from a few other gateways.
 
 Invariants:
-- At most one request to a peer is in flight. If its reply is late, the next coordinator is tried in parallel, and the
-  late reply is still applied. So a slow link does not cause state to be fetched twice.
+- If a reply is late, the next coordinator is tried in parallel, and the late reply is still applied (`peer_requests`).
+  So a slow link does not cause state to be fetched twice.
 - A silent peer never delays a request to one that replies: silent ones are asked last, and requests in flight to peers
   that have not replied for a contact window do not count as parallel ones, as they occupy no link.
 - The first configuration comes from a coordinator with a valid serving lease, or is the newest of those that several
@@ -20,15 +20,14 @@
 from dataclasses import dataclass
 from typing import Final
 
-from hallhitch.messages.system_pb2 import Envelope, StateUpdate
-from hallhitch.node.errors import PeerCallError
+from hallhitch.messages.system_pb2 import StateUpdate
 from hallhitch.node.logs import ComponentLogger
 from hallhitch.node.metrics import Metric, MetricKind
 from hallhitch.planes.distribution.peer_order import rendezvous_order
 from hallhitch.planes.distribution.peer_replica import HOLD_MS, PeerReplica
+from hallhitch.planes.distribution.peer_requests import PeerRequests
 from hallhitch.planes.distribution.ports import SyncContext
 from hallhitch.planes.distribution.state_hub import NEVER
-from hallhitch.planes.values import LeaseMembership
 
 STARTUP_WAIT_MS: Final = 800.0  # after the start of the process, for the replies of the seeds
 RETRY_PAUSE_MS: Final = 100.0  # after no peer has replied
@@ -40,13 +39,6 @@
 BOOTSTRAP_PULLS: Final = 2  # from gateways, by a process without state: first the configuration, then everything else
 MAX_PARALLEL_REQUESTS: Final = 3
 REPLY_TIMEOUT_RATIO: Final = 0.2  # of configApply; if a reply takes longer, the next coordinator is tried in parallel
-OVERDUE_RATIO: Final = 0.6  # of configApply; a request in flight for longer does not count as a parallel one
-
-
-@dataclass(frozen=True, slots=True)
-class _PendingRequest:
-    sent_at: float
-    task: asyncio.Task[bool]
 
 
 @dataclass(frozen=True, slots=True)
@@ -63,13 +55,12 @@
     """
 
     def __init__(self, context: SyncContext, seeds: Sequence[str]) -> None:
-        self._links, self._hub, self._own_entry = context.links, context.hub, context.own_entry
+        self._hub, self._own_entry = context.hub, context.own_entry
         self._clock, self._bounds = context.clock, context.bounds
         self._seeds = tuple(seeds)
         self._log = ComponentLogger("distribution")
         self._task: asyncio.Task[None] | None = None
-        self._replicas: dict[str, PeerReplica] = {}
-        self._pending: dict[str, _PendingRequest] = {}  # by address
+        self._requests = PeerRequests(context)
         self._awaited_address = ""  # address of the peer whose reply `_run` waits for
         self._pull_counts: Counter[str] = Counter()  # of pulls from coordinators, by result
         self.is_startup_complete = False  # True once a majority of the seeds has replied or STARTUP_WAIT_MS have passed
@@ -82,8 +73,7 @@
         """Cancel the pulls."""
         if self._task is not None:
             self._task.cancel()
-        for pending in list(self._pending.values()):
-            pending.task.cancel()
+        self._requests.cancel_all()
 
     def set_seeds(self, seeds: Sequence[str]) -> None:
         """Replace the addresses of the seeds."""
@@ -99,14 +89,13 @@
 
     def _responsiveness(self, address: str) -> tuple[bool, float]:
         """Return the sort key of a coordinator: equal for all that reply, so that these keep their order."""
-        replica = self._replica(address)
+        replica = self._requests.replica(address)
         is_responsive = replica.replied_at > NEVER and not replica.is_silent
         return not is_responsive, NEVER if is_responsive else replica.requested_at
 
     def publish_self(self) -> None:
         """Send this gateway's changed entry now instead of with the next request, by cancelling the awaited request."""
-        if self._awaited_address in self._pending:
-            self._pending[self._awaited_address].task.cancel()
+        self._requests.cancel(self._awaited_address)
 
     def metrics(self) -> list[Metric]:
         """Return the pulls from coordinators, by result."""
@@ -130,15 +119,17 @@
     async def _pull_from_seeds(self) -> None:
         """Pull the newest configuration from the seeds, until a majority has replied or STARTUP_WAIT_MS are over."""
         deadline = self._clock() + STARTUP_WAIT_MS
-        requests = {self._request(self._replica(address), 0.0, updates_view=False) for address in self._seeds}
+        requests = {
+            self._requests.send(self._requests.replica(address), 0.0, updates_view=False) for address in self._seeds
+        }
         await self._wait_for_replies(requests, len(requests) // 2 + 1, deadline)
 
     async def _follow_coordinators(self, addresses: Sequence[str]) -> bool:
         """Pull from the first coordinator with a serving lease while that is valid; return False if none replied."""
         without_lease: list[PeerReplica] = []
         for address in addresses:
-            replica = self._replica(address)
-            if address not in self._pending and self._parallel_requests() >= MAX_PARALLEL_REQUESTS:
+            replica = self._requests.replica(address)
+            if not self._requests.is_in_flight(address) and self._requests.parallel_count() >= MAX_PARALLEL_REQUESTS:
                 continue
             hold_ms = 0.0
             while await self._pull(replica, hold_ms):
@@ -172,7 +163,9 @@
     async def _has_coordinator_reply(self) -> bool:
         """Return whether one of the preferred coordinators replies in time."""
         addresses = self.coordinators()[:MAX_PROBED_COORDINATORS]
-        requests = {self._request(self._replica(address), 0.0, updates_view=True) for address in addresses}
+        requests = {
+            self._requests.send(self._requests.replica(address), 0.0, updates_view=True) for address in addresses
+        }
         return await self._wait_for_replies(requests, 1, self._clock() + COORDINATOR_PROBE_MS)
 
     async def _wait_for_replies(self, requests: set[asyncio.Task[bool]], needed: int, deadline: float) -> bool:
@@ -197,23 +190,7 @@
             if gateway.serves_clients and gateway.name != name
         }
         preferred = rendezvous_order(name, addresses)[:MAX_PEER_GATEWAYS]
-        return [self._replica(addresses[peer], is_coordinator=False) for peer in preferred]
-
-    def _replica(self, address: str, *, is_coordinator: bool = True) -> PeerReplica:
-        replica = self._replicas.get(address)
-        if replica is None:
-            replica = PeerReplica(address, self._clock, is_coordinator=is_coordinator)
-            self._replicas[address] = replica
-        return replica
-
-    def _parallel_requests(self) -> int:
-        """Return how many requests to peers that have replied lately are in flight and not overdue."""
-        overdue_since = self._clock() - HOLD_MS - OVERDUE_RATIO * self._bounds.config_apply_ms
-        replied_since = self._clock() - self._bounds.contact_window_ms
-        return sum(
-            pending.sent_at > overdue_since and self._replicas[address].replied_at > replied_since
-            for address, pending in self._pending.items()
-        )
+        return [self._requests.replica(addresses[peer], is_coordinator=False) for peer in preferred]
 
     def _reply_timeout_ms(self, replica: PeerReplica) -> float:
         return replica.reply_timeout_ms(REPLY_TIMEOUT_RATIO * self._bounds.config_apply_ms)
@@ -226,45 +203,20 @@
         A request that `publish_self` cancelled counts as having had a reply.
         """
         self._awaited_address = replica.address
-        request = self._request(replica, hold_ms, updates_view=True)
+        request = self._requests.send(replica, hold_ms, updates_view=True)
         await asyncio.wait({request}, timeout=(hold_ms + self._reply_timeout_ms(replica)) / 1000)
         has_reply = request.done() and (request.cancelled() or request.result())
         replica.is_silent = not has_reply
         self._pull_counts["reply" if has_reply else "failed" if request.done() else "overdue"] += 1
         return has_reply
 
-    def _request(self, replica: PeerReplica, hold_ms: float, *, updates_view: bool) -> asyncio.Task[bool]:
-        """Return the request to this peer that is in flight; send one if there is none."""
-        pending = self._pending.get(replica.address)
-        if pending is not None:
-            return pending.task
-        replica.requested_at = self._clock()
-        task = asyncio.ensure_future(self._send_request(replica, hold_ms, updates_view=updates_view))
-        self._pending[replica.address] = _PendingRequest(self._clock(), task)
-        task.add_done_callback(lambda done: self._on_request_done(replica.address, done))
-        return task
-
-    def _on_request_done(self, address: str, task: asyncio.Task[bool]) -> None:
-        del self._pending[address]
-        if not task.cancelled() and (error := task.exception()) is not None:
-            self._log.exception("state pull failed", error, peer=address)
-
-    async def _send_request(self, replica: PeerReplica, hold_ms: float, *, updates_view: bool) -> bool:
-        """Send a request and apply its reply, however late it arrives; return whether there was a reply."""
-        requested_at = self._clock()
-        update = await self._fetch(replica, hold_ms, self._bounds.config_apply_ms)
-        if update is None:
-            return False
-        self._apply(replica, update, requested_at, updates_view=updates_view)
-        return True
-
     async def _pull_newest(self, replicas: Iterable[PeerReplica], hold_ms: float) -> bool:
         """Pull from several gateways and apply the newest configuration first, so that no older one takes effect.
 
         Return whether any of them replied.
         """
         requests = [
-            (replica, self._clock(), self._fetch(replica, hold_ms, self._reply_timeout_ms(replica)))
+            (replica, self._clock(), self._requests.fetch(replica, hold_ms, self._reply_timeout_ms(replica)))
             for replica in replicas
         ]
         updates = await asyncio.gather(*(fetch for _, _, fetch in requests))
@@ -275,33 +227,9 @@
         ]
         replies.sort(key=lambda reply: reply.update.config.serial, reverse=True)
         for reply in replies:
-            self._apply(reply.replica, reply.update, reply.requested_at, updates_view=False)
+            self._requests.apply(reply.replica, reply.update, reply.requested_at, updates_view=False)
         return bool(replies)
 
-    async def _fetch(self, replica: PeerReplica, hold_ms: float, timeout_ms: float) -> StateUpdate | None:
-        """Return a peer's reply; None if none arrived within the hold time plus the time-out."""
-        request = replica.build_request(self._own_entry(), self._hub, hold_ms, direct_only=False)
-        try:
-            reply = await self._links.call(replica.address, Envelope(state_request=request), hold_ms + timeout_ms)
-        except PeerCallError:
-            return None
-        return reply.state_update if reply.HasField("state_update") else None
-
-    def _apply(self, replica: PeerReplica, update: StateUpdate, requested_at: float, *, updates_view: bool) -> None:
-        """Apply a reply.
-
-        Coordinators and members are set only by peers with a valid lease, or by any peer while they are unknown.
-        """
-        hub = self._hub
-        replica.record_reply(update, requested_at, self._bounds.serving_lease_ms)
-        has_lease = not replica.is_lease_expired
-        if has_lease or not hub.coordinators:
-            hub.coordinators = tuple(update.coordinators) or hub.coordinators
-        if has_lease or not hub.members:
-            hub.members = tuple(update.members) or hub.members
-        hub.update_lease_membership(LeaseMembership.from_message(update.lease_membership))
-        replica.apply(update, hub, requested_at, updates_view=updates_view)
-
 
 def _has_reply(request: asyncio.Task[bool]) -> bool:
     """Return whether a completed request had a reply."""
