Configuration: the log of unreadable values quotes no text, which may be an API key

Cause: the reason of an unreadable value quoted it; apiKeys that were a text in place of a list went to the log. The path says which value it is. The test failed before (the key stood in the line).

--- a/hallhitch/planes/config_fields.py
+++ b/hallhitch/planes/config_fields.py
@@ -19,6 +19,7 @@
 
 MAX_INTEGER: Final = 2**63 - 1  # the largest value of the int64 fields in protocol messages
 MAX_NUMBER: Final = float(MAX_INTEGER)  # sums and products of such numbers stay far below the largest float
+JSON_TYPE_NAMES: Final[dict[type, str]] = {str: "a text", list: "a list", dict: "an object"}
 
 
 class FieldReader:
@@ -39,10 +40,13 @@
             self.record("", value, "an object")
 
     def record(self, name: str, value: object, expected: str) -> None:
-        """Record that a field cannot be read; an empty name stands for the object itself."""
+        """Record that a field cannot be read; an empty name stands for the object itself.
+
+        Texts, lists and objects are not quoted, as they may contain API keys.
+        """
         path = f"{self._path}.{name}" if self._path and name else self._path or name
         self._unreadable_fields += (name.partition(".")[0],)
-        self._unreadable.append(UnreadableValue(path, f"{value!r:.80} is not {expected}"))
+        self._unreadable.append(UnreadableValue(path, f"{_describe(value)} is not {expected}"))
 
     def is_unreadable(self, name: str) -> bool:
         """Return whether a field, or a part of it, could not be read."""
@@ -141,3 +145,7 @@
         if not isinstance(value, bool):
             self.record(name, value, "true or false")
         return value is True
+
+
+def _describe(value: object) -> str:
+    return JSON_TYPE_NAMES.get(type(value)) or f"{value!r:.40}"
--- a/tests/system/distribution/test_gateway_program.py
+++ b/tests/system/distribution/test_gateway_program.py
@@ -93,18 +93,22 @@
         hub.on_change.append(program._on_state_change)
         program._sync.is_startup_complete = True
         hub.update_backends(1.0, [make_backend("i-1")])
-        document = {"services": {"s": {}}, "tenants": {"t": {"priority": "high"}, "u": {"ratePerS": "x"}}}
+        document = {
+            "services": {"s": {}},
+            "tenants": {"t": {"apiKeys": "secret", "priority": "high"}, "u": {"ratePerS": "x"}},
+        }
         content = zlib.compress(json.dumps(document).encode())
         for serial in (2, 3):  # the second one with an evacuation, of the same version
             hub.update_config(serial, 6, content, ["z"] if serial == 3 else [])
             assert readiness(program) == 200 and program._config.version == 6
         assert failures(program) == {} and program._config.evacuated_zones == {"z"}
         (gauge,) = (metric for metric in program._metrics() if metric.name == "config_unreadable_values")
-        assert list(gauge.samples.values()) == [2.0]
+        assert list(gauge.samples.values()) == [3.0]
 
     run_in_virtual_time(scenario)
     (line,) = (line for line in logged_lines if "configuration read in part" in line)
-    assert "config_version=6" in line and "paths=tenants.t.priority,tenants.u.ratePerS" in line
+    assert "config_version=6" in line and "paths=tenants.t.apiKeys,tenants.t.priority,tenants.u.ratePerS" in line
+    assert "secret" not in line
 
 
 def test_gateway_whose_first_configuration_cannot_be_applied_is_not_ready() -> None:
