--- a/hallhitch/cli/demo_system.py
+++ b/hallhitch/cli/demo_system.py
@@ -33,6 +33,7 @@
     "hundreds",
     "departures",
     "overlaps",
+    "upgrades",
 )
 
 
@@ -53,13 +54,25 @@
     "--gateways", type=click.IntRange(1, 90), default=3, show_default=True, help="Gateways in each of the three zones."
 )
 @click.option("--stay-connected", is_flag=True, help="Clients use open connections until a gateway closes them.")
+@click.option(
+    "--earlier-release",
+    type=click.Path(exists=True, file_okay=False, resolve_path=True, path_type=Path),
+    help="Checkout of another release whose programs run first; for the day `upgrades`.",
+)
 @click.option(
     "--to",
     type=click.Path(path_type=Path),
     help="Directory that keeps the settings, logs and disks; a temporary one by default.",
 )
 def demo(  # noqa: PLR0913  one parameter for each option
-    day: str, seconds: float, load: float, seed: int, gateways: int, stay_connected: bool, to: Path | None
+    day: str,
+    seconds: float,
+    load: float,
+    seed: int,
+    gateways: int,
+    stay_connected: bool,
+    earlier_release: Path | None,
+    to: Path | None,
 ) -> None:
     """Run three regions with gateways and three coordinators through a scenario of faults.
 
@@ -76,11 +89,16 @@
     spec = EmulatorSpec(seed=seed, gateways_per_zone=gateways, clients_stay_connected=stay_connected)
     if day == "overlaps":
         spec = with_refusing_backends(with_long_requests(spec))
-    uvloop.run(_run_scenario(day, seconds, load, spec, to))
+    uvloop.run(_run_scenario(day, seconds, load, spec, to, earlier_release))
 
 
 async def _run_scenario(
-    name: str, duration_s: float, load_factor: float, spec: EmulatorSpec, directory: Path | None
+    name: str,
+    duration_s: float,
+    load_factor: float,
+    spec: EmulatorSpec,
+    directory: Path | None,
+    earlier_release: Path | None,
 ) -> None:
     from hallhitch.lab.emulator.emulator import Emulator
     from hallhitch.lab.emulator.scenarios import SCENARIOS
@@ -89,7 +107,10 @@
     if directory is not None:
         directory.mkdir(parents=True, exist_ok=True)
     is_relayed = spec.gateways_per_zone <= MAX_RELAYED_GATEWAYS_PER_ZONE
-    async with Emulator(spec, directory, is_relayed) as emulator:
+    emulator = Emulator(spec, directory, is_relayed)
+    if earlier_release is not None:
+        emulator.processes.use_earlier_release(earlier_release)
+    async with emulator:
         await _wait_for_start(emulator, duration_s)
         emulator.spawn(emulator.watch_readiness())
         faults = SCENARIOS[name](emulator, duration_s)
--- a/hallhitch/lab/emulator/node_file.py
+++ b/hallhitch/lab/emulator/node_file.py
@@ -44,6 +44,7 @@
     was_started: bool = False
     is_initial: bool = True  # part of the system at its first start, as opposed to a successor
     is_paused: bool = False
+    runs_earlier_release: bool = False  # the process is that of the rig's earlier release
     down_since_ms: float | None = None  # since an injected fault
     unexpected_exit_codes: list[int] = field(default_factory=list)
     is_end_requested: bool = False
--- a/hallhitch/lab/emulator/process_rig.py
+++ b/hallhitch/lab/emulator/process_rig.py
@@ -12,22 +12,19 @@
 import shutil
 import signal
 import sys
-import tomllib
 from collections.abc import Sequence
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Final
 
 from hallhitch.lab.emulator.connection_owners import Address
+from hallhitch.lab.emulator.deploy_roles import ROOT, read_roles
 from hallhitch.lab.emulator.node_file import Machine, listen_addresses, node_file_text
 from hallhitch.lab.emulator.ports import INTERNAL_OFFSET
 from hallhitch.lab.emulator.records import FaultInterval, Records, Termination
 from hallhitch.lab.emulator.spec import EmulatorSpec
 from hallhitch.node.clock import now
 
-ROOT: Final = Path(__file__).parents[3]
 RELAYED_PROGRAM: Final = "hallhitch.lab.emulator.relayed_program"
-DEPLOY_FILE: Final = ROOT / "deploy" / "system.toml"
 RESTART_DELAY_S: Final = 0.3  # from an unexpected exit until the restart
 MAX_RESTARTS: Final = 3  # after unexpected exits; a process that exceeds this fails at every start
 KILL_TIMEOUT_S: Final = 10.0  # for a killed process to exit
@@ -38,22 +35,6 @@
 FIRST_SUCCESSOR_HOST: Final = 120  # above all other machines except backends
 
 
-@dataclass(frozen=True, slots=True)
-class Role:
-    """A role of the deploy file: the module of its program, its class of machines and the services that it provides."""
-
-    module: str
-    machine_class: str
-    serves: tuple[str, ...]
-
-
-def read_roles(path: Path = DEPLOY_FILE) -> dict[str, Role]:
-    """Read the roles of the deploy file, by name."""
-    with open(path, "rb") as file:
-        tables = tomllib.load(file)["roles"]
-    return {name: Role(table["run"].split()[-1], table["on"], tuple(table["serves"])) for name, table in tables.items()}
-
-
 class ProcessRig:
     """All machines of an emulator and their processes, which connect over relays if `is_relayed`."""
 
@@ -73,6 +54,7 @@
         self.removed: list[Machine] = []
         self.unexpected_exit = asyncio.Event()
         self._is_relayed = is_relayed
+        self._earlier_release = ROOT  # of another checkout, if some machines run its programs
         self._platform = platform
         self._records = records
         self._directory = directory
@@ -141,6 +123,12 @@
         seeds = self.with_service("control_plane")[:MAX_SEEDS]
         return [listen_addresses(machine, self.base_port)["controlPlane"] for machine in seeds]
 
+    def use_earlier_release(self, root: Path) -> None:
+        """Start all machines with the programs of another checkout, until `Machine.runs_earlier_release` is unset."""
+        self._earlier_release = root
+        for machine in self.machines.values():
+            machine.runs_earlier_release = True
+
     # --- Starts.
 
     def write_node_file(self, machine: Machine, is_first_start: bool, seeds: Sequence[str] | None = None) -> Path:
@@ -169,7 +157,7 @@
                 "-O",
                 "-m",
                 *arguments,
-                cwd=ROOT,
+                cwd=self._earlier_release if machine.runs_earlier_release else ROOT,
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
--- a/hallhitch/lab/emulator/scenarios.py
+++ b/hallhitch/lab/emulator/scenarios.py
@@ -26,6 +26,7 @@
 from hallhitch.lab.emulator.response_fault import ResponseFault
 from hallhitch.lab.emulator.spec import RequestKind
 from hallhitch.lab.emulator.traffic import PlannedFault
+from hallhitch.lab.emulator.upgrade_scenario import upgrades
 
 RESTART_DELAY_S: Final = 1.0  # from a kill until the restart
 PAUSE_DURATION_S: Final = 3.0
@@ -295,4 +296,5 @@
     "exchange": coordinator_replacements,
     "hundreds": many_config_changes,
     "overlaps": overlapping_faults,
+    "upgrades": upgrades,
 }
