Endpoint list: the only row of a page may be unreadable, too (DRAIN)

Cause: a page counted as malformed if none of its rows named an instance, which holds for a last page with one row that cannot be read. Then the whole list was not read.

Change: a page is malformed if it is no table or has no column of that name. Only a list of which no row names an instance is not used.

Test: failed before, passes now.

--- a/hallhitch/planes/discovery/endpoint_page.py
+++ b/hallhitch/planes/discovery/endpoint_page.py
@@ -6,7 +6,7 @@
 - A backend whose row cannot be read whole gets no new request that may run only once.
 - Of such a backend, what is known stays as it was. If nothing is known, it is used only if its instance, its service,
   its address and its zone can be read, and then as if it were small and warming up.
-- A page is malformed if it is no table, or if none of its rows names an instance.
+- A page is malformed if it is no table, or if it has no column with the instances.
 """
 
 from __future__ import annotations
@@ -28,6 +28,7 @@
 UNREADABLE_SLOTS: Final = 1
 # For how long a backend that is not known yet counts as warming up if its row does not tell: longer than services take.
 UNREADABLE_SLOW_START_MS: Final = 30_000.0
+INSTANCE_COLUMN: Final = "instanceId"
 READY: Final = "ready"
 DRAINING: Final = "draining"
 
@@ -77,8 +78,6 @@
         token = _parse_token(table.get("nextPageToken"))
     except (KeyError, TypeError, AttributeError, ValueError, RecursionError) as error:
         raise MalformedPageError(f"malformed page: {type(error).__name__} {error}") from error
-    if rows and not any(row.instance for row in rows):
-        raise MalformedPageError("malformed page: no row names an instance")
     return Page(
         tuple(row for row in rows if isinstance(row, ListedBackend)),
         tuple(row for row in rows if isinstance(row, UnreadableRow)),
@@ -115,11 +114,15 @@
     if not isinstance(instances, dict):
         if not isinstance(instances, list):
             raise TypeError("instances is neither a table nor a list")
+        if instances and not any(isinstance(row, dict) and INSTANCE_COLUMN in row for row in instances):
+            raise KeyError(INSTANCE_COLUMN)
         yield from (_Row(row, True) if isinstance(row, dict) else _Row({}, False) for row in instances)
         return
     names, values = instances["columnNames"], instances["rowValues"]
     if not isinstance(names, list) or not isinstance(values, list):
         raise TypeError("columnNames or rowValues is not a list")
+    if values and INSTANCE_COLUMN not in names:
+        raise KeyError(INSTANCE_COLUMN)
     for row in values:
         cells = row if isinstance(row, list) else []
         yield _Row(dict(zip(names, cells, strict=False)), len(cells) == len(names))
@@ -127,7 +130,7 @@
 
 def _parse_row(row: _Row, now: float) -> ListedBackend | UnreadableRow:
     fields = row.fields
-    instance, service, zone = fields.get("instanceId"), fields.get("targetService"), fields.get("zone") or ""
+    instance, service, zone = fields.get(INSTANCE_COLUMN), fields.get("targetService"), fields.get("zone") or ""
     address, state = _parse_address(fields.get("address")), fields.get("state") or READY
     slots, warmup_ms = _parse_slots(fields.get("slotCount") or 1), _parse_duration_ms(fields.get("coldRemaining"))
     has_instance, has_service, has_zone = is_visible_ascii(instance), is_text(service), not zone or is_text(zone)
@@ -148,7 +151,7 @@
             return backend
     is_readable = {
         "row": row.is_whole,
-        "instanceId": has_instance,
+        INSTANCE_COLUMN: has_instance,
         "targetService": has_service,
         "address": address is not None,
         "zone": has_zone,
--- a/hallhitch/planes/discovery/platform_client.py
+++ b/hallhitch/planes/discovery/platform_client.py
@@ -57,7 +57,7 @@
             reading.backends.extend(page.backends)
             reading.unreadable_rows.extend(page.unreadable_rows)
             if page.next_token is None:
-                return reading
+                return _checked(reading)
             token = page.next_token
         raise EndpointListError(f"the list has more than {MAX_PAGES} pages")
 
@@ -108,6 +108,14 @@
         return body
 
 
+def _checked(reading: EndpointListReading) -> EndpointListReading:
+    """Return the reading, unless its rows name no instance at all: then nothing is known, not even who is gone."""
+    rows = reading.unreadable_rows
+    if rows and not reading.backends and not any(row.instance for row in rows):
+        raise EndpointListError("no row names an instance")
+    return reading
+
+
 def _reason(error: Exception) -> str:
     return "no response before the time-out" if isinstance(error, TimeoutError) else str(error)
 
--- a/tests/system/discovery/test_platform_client.py
+++ b/tests/system/discovery/test_platform_client.py
@@ -79,6 +79,17 @@
     run_against(server, scenario)
 
 
+# Guards against a list that is not read for the only row of its last page (DRAIN).
+def test_page_whose_only_row_cannot_be_read_leaves_the_other_pages() -> None:
+    server = PlatformServer({"/instances": response(page(["a"], "p")), "/instances?pageToken=p": response(page([" "]))})
+
+    async def scenario(client: PlatformClient) -> None:
+        reading = await client.read()
+        assert instances(reading) == ["a"] and [row.fields for row in reading.unreadable_rows] == [("instanceId",)]
+
+    run_against(server, scenario)
+
+
 def test_long_chunked_page_is_read_whole() -> None:
     names = [f"i-{number}" for number in range(5000)]
     body = page(names)
@@ -106,8 +117,12 @@
 
 @pytest.mark.parametrize(
     ("reply", "reason"),
-    [(response(page(["a"]), 503), "status 503"), (response(b"{"), "malformed page")],
-    ids=["status", "malformed"],
+    [
+        (response(page(["a"]), 503), "status 503"),
+        (response(b"{"), "malformed page"),
+        (response(page(["a b", ""])), "no row names an instance"),
+    ],
+    ids=["status", "malformed", "no instance"],
 )
 def test_reply_without_a_list_raises_an_error(reply: bytes, reason: str) -> None:
     async def scenario(client: PlatformClient) -> None:
