--- a/tests/system/discovery/test_endpoint_page.py
+++ b/tests/system/discovery/test_endpoint_page.py
@@ -123,7 +123,9 @@
 
 
 @pytest.mark.parametrize(
-    ("field", "written"), [("slotCount", b"9" * 5000), ("zone", b'"\xe9"'), ("coldRemaining", b"-Infinity")]
+    ("field", "written"),
+    [("slotCount", b"9" * 5000), ("zone", b'"\xe9"'), ("coldRemaining", b"-Infinity")],
+    ids=["long integer", "no UTF-8", "no number"],
 )
 def test_value_that_is_no_proper_json_is_put_aside_alone(field: str, written: bytes) -> None:
     rows = json.dumps([{**ROW, "state": "ready", field: "MARK"}, OTHER]).encode()
