Backend connections: a stray response that announces the close ends no attempt (LOST)

Callers saw: a request that a backend ran and answered with 200 got 502 from the gateway, if a response that belongs to no request came first on the connection and said "Connection: close".

Cause: the HTTP parser refuses bytes after a message with that field. The stray response was dropped, as it should be, and the request's own response behind it counted as invalid.

Change: the parser of backend connections reads on after such a message. What is not the attempt's is dropped as before, by its id, and the connection is not used again.

--- a/hallhitch/planes/data/http_readers.py
+++ b/hallhitch/planes/data/http_readers.py
@@ -92,6 +92,8 @@
             max_buffered_body_bytes=UNRESERVED_BODY_MAX_BYTES,
             max_body_bytes=RESPONSE_BODY_MAX_BYTES,
         )
+        # A response that belongs to no request may announce the close of the connection before the one that does.
+        self.parser.set_dangerous_leniencies(lenient_keep_alive=True)
         self._body_memory = body_memory
         self._reserved_bytes = 0
         self.is_head_request = False  # a response to HEAD may declare a length but has no body
--- a/tests/system/data/test_response_attribution.py
+++ b/tests/system/data/test_response_attribution.py
@@ -60,6 +60,36 @@
             peer.respond(body=b"ran " + peer.request_id)
 
 
+# Guards against: a request that ran gets 502, because a response that belongs to no request announced the close.
+@pytest.mark.parametrize("is_split", [False, True], ids=["one segment", "two segments"])
+@pytest.mark.parametrize("id_line", [b"", b"Hallhitch-Request-Id: another\r\n"], ids=["no id", "another id"])
+@with_data_plane()
+async def test_response_after_a_stray_one_that_announces_the_close_is_passed_on(
+    harness: DataPlaneHarness, is_split: bool, id_line: bytes
+) -> None:
+    harness.plane.set_config(make_config(make_route("non_idempotent", max_attempts=2)))
+    stray = encode_response(503, id_line + NOT_EXECUTED_LINE + b"Connection: close\r\n", b"")
+    connections = 0
+
+    async def backend(peer: Peer) -> None:
+        nonlocal connections
+        connections += 1
+        while True:
+            await peer.read_message()
+            peer.write(stray)
+            if is_split:
+                await asyncio.sleep(0.01)
+            peer.respond(body=b"ran " + peer.request_id)
+
+    entry = await harness.start_backend("b-1", backend)
+    harness.policy.backends = [entry, entry]
+    for number in (1, 2):
+        request_id = f"id-{number}"
+        reply = await harness.send(encode_request(request_id=request_id, method="POST", body=b"x"))
+        assert (reply.status, reply.body) == (200, b"ran " + request_id.encode())
+    assert connections == 2  # a connection with a stray response is not used again
+
+
 # Guards against: a copy of a refusal ends the retry that was sent on the same connection, so that the client gets 503
 # for a request that runs (REFUSED), or the request is sent again and runs twice (TWICE).
 @pytest.mark.parametrize("refusal", ENCODED_REFUSALS.values(), ids=ENCODED_REFUSALS)
